--- /dev/null
+++ b/decisions/records.h
@@ -0,0 +1,223 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/name_table.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hibiscusspool {
+
+enum class failure_domain_state
+{
+  In,
+  Out,
+};
+
+template<>
+inline constexpr name_table<failure_domain_state, 2>
+  kNames<failure_domain_state>{ {
+    { failure_domain_state::In, "in" },
+    { failure_domain_state::Out, "out" },
+  } };
+
+/** What a backend server says of itself. */
+enum class server_state
+{
+  Cold,
+  Ready,
+  Draining,
+  Gone,
+};
+
+template<>
+inline constexpr name_table<server_state, 4> kNames<server_state>{ {
+  { server_state::Cold, "cold" },
+  { server_state::Ready, "ready" },
+  { server_state::Draining, "draining" },
+  { server_state::Gone, "gone" },
+} };
+
+enum class entry_host_state
+{
+  Serving,
+  Leaving,
+  Silent,
+};
+
+template<>
+inline constexpr name_table<entry_host_state, 3> kNames<entry_host_state>{ {
+  { entry_host_state::Serving, "serving" },
+  { entry_host_state::Leaving, "leaving" },
+  { entry_host_state::Silent, "silent" },
+} };
+
+enum class claim_state
+{
+  Claimed,
+  Done,
+  Unknown,
+  Released,
+};
+
+template<>
+inline constexpr name_table<claim_state, 4> kNames<claim_state>{ {
+  { claim_state::Claimed, "claimed" },
+  { claim_state::Done, "done" },
+  { claim_state::Unknown, "unknown" },
+  { claim_state::Released, "released" },
+} };
+
+/**
+ * A template as operators wrote it. A field's text may hold `${parameter}`;
+ * teams fill the parameters in. Field names are those of `policy_field`.
+ */
+struct template_record
+{
+  template_id mTemplate;
+  log_index mVersion = 0;
+  std::map<std::string, std::string> mFields;
+  /** Default texts of parameters; a parameter without one has no row. */
+  std::map<std::string, std::string> mDefaults;
+
+  bool operator==(const template_record&) const = default;
+};
+
+struct team_record
+{
+  team_id mTeam;
+  log_index mVersion = 0;
+  template_id mTemplate;
+  std::map<std::string, std::string> mParameters;
+
+  bool operator==(const team_record&) const = default;
+};
+
+struct failure_domain_record
+{
+  failure_domain_id mFailureDomain;
+  log_index mVersion = 0;
+  failure_domain_state mState = failure_domain_state::In;
+
+  bool operator==(const failure_domain_record&) const = default;
+};
+
+struct entry_host_record
+{
+  host_id mHost;
+  log_index mVersion = 0;
+  incarnation_number mIncarnation = 0;
+  failure_domain_id mFailureDomain;
+  /** Where callers connect, `ip:port`. */
+  std::string mCallersAddress;
+  /** Where backend servers announce themselves, `ip:port`. */
+  std::string mAnnounceAddress;
+  entry_host_state mState = entry_host_state::Serving;
+  /** The control host whose watch stream it holds. */
+  host_id mSponsor;
+
+  bool operator==(const entry_host_record&) const = default;
+};
+
+struct server_record
+{
+  server_id mServer;
+  log_index mVersion = 0;
+  incarnation_number mIncarnation = 0;
+  /** Counts the announcements of this incarnation that changed something. */
+  std::uint64_t mSequence = 0;
+  service_id mService;
+  failure_domain_id mFailureDomain;
+  std::string mAddress;
+  std::uint32_t mSlots = 0;
+  std::uint32_t mConnections = 0;
+  std::uint32_t mColdSlots = 0;
+  server_state mState = server_state::Cold;
+  std::vector<snapshot_number> mSnapshots;
+  /** The entry host that holds the announcement's lease. */
+  host_id mSponsor;
+
+  bool operator==(const server_record&) const = default;
+};
+
+/**
+ * A request body that crashed servers. Each crash and each further trial is
+ * recorded; at two of both together no host runs it until `mUntil`.
+ */
+struct quarantine_record
+{
+  fingerprint_id mFingerprint;
+  log_index mVersion = 0;
+  /** Servers whose connection was reset while they ran the request. */
+  std::vector<server_id> mCrashedServers;
+  /** Trials under way, each by its own number. */
+  std::vector<std::string> mTrials;
+  wall_ms mUntil = 0;
+
+  bool operator==(const quarantine_record&) const = default;
+};
+
+/** A non-idempotent request that some entry host may run, once. */
+struct claim_record
+{
+  team_id mTeam;
+  idempotency_key mKey;
+  log_index mVersion = 0;
+  fingerprint_id mFingerprint;
+  /** Names the one attempt that holds the claim. */
+  request_id mAttempt;
+  host_id mOwner;
+  incarnation_number mOwnerIncarnation = 0;
+  claim_state mState = claim_state::Claimed;
+  std::string mOutcome;
+  wall_ms mSettledAt = 0;
+
+  bool operator==(const claim_record&) const = default;
+};
+
+enum class record_kind
+{
+  Template,
+  Team,
+  FailureDomain,
+  EntryHost,
+  Server,
+  Quarantine,
+  Claim,
+};
+
+template<>
+inline constexpr name_table<record_kind, 7> kNames<record_kind>{ {
+  { record_kind::Template, "template" },
+  { record_kind::Team, "team" },
+  { record_kind::FailureDomain, "failure_domain" },
+  { record_kind::EntryHost, "entry_host" },
+  { record_kind::Server, "server" },
+  { record_kind::Quarantine, "quarantine" },
+  { record_kind::Claim, "claim" },
+} };
+
+/** Takes the record of this kind and name away. */
+struct record_removal
+{
+  record_kind mKind = record_kind::Template;
+  std::string mName;
+
+  bool operator==(const record_removal&) const = default;
+};
+
+/** One record put or taken away: a wish in a command, a fact in a watch. */
+using record_change = std::variant<template_record,
+                                   team_record,
+                                   failure_domain_record,
+                                   entry_host_record,
+                                   server_record,
+                                   quarantine_record,
+                                   claim_record,
+                                   record_removal>;
+
+}
--- /dev/null
+++ b/decisions/replica_choice.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace hibiscusspool {
+
+/** One backend server that could take an attempt now. */
+struct replica_candidate
+{
+  /** Place in the caller's own list. */
+  std::size_t mPlace = 0;
+  /** Attempts that this host has under way there. */
+  std::uint32_t mOutstanding = 0;
+  microseconds mServiceTime{ 0 };
+  bool mIsOwnDomain = false;
+  /** A connection is open and unused. */
+  bool mHasConnection = false;
+};
+
+/** Expected time until an attempt sent now is answered. */
+microseconds
+ExpectedTime(const replica_candidate& aCandidate);
+
+/**
+ * Picks the better of two random candidates by expected time. The own failure
+ * domain and an open connection decide between equals only.
+ */
+std::optional<std::size_t>
+PickReplica(const std::vector<replica_candidate>& aCandidates,
+            std::mt19937_64& aRandom);
+
+}
--- /dev/null
+++ b/decisions/server_limit.cpp
@@ -0,0 +1,87 @@
+#include "decisions/server_limit.h"
+
+#include <algorithm>
+
+namespace hibiscusspool {
+
+namespace {
+
+constexpr double kDecrease = 0.7;
+constexpr double kSampleWeight = 0.1;
+constexpr double kQuantileStep = 0.02;
+constexpr std::uint64_t kSettledSamples = 50;
+
+}
+
+void
+server_limit::OnAnswer(std::uint32_t aOutstanding)
+{
+  // A limit that is not used says nothing about what the server can bear.
+  if (aOutstanding + 1 < Allowed()) {
+    return;
+  }
+  mLimit = std::min(kHighest, mLimit + 1.0 / mLimit);
+}
+
+void
+server_limit::OnOverload(steady_time aNow, microseconds aServiceTime)
+{
+  if (aNow - mCutAt < aServiceTime) {
+    return;
+  }
+  mCutAt = aNow;
+  mLimit = std::max(1.0, mLimit * kDecrease);
+}
+
+void
+service_time::Add(microseconds aSample)
+{
+  auto sample = static_cast<double>(aSample.count());
+  if (!mHasSample) {
+    mHasSample = true;
+    mMicroseconds = sample;
+    return;
+  }
+  mMicroseconds += kSampleWeight * (sample - mMicroseconds);
+}
+
+void
+quantile_tracker::Add(microseconds aSample)
+{
+  auto sample = static_cast<double>(aSample.count());
+  ++mCount;
+  if (mCount == 1) {
+    mMicroseconds = sample;
+    return;
+  }
+  // Steps are larger while there are few samples, so that it settles fast.
+  double step =
+    std::max(kQuantileStep, 1.0 / static_cast<double>(mCount));
+  bool isAbove = sample > mMicroseconds;
+  double change = isAbove ? step * mQuantile : -step * (1 - mQuantile);
+  mMicroseconds *= 1 + change;
+}
+
+bool
+quantile_tracker::IsSettled() const
+{
+  return mCount >= kSettledSamples;
+}
+
+void
+ratio_budget::OnRegular()
+{
+  mSaved = std::min(kMostSaved, mSaved + mRatio);
+}
+
+bool
+ratio_budget::Spend()
+{
+  if (mSaved < 1) {
+    return false;
+  }
+  mSaved -= 1;
+  return true;
+}
+
+}
--- /dev/null
+++ b/decisions/team_policy.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/failure.h"
+#include "decisions/records.h"
+
+#include <set>
+
+namespace hibiscusspool {
+
+/** A field of a template. */
+enum class policy_field
+{
+  Services,
+  RunService,
+  MinimumCoverage,
+  WaitMs,
+  Concurrency,
+  LatencyObjectiveMs,
+  LatencyObjective,
+  AvailabilityObjective,
+  CoverageObjective,
+};
+
+template<>
+inline constexpr name_table<policy_field, 9> kNames<policy_field>{ {
+  { policy_field::Services, "services" },
+  { policy_field::RunService, "run_service" },
+  { policy_field::MinimumCoverage, "minimum_coverage" },
+  { policy_field::WaitMs, "wait_ms" },
+  { policy_field::Concurrency, "concurrency" },
+  { policy_field::LatencyObjectiveMs, "latency_objective_ms" },
+  { policy_field::LatencyObjective, "latency_objective" },
+  { policy_field::AvailabilityObjective, "availability_objective" },
+  { policy_field::CoverageObjective, "coverage_objective" },
+} };
+
+enum class policy_error
+{
+  UnknownField,
+  UnknownParameter,
+  MissingParameter,
+  BadValue,
+};
+
+template<>
+inline constexpr name_table<policy_error, 4> kNames<policy_error>{ {
+  { policy_error::UnknownField, "unknown_field" },
+  { policy_error::UnknownParameter, "unknown_parameter" },
+  { policy_error::MissingParameter, "missing_parameter" },
+  { policy_error::BadValue, "bad_value" },
+} };
+
+/** What a team may do, with every parameter filled in. */
+struct team_policy
+{
+  /** The services that a query asks, each once, sorted. */
+  std::vector<service_id> mServices;
+  /** The service that runs the team's non-idempotent requests. */
+  service_id mRunService;
+  /** Share of the services that an answer must cover, 0 to 1. */
+  double mMinimumCoverage = 1.0;
+  /** How long a caller waits at most. */
+  milliseconds mWait{ 1000 };
+  /** Requests at a time over all entry hosts. */
+  std::uint32_t mConcurrency = 256;
+  /** An answer is in time when it takes no longer. */
+  milliseconds mLatencyObjective{ 280 };
+  double mLatencyShare = 0.99;
+  double mAvailabilityShare = 0.999;
+  double mCoverageShare = 0.999;
+
+  bool operator==(const team_policy&) const = default;
+};
+
+/** Longest wait that any team may have; shares are handed over after it. */
+inline constexpr milliseconds kLongestWait{ 10'000 };
+
+/**
+ * Fills a template's parameters in and checks every field.
+ * Errors: a field or parameter that does not exist, a parameter without a
+ * value, a value out of range; the detail names it and the allowed range.
+ */
+result<team_policy, policy_error>
+FillTemplate(const template_record& aTemplate, const team_record& aTeam);
+
+/** Checks what can be checked of a template before a team fills it in. */
+result<void, policy_error>
+CheckTemplate(const template_record& aTemplate);
+
+}
--- /dev/null
+++ b/drivers/control_client.cpp
@@ -0,0 +1,286 @@
+#include "drivers/control_client.h"
+
+#include "drivers/grpc_settings.h"
+#include "messages/control_codec.h"
+#include "messages/refusal_codec.h"
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <mutex>
+
+#include <control.grpc.pb.h>
+#include <grpcpp/grpcpp.h>
+
+namespace hibiscusspool {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds kStatusTimeout{ 1000 };
+constexpr milliseconds kRetryPause{ 50 };
+
+template<typename request, typename reply>
+struct unary_call
+{
+  grpc::ClientContext mContext;
+  request mRequest;
+  reply mReply;
+  std::unique_ptr<wire::Control::Stub> mStub;
+};
+
+template<typename request, typename reply>
+using unary_start =
+  std::function<void(unary_call<request, reply>&,
+                     std::function<void(grpc::Status)>)>;
+
+}
+
+struct control_client::state
+{
+  asio::any_io_executor mExecutor;
+  std::map<host_id, std::string> mAddresses;
+  std::mutex mLock;
+  std::map<host_id, std::shared_ptr<grpc::Channel>> mChannels;
+  host_id mLeader;
+
+  std::shared_ptr<grpc::Channel> Channel(const host_id& aHost)
+  {
+    std::lock_guard guard(mLock);
+    auto& channel = mChannels[aHost];
+    if (channel == nullptr) {
+      channel = OpenChannel(mAddresses.at(aHost));
+    }
+    return channel;
+  }
+
+  /** Forgets a connection that went silent. */
+  void DropChannel(const host_id& aHost)
+  {
+    std::lock_guard guard(mLock);
+    mChannels.erase(aHost);
+  }
+
+  /** The host to ask next: the leader if one is known, else the next one. */
+  host_id Target(std::size_t aTry)
+  {
+    std::lock_guard guard(mLock);
+    if (mAddresses.contains(mLeader)) {
+      return mLeader;
+    }
+    auto place = mAddresses.begin();
+    std::advance(place, static_cast<std::ptrdiff_t>(aTry % mAddresses.size()));
+    return place->first;
+  }
+
+  void SetLeader(host_id aLeader)
+  {
+    std::lock_guard guard(mLock);
+    mLeader = std::move(aLeader);
+  }
+
+  /** One call to one host; nothing when it failed. */
+  template<typename request, typename reply>
+  asio::awaitable<std::optional<reply>> Call(
+    host_id aHost,
+    request aRequest,
+    milliseconds aTimeout,
+    unary_start<request, reply> aStart)
+  {
+    auto call = std::make_shared<unary_call<request, reply>>();
+    call->mRequest = std::move(aRequest);
+    call->mStub = wire::Control::NewStub(Channel(aHost));
+    call->mContext.set_deadline(std::chrono::system_clock::now() + aTimeout);
+    auto executor = co_await asio::this_coro::executor;
+    auto initiate = [call, executor, &aStart](auto aHandler) {
+      auto shared =
+        std::make_shared<decltype(aHandler)>(std::move(aHandler));
+      aStart(*call, [shared, executor](grpc::Status aStatus) {
+        asio::post(executor, [shared, aStatus] {
+          (*shared)(static_cast<int>(aStatus.error_code()));
+        });
+      });
+    };
+    int code = co_await asio::async_initiate<
+      const asio::use_awaitable_t<>&,
+      void(int)>(initiate, asio::use_awaitable);
+    if (code == grpc::StatusCode::DEADLINE_EXCEEDED) {
+      DropChannel(aHost);
+    }
+    if (code != grpc::StatusCode::OK) {
+      co_return std::nullopt;
+    }
+    co_return std::move(call->mReply);
+  }
+};
+
+control_client::control_client(std::shared_ptr<state> aState)
+  : mState(std::move(aState))
+{
+}
+
+result<control_client, client_error>
+control_client::create(asio::any_io_executor aExecutor,
+                       std::map<host_id, std::string> aAddresses)
+{
+  if (aAddresses.empty()) {
+    return Fail(client_error::NoLeader, "No control host is named.");
+  }
+  auto made = std::make_shared<state>();
+  made->mExecutor = std::move(aExecutor);
+  made->mAddresses = std::move(aAddresses);
+  return control_client(std::move(made));
+}
+
+std::vector<host_id>
+control_client::Hosts() const
+{
+  std::vector<host_id> hosts;
+  for (const auto& [host, address] : mState->mAddresses) {
+    hosts.push_back(host);
+  }
+  return hosts;
+}
+
+asio::awaitable<propose_answer>
+control_client::ProposeOnce(host_id aHost,
+                            const change_command& aCommand,
+                            milliseconds aTimeout)
+{
+  using call = unary_call<wire::ProposeRequest, wire::ProposeReply>;
+  wire::ProposeRequest request;
+  WriteCommand(aCommand, *request.mutable_command());
+  unary_start<wire::ProposeRequest, wire::ProposeReply> start =
+    [](call& aCall, std::function<void(grpc::Status)> aDone) {
+      aCall.mStub->async()->Propose(
+        &aCall.mContext, &aCall.mRequest, &aCall.mReply, std::move(aDone));
+    };
+  auto reply = co_await mState->Call<wire::ProposeRequest, wire::ProposeReply>(
+    aHost, std::move(request), aTimeout, start);
+  propose_answer answer;
+  if (!reply) {
+    co_return answer;
+  }
+  answer.mStatus = static_cast<propose_status>(reply->status());
+  answer.mLeader.mValue = reply->leader_host();
+  for (const wire::Outcome& outcome : reply->outcomes()) {
+    auto read = ReadOutcome(outcome);
+    if (!read) {
+      co_return propose_answer{};
+    }
+    answer.mOutcomes.push_back(std::move(read.value()));
+  }
+  co_return answer;
+}
+
+asio::awaitable<result<std::vector<change_outcome>, client_error>>
+control_client::Propose(change_command aCommand, steady_time aDeadline)
+{
+  asio::steady_timer pause(co_await asio::this_coro::executor);
+  for (std::size_t tries = 0;; ++tries) {
+    auto left = std::chrono::duration_cast<milliseconds>(
+      aDeadline - std::chrono::steady_clock::now());
+    if (left <= milliseconds(0)) {
+      co_return Fail(client_error::NoLeader,
+                     "No control host judged the change in time.");
+    }
+    host_id target = mState->Target(tries);
+    propose_answer answer = co_await ProposeOnce(target, aCommand, left);
+    if (answer.mStatus == propose_status::Judged) {
+      mState->SetLeader(target);
+      co_return std::move(answer.mOutcomes);
+    }
+    // A leader that names itself has just lost its office.
+    bool knowsOther = !answer.mLeader.IsEmpty() && answer.mLeader != target;
+    mState->SetLeader(knowsOther ? answer.mLeader : host_id{});
+    if (!knowsOther) {
+      pause.expires_after(kRetryPause);
+      co_await pause.async_wait(asio::use_awaitable);
+    }
+  }
+}
+
+asio::awaitable<std::vector<wire::StatusReply>>
+control_client::Status()
+{
+  using call = unary_call<wire::StatusRequest, wire::StatusReply>;
+  std::vector<wire::StatusReply> replies;
+  unary_start<wire::StatusRequest, wire::StatusReply> start =
+    [](call& aCall, std::function<void(grpc::Status)> aDone) {
+      aCall.mStub->async()->Status(
+        &aCall.mContext, &aCall.mRequest, &aCall.mReply, std::move(aDone));
+    };
+  for (const host_id& host : Hosts()) {
+    auto reply = co_await mState->Call<wire::StatusRequest, wire::StatusReply>(
+      host, {}, kStatusTimeout, start);
+    if (reply) {
+      replies.push_back(std::move(*reply));
+    }
+  }
+  co_return replies;
+}
+
+asio::awaitable<result<std::uint64_t, client_error>>
+control_client::StoreRefusals(host_id aHost, const refusal_batch& aBatch)
+{
+  using call = unary_call<wire::RefusalBatch, wire::RefusalAck>;
+  wire::RefusalBatch request;
+  WriteRefusals(aBatch, request);
+  unary_start<wire::RefusalBatch, wire::RefusalAck> start =
+    [](call& aCall, std::function<void(grpc::Status)> aDone) {
+      aCall.mStub->async()->StoreRefusals(
+        &aCall.mContext, &aCall.mRequest, &aCall.mReply, std::move(aDone));
+    };
+  auto reply = co_await mState->Call<wire::RefusalBatch, wire::RefusalAck>(
+    aHost, std::move(request), kStatusTimeout, start);
+  if (!reply) {
+    co_return Fail(client_error::Refused, aHost.mValue + " did not store.");
+  }
+  co_return reply->synced_number();
+}
+
+asio::awaitable<std::vector<refusal_batch>>
+control_client::ReadRefusals(wall_ms aFrom)
+{
+  using call = unary_call<wire::RefusalQuery, wire::RefusalReport>;
+  std::vector<refusal_batch> batches;
+  unary_start<wire::RefusalQuery, wire::RefusalReport> start =
+    [](call& aCall, std::function<void(grpc::Status)> aDone) {
+      aCall.mStub->async()->ReadRefusals(
+        &aCall.mContext, &aCall.mRequest, &aCall.mReply, std::move(aDone));
+    };
+  wire::RefusalQuery query;
+  query.set_from_ms(aFrom);
+  for (const host_id& host : Hosts()) {
+    auto reply =
+      co_await mState->Call<wire::RefusalQuery, wire::RefusalReport>(
+        host, query, kStatusTimeout, start);
+    if (!reply) {
+      continue;
+    }
+    for (const wire::RefusalBatch& batch : reply->batches()) {
+      batches.push_back(hibiscusspool::ReadRefusals(batch));
+    }
+  }
+  co_return batches;
+}
+
+asio::awaitable<std::optional<wire::ProbeReply>>
+control_client::Probe(host_id aHost)
+{
+  using call = unary_call<wire::ProbeRequest, wire::ProbeReply>;
+  unary_start<wire::ProbeRequest, wire::ProbeReply> start =
+    [](call& aCall, std::function<void(grpc::Status)> aDone) {
+      aCall.mStub->async()->Probe(
+        &aCall.mContext, &aCall.mRequest, &aCall.mReply, std::move(aDone));
+    };
+  co_return co_await mState->Call<wire::ProbeRequest, wire::ProbeReply>(
+    aHost, {}, kStatusTimeout, start);
+}
+
+}
--- /dev/null
+++ b/drivers/control_client.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "controllers/control_group.h"
+#include "core/failure.h"
+#include "decisions/refusal.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include <control.pb.h>
+
+namespace hibiscusspool {
+
+enum class client_error
+{
+  NoLeader,
+  Refused,
+  Stopped,
+};
+
+template<>
+inline constexpr name_table<client_error, 3> kNames<client_error>{ {
+  { client_error::NoLeader, "no_leader" },
+  { client_error::Refused, "refused" },
+  { client_error::Stopped, "stopped" },
+} };
+
+/** Calls to the control hosts from any process of the system. */
+class control_client
+{
+  struct state;
+  std::shared_ptr<state> mState;
+
+  explicit control_client(std::shared_ptr<state> aState);
+
+  boost::asio::awaitable<propose_answer> ProposeOnce(
+    host_id aHost,
+    const change_command& aCommand,
+    milliseconds aTimeout);
+
+public:
+  /** `aAddresses` gives the `ip:port` of each control host. */
+  static result<control_client, client_error> create(
+    boost::asio::any_io_executor aExecutor,
+    std::map<host_id, std::string> aAddresses);
+
+  /**
+   * Has a command judged by whoever leads, over changes of leader. A command
+   * may be sent more than once: it must have a Change-Id or be idempotent.
+   * Errors: `NoLeader` when the deadline passed first.
+   */
+  boost::asio::awaitable<result<std::vector<change_outcome>, client_error>>
+  Propose(change_command aCommand, steady_time aDeadline);
+
+  /** The status of each control host that answers. */
+  boost::asio::awaitable<std::vector<wire::StatusReply>> Status();
+
+  /** Hands a batch to one host; returns the number that is synced there. */
+  boost::asio::awaitable<result<std::uint64_t, client_error>> StoreRefusals(
+    host_id aHost,
+    const refusal_batch& aBatch);
+
+  /** What each control host that answers has kept since a time. */
+  boost::asio::awaitable<std::vector<refusal_batch>> ReadRefusals(
+    wall_ms aFrom);
+
+  /** What a control host says of itself, if it answers. */
+  boost::asio::awaitable<std::optional<wire::ProbeReply>> Probe(
+    host_id aHost);
+
+  [[nodiscard]] std::vector<host_id> Hosts() const;
+};
+
+}
--- /dev/null
+++ b/drivers/control_service.cpp
@@ -0,0 +1,351 @@
+#include "drivers/control_service.h"
+
+#include "core/log_event.h"
+#include "drivers/grpc_settings.h"
+#include "messages/control_codec.h"
+#include "messages/refusal_codec.h"
+
+#include <mutex>
+
+#include <control.grpc.pb.h>
+#include <grpcpp/grpcpp.h>
+
+namespace hibiscusspool {
+
+namespace {
+
+grpc::Status
+BadMessage(const failure<codec_error>& aError)
+{
+  return { grpc::StatusCode::INVALID_ARGUMENT, aError.mDetail };
+}
+
+/**
+ * One daemon's watch stream. gRPC calls it back, the hub wakes it, and it
+ * goes by itself when the stream is done.
+ */
+class watch_reactor
+  : public grpc::ServerBidiReactor<wire::WatchUp, wire::WatchDown>
+{
+  /** Lets wakes that come after the stream's end find nothing. */
+  struct wake_gate
+  {
+    std::mutex mLock;
+    watch_reactor* mReactor = nullptr;
+  };
+
+  const control_service_hooks& mHooks;
+  std::shared_ptr<wake_gate> mGate = std::make_shared<wake_gate>();
+  wire::WatchUp mUp;
+  wire::WatchDown mDown;
+  stream_id mStream = 0;
+  bool mIsWriting = false;
+  bool mIsFinished = false;
+
+  void FinishOnce(const grpc::Status& aStatus)
+  {
+    {
+      std::lock_guard guard(mGate->mLock);
+      if (mIsFinished) {
+        return;
+      }
+      mIsFinished = true;
+      mGate->mReactor = nullptr;
+    }
+    Finish(aStatus);
+  }
+
+  bool OpenStream()
+  {
+    auto hello = ReadEntryHost(mUp.hello());
+    if (!mUp.has_hello() || !hello) {
+      return false;
+    }
+    std::weak_ptr<wake_gate> gate = mGate;
+    mStream = mHooks.mOpen(hello.value(), [gate] { Wake(gate); });
+    return true;
+  }
+
+  static void Wake(const std::weak_ptr<wake_gate>& aGate)
+  {
+    auto gate = aGate.lock();
+    if (!gate) {
+      return;
+    }
+    std::lock_guard guard(gate->mLock);
+    if (gate->mReactor != nullptr) {
+      gate->mReactor->WriteNext();
+    }
+  }
+
+  /** Starts a write if none is under way; call it under the gate's lock. */
+  void WriteNext()
+  {
+    if (mIsWriting || mIsFinished || mStream == 0) {
+      return;
+    }
+    auto update = mHooks.mNext(mStream);
+    if (!update) {
+      return;
+    }
+    mDown.Clear();
+    mDown.set_replace(update->mReplaces);
+    mDown.set_index(update->mIndex);
+    mDown.set_confirmed_mark(update->mConfirmedMark);
+    for (const record_change& fact : update->mFacts) {
+      WriteChange(fact, *mDown.add_facts());
+    }
+    mIsWriting = true;
+    StartWrite(&mDown);
+  }
+
+public:
+  explicit watch_reactor(const control_service_hooks& aHooks)
+    : mHooks(aHooks)
+  {
+    mGate->mReactor = this;
+    StartRead(&mUp);
+  }
+
+  void OnReadDone(bool aIsOk) override
+  {
+    if (!aIsOk) {
+      FinishOnce(grpc::Status::OK);
+      return;
+    }
+    if (mStream == 0 && !OpenStream()) {
+      FinishOnce({ grpc::StatusCode::INVALID_ARGUMENT,
+                   "A stream starts with the daemon's own record." });
+      return;
+    }
+    mHooks.mReport(mStream,
+                   { mUp.mark(),
+                     mUp.held_index(),
+                     milliseconds(mUp.confirmed_age_ms()) });
+    Wake(mGate);
+    StartRead(&mUp);
+  }
+
+  void OnWriteDone(bool aIsOk) override
+  {
+    if (!aIsOk) {
+      FinishOnce(grpc::Status::OK);
+      return;
+    }
+    std::lock_guard guard(mGate->mLock);
+    mIsWriting = false;
+    WriteNext();
+  }
+
+  void OnCancel() override { FinishOnce(grpc::Status::CANCELLED); }
+
+  void OnDone() override
+  {
+    if (mStream != 0) {
+      mHooks.mClose(mStream);
+    }
+    delete this;
+  }
+};
+
+class service : public wire::Control::CallbackService
+{
+  control_service_hooks mHooks;
+
+public:
+  explicit service(control_service_hooks aHooks)
+    : mHooks(std::move(aHooks))
+  {
+  }
+
+  grpc::ServerUnaryReactor* Deliver(grpc::CallbackServerContext* aContext,
+                                    const wire::DeliverRequest* aRequest,
+                                    wire::DeliverReply* /*aReply*/) override
+  {
+    auto* reactor = aContext->DefaultReactor();
+    std::vector<raft_message> messages;
+    for (const wire::RaftMessage& message : aRequest->messages()) {
+      auto read = ReadMessage(message);
+      if (!read) {
+        reactor->Finish(BadMessage(read.error()));
+        return reactor;
+      }
+      messages.push_back(std::move(read.value()));
+    }
+    mHooks.mDeliver(std::move(messages));
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+  }
+
+  grpc::ServerUnaryReactor* Probe(grpc::CallbackServerContext* aContext,
+                                  const wire::ProbeRequest* /*aRequest*/,
+                                  wire::ProbeReply* aReply) override
+  {
+    probe_answer answer = mHooks.mProbe();
+    WritePeerId(answer.mSelf, *aReply->mutable_self());
+    aReply->set_empty(answer.mIsEmpty);
+    for (const host_id& host : answer.mGroup) {
+      aReply->add_group(host.mValue);
+    }
+    auto* reactor = aContext->DefaultReactor();
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+  }
+
+  grpc::ServerUnaryReactor* Propose(grpc::CallbackServerContext* aContext,
+                                    const wire::ProposeRequest* aRequest,
+                                    wire::ProposeReply* aReply) override
+  {
+    auto* reactor = aContext->DefaultReactor();
+    auto command = ReadCommand(aRequest->command());
+    if (!command) {
+      reactor->Finish(BadMessage(command.error()));
+      return reactor;
+    }
+    mHooks.mPropose(
+      std::move(command.value()), [reactor, aReply](propose_answer aAnswer) {
+        aReply->set_status(
+          static_cast<wire::ProposeStatus>(aAnswer.mStatus));
+        aReply->set_leader_host(aAnswer.mLeader.mValue);
+        for (const change_outcome& outcome : aAnswer.mOutcomes) {
+          WriteOutcome(outcome, *aReply->add_outcomes());
+        }
+        reactor->Finish(grpc::Status::OK);
+      });
+    return reactor;
+  }
+
+  grpc::ServerBidiReactor<wire::WatchUp, wire::WatchDown>* Watch(
+    grpc::CallbackServerContext* /*aContext*/) override
+  {
+    return new watch_reactor(mHooks);
+  }
+
+  grpc::ServerUnaryReactor* Status(grpc::CallbackServerContext* aContext,
+                                   const wire::StatusRequest* /*aRequest*/,
+                                   wire::StatusReply* aReply) override
+  {
+    control_group_status status = mHooks.mStatus();
+    aReply->set_host(status.mSelf.mHost.mValue);
+    aReply->set_role(std::string(NameOf(status.mRole)));
+    aReply->set_leader(status.mLeader.mValue);
+    aReply->set_term(status.mTerm);
+    aReply->set_commit_index(status.mCommit);
+    aReply->set_claims(status.mClaims);
+    aReply->set_servers(status.mServers);
+    for (const raft_peer& peer : status.mPeers) {
+      wire::MemberStatus& member = *aReply->add_members();
+      member.set_host(peer.mId.mHost.mValue);
+      member.set_disk(peer.mId.mDisk.mValue);
+      member.set_voter(peer.mIsVoter);
+    }
+    WriteDaemons(*aReply);
+    auto* reactor = aContext->DefaultReactor();
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+  }
+
+  grpc::ServerUnaryReactor* StoreRefusals(
+    grpc::CallbackServerContext* aContext,
+    const wire::RefusalBatch* aRequest,
+    wire::RefusalAck* aReply) override
+  {
+    auto* reactor = aContext->DefaultReactor();
+    auto synced = mHooks.mStoreRefusals(ReadRefusals(*aRequest));
+    if (!synced) {
+      reactor->Finish({ grpc::StatusCode::UNAVAILABLE, "The disk failed." });
+      return reactor;
+    }
+    aReply->set_synced_number(*synced);
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+  }
+
+  grpc::ServerUnaryReactor* ReadRefusals(
+    grpc::CallbackServerContext* aContext,
+    const wire::RefusalQuery* aRequest,
+    wire::RefusalReport* aReply) override
+  {
+    for (const refusal_batch& batch :
+         mHooks.mReadRefusals(aRequest->from_ms())) {
+      WriteRefusals(batch, *aReply->add_batches());
+    }
+    auto* reactor = aContext->DefaultReactor();
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+  }
+
+private:
+  refusal_batch ReadRefusals(const wire::RefusalBatch& aBatch)
+  {
+    return hibiscusspool::ReadRefusals(aBatch);
+  }
+
+  void WriteDaemons(wire::StatusReply& aReply)
+  {
+    steady_time now = mHooks.mSteadyNow();
+    for (const daemon_status& daemon : mHooks.mDaemons()) {
+      wire::DaemonStatus& out = *aReply.add_daemons();
+      WriteEntryHost(daemon.mHost, *out.mutable_host());
+      out.set_held_index(daemon.mReport.mHeldIndex);
+      out.set_confirmed_age_ms(
+        static_cast<std::uint64_t>(daemon.mReport.mConfirmedAge.count()));
+      auto ago = std::chrono::duration_cast<milliseconds>(
+        now - daemon.mHeardAt);
+      out.set_heard_ms_ago(static_cast<std::uint64_t>(ago.count()));
+    }
+  }
+};
+
+}
+
+struct control_service::edge
+{
+  service mService;
+  std::unique_ptr<grpc::Server> mServer;
+
+  explicit edge(control_service_hooks aHooks)
+    : mService(std::move(aHooks))
+  {
+  }
+};
+
+control_service::control_service(std::unique_ptr<edge> aEdge)
+  : mEdge(std::move(aEdge))
+{
+}
+
+control_service::control_service(control_service&&) noexcept = default;
+control_service&
+control_service::operator=(control_service&&) noexcept = default;
+control_service::~control_service() = default;
+
+result<control_service, service_error>
+control_service::create(const std::string& aAddress,
+                        control_service_hooks aHooks)
+{
+  auto made = std::make_unique<edge>(std::move(aHooks));
+  grpc::ServerBuilder builder;
+  int port = 0;
+  builder.AddListeningPort(aAddress, grpc::InsecureServerCredentials(), &port);
+  builder.SetMaxReceiveMessageSize(kMostMessageBytes);
+  builder.SetMaxSendMessageSize(kMostMessageBytes);
+  // Two processes on one port would each get some of the connections.
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.RegisterService(&made->mService);
+  made->mServer = builder.BuildAndStart();
+  if (made->mServer == nullptr || port == 0) {
+    return Fail(service_error::CannotListen, "Can't listen on " + aAddress);
+  }
+  return control_service(std::move(made));
+}
+
+void
+control_service::Stop()
+{
+  mEdge->mServer->Shutdown(std::chrono::system_clock::now() +
+                           std::chrono::seconds(1));
+  mEdge->mServer->Wait();
+}
+
+}
--- /dev/null
+++ b/drivers/control_service.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "controllers/control_group.h"
+#include "controllers/watch_hub.h"
+#include "core/failure.h"
+#include "decisions/refusal.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hibiscusspool {
+
+enum class service_error
+{
+  CannotListen,
+};
+
+template<>
+inline constexpr name_table<service_error, 1> kNames<service_error>{ {
+  { service_error::CannotListen, "cannot_listen" },
+} };
+
+/** What a control host says before it is a member of a group. */
+struct probe_answer
+{
+  raft_peer_id mSelf;
+  bool mIsEmpty = false;
+  std::vector<host_id> mGroup;
+};
+
+struct control_service_hooks
+{
+  std::function<steady_time()> mSteadyNow;
+  std::function<void(std::vector<raft_message>)> mDeliver;
+  std::function<probe_answer()> mProbe;
+  std::function<void(change_command, propose_reply)> mPropose;
+  /** A daemon opened a stream; `mWake` is to be called when `mNext` has more. */
+  std::function<stream_id(entry_host_record, std::function<void()>)> mOpen;
+  std::function<void(stream_id, watch_report)> mReport;
+  std::function<std::optional<watch_update>(stream_id)> mNext;
+  std::function<void(stream_id)> mClose;
+  std::function<control_group_status()> mStatus;
+  std::function<std::vector<daemon_status>()> mDaemons;
+  /** Syncs a batch; returns the number up to which all are kept. */
+  std::function<std::optional<std::uint64_t>(const refusal_batch&)>
+    mStoreRefusals;
+  std::function<std::vector<refusal_batch>(wall_ms)> mReadRefusals;
+};
+
+/** The gRPC edge of a control host, at an `ip:port`. */
+class control_service
+{
+  struct edge;
+  std::unique_ptr<edge> mEdge;
+
+  explicit control_service(std::unique_ptr<edge> aEdge);
+
+public:
+  control_service(control_service&&) noexcept;
+  control_service& operator=(control_service&&) noexcept;
+  ~control_service();
+
+  static result<control_service, service_error> create(
+    const std::string& aAddress,
+    control_service_hooks aHooks);
+
+  /** Ends all streams and waits for calls that are under way. */
+  void Stop();
+};
+
+}
--- /dev/null
+++ b/drivers/raft_disk.cpp
@@ -0,0 +1,362 @@
+#include "drivers/raft_disk.h"
+
+#include "core/log_event.h"
+#include "drivers/synced_file.h"
+#include "messages/control_codec.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <map>
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+namespace hibiscusspool {
+
+namespace {
+
+const std::string kSegmentPrefix = "log-";
+const std::string kSnapshotPrefix = "snapshot-";
+
+std::optional<std::uint64_t>
+NumberAfter(const std::string& aPrefix, const std::string& aName)
+{
+  if (!aName.starts_with(aPrefix)) {
+    return std::nullopt;
+  }
+  std::uint64_t number = 0;
+  const char* start = aName.data() + aPrefix.size();
+  const char* end = aName.data() + aName.size();
+  auto [stop, problem] = std::from_chars(start, end, number);
+  if (problem != std::errc{} || stop != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+/** Numbers of the folder's files with this prefix, in order. */
+std::vector<std::uint64_t>
+FileNumbers(const std::filesystem::path& aFolder, const std::string& aPrefix)
+{
+  std::vector<std::uint64_t> numbers;
+  std::error_code problem;
+  for (const auto& file :
+       std::filesystem::directory_iterator(aFolder, problem)) {
+    auto number = NumberAfter(aPrefix, file.path().filename().string());
+    if (number) {
+      numbers.push_back(*number);
+    }
+  }
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
+failure<disk_error>
+FailWithErrno(disk_error aCode, const std::filesystem::path& aPath)
+{
+  return Fail(aCode, aPath.string() + ": " + std::strerror(errno));
+}
+
+failure<disk_error>
+FromFile(const failure<file_error>& aBelow)
+{
+  disk_error code = aBelow.mCode == file_error::CannotWrite
+                      ? disk_error::CannotWrite
+                      : disk_error::CannotOpen;
+  return Fail(code, aBelow.mDetail);
+}
+
+}
+
+raft_disk::raft_disk(raft_disk&& aOther) noexcept
+  : mFolder(std::move(aOther.mFolder))
+  , mLockFile(std::exchange(aOther.mLockFile, -1))
+  , mSegment(std::exchange(aOther.mSegment, -1))
+  , mSegmentNumber(aOther.mSegmentNumber)
+  , mSegmentBytes(aOther.mSegmentBytes)
+  , mDisk(std::move(aOther.mDisk))
+  , mPersisted(std::move(aOther.mPersisted))
+{
+}
+
+raft_disk::~raft_disk()
+{
+  if (mSegment >= 0) {
+    close(mSegment);
+  }
+  if (mLockFile >= 0) {
+    close(mLockFile);
+  }
+}
+
+std::filesystem::path
+raft_disk::SegmentPath(std::uint64_t aNumber) const
+{
+  return mFolder / (kSegmentPrefix + std::to_string(aNumber));
+}
+
+result<raft_disk, disk_error>
+raft_disk::create(const std::filesystem::path& aFolder,
+                  const std::string& aNewDiskId)
+{
+  std::error_code problem;
+  std::filesystem::create_directories(aFolder, problem);
+  if (problem) {
+    return Fail(disk_error::CannotOpen,
+                aFolder.string() + ": " + problem.message());
+  }
+  raft_disk disk(aFolder);
+  disk.mDisk.mValue = aNewDiskId;
+  for (auto step : { &raft_disk::Lock,
+                     &raft_disk::LoadDiskId,
+                     &raft_disk::LoadSnapshot,
+                     &raft_disk::LoadSegments,
+                     &raft_disk::StartSegment }) {
+    auto done = (disk.*step)();
+    if (!done) {
+      return done.error();
+    }
+  }
+  return disk;
+}
+
+result<void, disk_error>
+raft_disk::Lock()
+{
+  std::filesystem::path path = mFolder / "lock";
+  mLockFile = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
+  if (mLockFile < 0) {
+    return FailWithErrno(disk_error::CannotOpen, path);
+  }
+  if (flock(mLockFile, LOCK_EX | LOCK_NB) != 0) {
+    return Fail(disk_error::Locked,
+                path.string() + " is held by another process.");
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void, disk_error>
+raft_disk::LoadDiskId()
+{
+  std::filesystem::path path = mFolder / "disk-id";
+  if (std::filesystem::exists(path)) {
+    auto text = ReadWholeFile(path);
+    if (!text) {
+      return FromFile(text.error());
+    }
+    mDisk.mValue = text.value();
+    if (mDisk.IsEmpty()) {
+      return Fail(disk_error::Damaged, path.string() + " is empty.");
+    }
+    return boost::outcome_v2::success();
+  }
+  // A folder that holds a log but no id was tampered with.
+  if (!FileNumbers(mFolder, kSegmentPrefix).empty()) {
+    return Fail(disk_error::Damaged, path.string() + " is missing.");
+  }
+  auto written = ReplaceFileSynced(path, mDisk.mValue);
+  if (!written) {
+    return FromFile(written.error());
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void, disk_error>
+raft_disk::LoadSnapshot()
+{
+  std::vector<std::uint64_t> numbers = FileNumbers(mFolder, kSnapshotPrefix);
+  if (numbers.empty()) {
+    return boost::outcome_v2::success();
+  }
+  std::filesystem::path path =
+    mFolder / (kSnapshotPrefix + std::to_string(numbers.back()));
+  auto bytes = ReadWholeFile(path);
+  if (!bytes) {
+    return FromFile(bytes.error());
+  }
+  auto frame = ParseFrame(bytes.value(), 0);
+  wire::Snapshot snapshot;
+  bool isWhole = frame.mState == frame_state::Whole &&
+                 snapshot.ParseFromString(frame.mPayload);
+  if (!isWhole) {
+    return Fail(disk_error::Damaged, path.string() + " at offset 0.");
+  }
+  mPersisted.mSnapshot = ReadSnapshot(snapshot);
+  return boost::outcome_v2::success();
+}
+
+result<void, disk_error>
+raft_disk::LoadSegments()
+{
+  std::vector<std::uint64_t> numbers = FileNumbers(mFolder, kSegmentPrefix);
+  for (std::uint64_t number : numbers) {
+    auto loaded = LoadSegment(number, number == numbers.back());
+    if (!loaded) {
+      return loaded.error();
+    }
+    mSegmentNumber = number;
+  }
+  log_index expected = mPersisted.mSnapshot.mIndex + 1;
+  for (const raft_entry& entry : mPersisted.mEntries) {
+    if (entry.mIndex != expected) {
+      return Fail(disk_error::Damaged,
+                  mFolder.string() + " lacks entry " +
+                    std::to_string(expected) + ".");
+    }
+    ++expected;
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void, disk_error>
+raft_disk::LoadSegment(std::uint64_t aNumber, bool aIsLast)
+{
+  std::filesystem::path path = SegmentPath(aNumber);
+  auto bytes = ReadWholeFile(path);
+  if (!bytes) {
+    return FromFile(bytes.error());
+  }
+  std::size_t offset = 0;
+  while (offset < bytes.value().size()) {
+    frame found = ParseFrame(bytes.value(), offset);
+    if (found.mState == frame_state::Whole) {
+      Take(found.mPayload);
+      offset = found.mEnd;
+      continue;
+    }
+    if (found.mState == frame_state::Torn && aIsLast) {
+      log_event("torn_tail_cut", log_event::severity::Warning)
+        .Add("file", path.string())
+        .Add("offset", offset)
+        .Add("bytes", bytes.value().size() - offset);
+      if (truncate(path.c_str(), static_cast<off_t>(offset)) != 0) {
+        return FailWithErrno(disk_error::CannotWrite, path);
+      }
+      return boost::outcome_v2::success();
+    }
+    return Fail(disk_error::Damaged,
+                path.string() + " at offset " + std::to_string(offset) + ".");
+  }
+  return boost::outcome_v2::success();
+}
+
+void
+raft_disk::Take(const std::string& aBatch)
+{
+  wire::DiskBatch batch;
+  batch.ParseFromString(aBatch);
+  if (batch.has_hard_state()) {
+    mPersisted.mHardState = ReadHardState(batch.hard_state());
+  }
+  auto& entries = mPersisted.mEntries;
+  for (const wire::Entry& wireEntry : batch.entries()) {
+    raft_entry entry = ReadEntry(wireEntry);
+    while (!entries.empty() && entries.back().mIndex >= entry.mIndex) {
+      entries.pop_back();
+    }
+    if (entry.mIndex > mPersisted.mSnapshot.mIndex) {
+      entries.push_back(std::move(entry));
+    }
+  }
+}
+
+result<void, disk_error>
+raft_disk::StartSegment()
+{
+  if (mSegment >= 0) {
+    close(mSegment);
+  }
+  ++mSegmentNumber;
+  mSegmentBytes = 0;
+  std::filesystem::path path = SegmentPath(mSegmentNumber);
+  mSegment =
+    open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  if (mSegment < 0) {
+    return FailWithErrno(disk_error::CannotOpen, path);
+  }
+  auto synced = SyncFolder(mFolder);
+  if (!synced) {
+    return FromFile(synced.error());
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void, disk_error>
+raft_disk::WriteBatch(const std::string& aBatch)
+{
+  auto written = AppendSynced(mSegment, MakeFrame(aBatch));
+  if (!written) {
+    return FromFile(written.error());
+  }
+  mSegmentBytes += aBatch.size();
+  return boost::outcome_v2::success();
+}
+
+result<void, disk_error>
+raft_disk::Persist(const raft_actions& aActions)
+{
+  if (!aActions.mHardState && aActions.mAppend.empty()) {
+    return boost::outcome_v2::success();
+  }
+  wire::DiskBatch batch;
+  if (aActions.mHardState) {
+    WriteHardState(*aActions.mHardState, *batch.mutable_hard_state());
+  }
+  for (const raft_entry& entry : aActions.mAppend) {
+    WriteEntry(entry, *batch.add_entries());
+  }
+  return WriteBatch(batch.SerializeAsString());
+}
+
+result<void, disk_error>
+raft_disk::StoreSnapshot(const raft_snapshot& aSnapshot,
+                         const raft_hard_state& aHardState,
+                         const std::deque<raft_entry>& aTail)
+{
+  wire::Snapshot snapshot;
+  WriteSnapshot(aSnapshot, snapshot);
+  std::filesystem::path path =
+    mFolder / (kSnapshotPrefix + std::to_string(aSnapshot.mIndex));
+  auto replaced =
+    ReplaceFileSynced(path, MakeFrame(snapshot.SerializeAsString()));
+  if (!replaced) {
+    return FromFile(replaced.error());
+  }
+  auto started = StartSegment();
+  if (!started) {
+    return started.error();
+  }
+  wire::DiskBatch batch;
+  WriteHardState(aHardState, *batch.mutable_hard_state());
+  for (const raft_entry& entry : aTail) {
+    WriteEntry(entry, *batch.add_entries());
+  }
+  auto written = WriteBatch(batch.SerializeAsString());
+  if (!written) {
+    return written.error();
+  }
+  // Only now is all that the older files hold to be found in the new ones.
+  DropSegmentsBefore(mSegmentNumber);
+  for (std::uint64_t number : FileNumbers(mFolder, kSnapshotPrefix)) {
+    if (number < aSnapshot.mIndex) {
+      std::filesystem::remove(
+        mFolder / (kSnapshotPrefix + std::to_string(number)));
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+void
+raft_disk::DropSegmentsBefore(std::uint64_t aNumber)
+{
+  for (std::uint64_t number : FileNumbers(mFolder, kSegmentPrefix)) {
+    if (number < aNumber) {
+      std::filesystem::remove(SegmentPath(number));
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/drivers/raft_disk.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "core/failure.h"
+#include "decisions/raft_node.h"
+
+#include <filesystem>
+#include <optional>
+#include <string>
+
+namespace hibiscusspool {
+
+enum class disk_error
+{
+  CannotOpen,
+  CannotWrite,
+  Damaged,
+  Locked,
+};
+
+template<>
+inline constexpr name_table<disk_error, 4> kNames<disk_error>{ {
+  { disk_error::CannotOpen, "cannot_open" },
+  { disk_error::CannotWrite, "cannot_write" },
+  { disk_error::Damaged, "damaged" },
+  { disk_error::Locked, "locked" },
+} };
+
+/**
+ * A member's part of the replicated log under one data folder: `disk-id`, the
+ * newest `snapshot-INDEX`, and segments `log-NUMBER`. A segment is a run of
+ * frames, each one synced batch behind a checked header. A batch that was cut
+ * short at the end of the last segment was never acknowledged, and is dropped;
+ * any other fault is damage, and refuses to open with its file and offset.
+ */
+class raft_disk
+{
+  std::filesystem::path mFolder;
+  int mLockFile = -1;
+  int mSegment = -1;
+  std::uint64_t mSegmentNumber = 0;
+  std::uint64_t mSegmentBytes = 0;
+  disk_id mDisk;
+  raft_persisted mPersisted;
+
+  explicit raft_disk(std::filesystem::path aFolder)
+    : mFolder(std::move(aFolder))
+  {
+  }
+
+  result<void, disk_error> Lock();
+  result<void, disk_error> LoadDiskId();
+  result<void, disk_error> LoadSnapshot();
+  result<void, disk_error> LoadSegments();
+  result<void, disk_error> LoadSegment(std::uint64_t aNumber, bool aIsLast);
+  void Take(const std::string& aBatch);
+  result<void, disk_error> StartSegment();
+  result<void, disk_error> WriteBatch(const std::string& aBatch);
+  void DropSegmentsBefore(std::uint64_t aNumber);
+  [[nodiscard]] std::filesystem::path SegmentPath(std::uint64_t aNumber) const;
+
+public:
+  raft_disk(const raft_disk&) = delete;
+  raft_disk& operator=(const raft_disk&) = delete;
+  raft_disk(raft_disk&& aOther) noexcept;
+  raft_disk& operator=(raft_disk&&) = delete;
+  ~raft_disk();
+
+  /**
+   * Opens the folder, makes it with a random disk id when it is new.
+   * Errors: `Locked` by another process, `Damaged` with file and offset.
+   */
+  static result<raft_disk, disk_error> create(
+    const std::filesystem::path& aFolder,
+    const std::string& aNewDiskId);
+
+  [[nodiscard]] const disk_id& Disk() const { return mDisk; }
+  /** What the folder held when it was opened; call it once. */
+  raft_persisted TakePersisted() { return std::move(mPersisted); }
+
+  /** Writes the actions' hard state and entries, and syncs them. */
+  result<void, disk_error> Persist(const raft_actions& aActions);
+  /**
+   * Puts a snapshot in place of the log up to it. `aTail` and `aHardState`
+   * are what stays in force after it.
+   */
+  result<void, disk_error> StoreSnapshot(
+    const raft_snapshot& aSnapshot,
+    const raft_hard_state& aHardState,
+    const std::deque<raft_entry>& aTail);
+};
+
+}
--- /dev/null
+++ b/drivers/raft_transport.cpp
@@ -0,0 +1,135 @@
+#include "drivers/raft_transport.h"
+
+#include "drivers/grpc_settings.h"
+#include "messages/control_codec.h"
+
+#include <atomic>
+#include <deque>
+
+#include <control.grpc.pb.h>
+#include <grpcpp/grpcpp.h>
+
+namespace hibiscusspool {
+
+namespace {
+
+constexpr milliseconds kCallTimeout{ 1000 };
+constexpr std::size_t kMostQueued = 256;
+constexpr std::size_t kMostInCall = 64;
+
+struct peer_link
+{
+  std::shared_ptr<grpc::Channel> mChannel;
+  std::deque<raft_message> mQueue;
+  bool mIsCalling = false;
+};
+
+struct delivery
+{
+  grpc::ClientContext mContext;
+  wire::DeliverRequest mRequest;
+  wire::DeliverReply mReply;
+  std::unique_ptr<wire::Control::Stub> mStub;
+};
+
+}
+
+struct raft_transport::state
+{
+  std::map<host_id, std::string> mAddresses;
+  sharded_map<host_id, peer_link> mLinks;
+  std::atomic<bool> mIsStopped{ false };
+};
+
+raft_transport::raft_transport(std::shared_ptr<state> aState)
+  : mState(std::move(aState))
+{
+}
+
+raft_transport
+raft_transport::create(std::map<host_id, std::string> aAddresses)
+{
+  auto made = std::make_shared<state>();
+  made->mAddresses = std::move(aAddresses);
+  return raft_transport(std::move(made));
+}
+
+void
+raft_transport::Stop()
+{
+  mState->mIsStopped = true;
+}
+
+void
+raft_transport::Send(std::vector<raft_message> aMessages)
+{
+  std::map<host_id, std::vector<raft_message>> sorted;
+  for (raft_message& message : aMessages) {
+    host_id host = message.mTo.mHost;
+    sorted[host].push_back(std::move(message));
+  }
+  for (auto& [host, messages] : sorted) {
+    if (!mState->mAddresses.contains(host)) {
+      continue;
+    }
+    mState->mLinks.Update(host, [&](peer_link& aLink) {
+      for (raft_message& message : messages) {
+        aLink.mQueue.push_back(std::move(message));
+      }
+      while (aLink.mQueue.size() > kMostQueued) {
+        aLink.mQueue.pop_front();
+      }
+    });
+    SendNext(mState, host);
+  }
+}
+
+void
+raft_transport::SendNext(const std::shared_ptr<state>& aState,
+                         const host_id& aHost)
+{
+  if (aState->mIsStopped) {
+    return;
+  }
+  std::vector<raft_message> messages;
+  std::shared_ptr<grpc::Channel> channel;
+  aState->mLinks.Update(aHost, [&](peer_link& aLink) {
+    if (aLink.mIsCalling || aLink.mQueue.empty()) {
+      return;
+    }
+    aLink.mIsCalling = true;
+    while (!aLink.mQueue.empty() && messages.size() < kMostInCall) {
+      messages.push_back(std::move(aLink.mQueue.front()));
+      aLink.mQueue.pop_front();
+    }
+    if (aLink.mChannel == nullptr) {
+      aLink.mChannel = OpenChannel(aState->mAddresses.at(aHost));
+    }
+    channel = aLink.mChannel;
+  });
+  if (messages.empty()) {
+    return;
+  }
+  auto call = std::make_shared<delivery>();
+  for (const raft_message& message : messages) {
+    WriteMessage(message, *call->mRequest.add_messages());
+  }
+  call->mStub = wire::Control::NewStub(channel);
+  call->mContext.set_deadline(std::chrono::system_clock::now() + kCallTimeout);
+  call->mStub->async()->Deliver(
+    &call->mContext,
+    &call->mRequest,
+    &call->mReply,
+    [aState, aHost, call](const grpc::Status& aStatus) {
+      aState->mLinks.Update(aHost, [&](peer_link& aLink) {
+        aLink.mIsCalling = false;
+        // The connection went silent: the next call opens a fresh one.
+        if (aStatus.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
+          aLink.mChannel.reset();
+        }
+      });
+      SendNext(aState, aHost);
+    });
+}
+
+}
--- /dev/null
+++ b/drivers/raft_transport.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/sharded_map.h"
+#include "decisions/raft_types.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hibiscusspool {
+
+/**
+ * Carries messages to the other control hosts over gRPC. Each host has one
+ * call in flight and a queue; what waits behind a silent call is dropped when
+ * it grows long, since members send again what counts.
+ */
+class raft_transport
+{
+  struct state;
+  std::shared_ptr<state> mState;
+
+  explicit raft_transport(std::shared_ptr<state> aState);
+
+  static void SendNext(const std::shared_ptr<state>& aState,
+                       const host_id& aHost);
+
+public:
+  /** `aAddresses` gives the `ip:port` of each control host. */
+  static raft_transport create(std::map<host_id, std::string> aAddresses);
+
+  void Send(std::vector<raft_message> aMessages);
+  /** Starts no more calls. */
+  void Stop();
+};
+
+}
--- /dev/null
+++ b/drivers/synced_file.cpp
@@ -0,0 +1,166 @@
+#include "drivers/synced_file.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <xxhash.h>
+
+namespace hibiscusspool {
+
+namespace {
+
+constexpr std::uint32_t kMagic = 0x48705331;
+constexpr std::size_t kMostPayloadBytes = 1U << 30U;
+
+/** Little-endian on the machines that Debian's packages are built for. */
+struct frame_header
+{
+  std::uint32_t mMagic = kMagic;
+  std::uint32_t mLength = 0;
+  std::uint64_t mPayloadHash = 0;
+  std::uint64_t mHeaderHash = 0;
+};
+
+std::uint64_t
+HashHeader(const frame_header& aHeader)
+{
+  return XXH3_64bits(&aHeader, offsetof(frame_header, mHeaderHash));
+}
+
+failure<file_error>
+FailWithErrno(file_error aCode, const std::filesystem::path& aPath)
+{
+  return Fail(aCode, aPath.string() + ": " + std::strerror(errno));
+}
+
+}
+
+result<std::string, file_error>
+ReadWholeFile(const std::filesystem::path& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    return FailWithErrno(file_error::CannotRead, aPath);
+  }
+  std::ostringstream bytes;
+  bytes << file.rdbuf();
+  return bytes.str();
+}
+
+result<void, file_error>
+AppendSynced(int aFile, const std::string& aBytes)
+{
+  std::size_t written = 0;
+  while (written < aBytes.size()) {
+    ssize_t count =
+      write(aFile, aBytes.data() + written, aBytes.size() - written);
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count < 0) {
+      return FailWithErrno(file_error::CannotWrite, "write");
+    }
+    written += static_cast<std::size_t>(count);
+  }
+  if (fdatasync(aFile) != 0) {
+    return FailWithErrno(file_error::CannotWrite, "fdatasync");
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void, file_error>
+SyncFolder(const std::filesystem::path& aFolder)
+{
+  int folder = open(aFolder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder < 0) {
+    return FailWithErrno(file_error::CannotRead, aFolder);
+  }
+  int synced = fsync(folder);
+  close(folder);
+  if (synced != 0) {
+    return FailWithErrno(file_error::CannotWrite, aFolder);
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void, file_error>
+ReplaceFileSynced(const std::filesystem::path& aPath,
+                  const std::string& aBytes)
+{
+  std::filesystem::path fresh = aPath;
+  fresh += ".new";
+  int file =
+    open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+  if (file < 0) {
+    return FailWithErrno(file_error::CannotWrite, fresh);
+  }
+  auto written = AppendSynced(file, aBytes);
+  close(file);
+  if (!written) {
+    return written.error();
+  }
+  if (rename(fresh.c_str(), aPath.c_str()) != 0) {
+    return FailWithErrno(file_error::CannotWrite, aPath);
+  }
+  return SyncFolder(aPath.parent_path());
+}
+
+std::string
+MakeFrame(const std::string& aPayload)
+{
+  frame_header header;
+  header.mLength = static_cast<std::uint32_t>(aPayload.size());
+  header.mPayloadHash = XXH3_64bits(aPayload.data(), aPayload.size());
+  header.mHeaderHash = HashHeader(header);
+  std::string bytes(sizeof header, '\0');
+  std::memcpy(bytes.data(), &header, sizeof header);
+  return bytes + aPayload;
+}
+
+frame
+ParseFrame(const std::string& aBytes, std::size_t aOffset)
+{
+  frame parsed;
+  std::size_t left = aBytes.size() - aOffset;
+  bool isBlank = std::all_of(
+    aBytes.begin() + static_cast<std::ptrdiff_t>(aOffset),
+    aBytes.end(),
+    [](char aByte) { return aByte == '\0'; });
+  // A file that grew before its data arrived ends in zeros.
+  if (left < sizeof(frame_header) || isBlank) {
+    parsed.mState = frame_state::Torn;
+    return parsed;
+  }
+  frame_header header;
+  std::memcpy(&header, aBytes.data() + aOffset, sizeof header);
+  bool isHeader = header.mMagic == kMagic &&
+                  header.mHeaderHash == HashHeader(header) &&
+                  header.mLength <= kMostPayloadBytes;
+  if (!isHeader) {
+    return parsed;
+  }
+  std::size_t start = aOffset + sizeof header;
+  parsed.mEnd = start + header.mLength;
+  if (parsed.mEnd > aBytes.size()) {
+    parsed.mState = frame_state::Torn;
+    return parsed;
+  }
+  parsed.mPayload = aBytes.substr(start, header.mLength);
+  bool isSame = XXH3_64bits(parsed.mPayload.data(), parsed.mPayload.size()) ==
+                header.mPayloadHash;
+  bool isLast = parsed.mEnd == aBytes.size();
+  if (isSame) {
+    parsed.mState = frame_state::Whole;
+  } else if (isLast) {
+    parsed.mState = frame_state::Torn;
+  }
+  return parsed;
+}
+
+}
--- /dev/null
+++ b/drivers/synced_file.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/failure.h"
+#include "core/name_table.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <string>
+
+namespace hibiscusspool {
+
+enum class file_error
+{
+  CannotRead,
+  CannotWrite,
+};
+
+template<>
+inline constexpr name_table<file_error, 2> kNames<file_error>{ {
+  { file_error::CannotRead, "cannot_read" },
+  { file_error::CannotWrite, "cannot_write" },
+} };
+
+result<std::string, file_error>
+ReadWholeFile(const std::filesystem::path& aPath);
+
+/** Writes a new file beside the old one, syncs it and takes its place. */
+result<void, file_error>
+ReplaceFileSynced(const std::filesystem::path& aPath,
+                  const std::string& aBytes);
+
+/** Makes the names of new and removed files last. */
+result<void, file_error>
+SyncFolder(const std::filesystem::path& aFolder);
+
+/** Appends all bytes to an open file and syncs its data. */
+result<void, file_error>
+AppendSynced(int aFile, const std::string& aBytes);
+
+enum class frame_state
+{
+  Whole,
+  /** The file ends before the frame does. */
+  Torn,
+  Damaged,
+};
+
+/** One checked run of bytes in a file. */
+struct frame
+{
+  frame_state mState = frame_state::Damaged;
+  std::string mPayload;
+  /** Offset of the byte after the frame. */
+  std::size_t mEnd = 0;
+};
+
+/** A payload behind a header of magic, length and two hashes. */
+std::string
+MakeFrame(const std::string& aPayload);
+
+/** Reads the frame at an offset. */
+frame
+ParseFrame(const std::string& aBytes, std::size_t aOffset);
+
+}
--- /dev/null
+++ b/drivers/watch_client.cpp
@@ -0,0 +1,233 @@
+#include "drivers/watch_client.h"
+
+#include "core/log_event.h"
+#include "drivers/grpc_settings.h"
+#include "messages/control_codec.h"
+
+#include <condition_variable>
+#include <mutex>
+
+#include <control.grpc.pb.h>
+#include <grpcpp/grpcpp.h>
+
+namespace hibiscusspool {
+
+namespace {
+
+constexpr milliseconds kReconnectPause{ 100 };
+
+}
+
+struct watch_client::state
+{
+  watch_client_config mConfig;
+  watch_client_hooks mHooks;
+  std::mutex mLock;
+  std::condition_variable mChanged;
+  bool mIsStopping = false;
+
+  bool IsStopping()
+  {
+    std::lock_guard guard(mLock);
+    return mIsStopping;
+  }
+};
+
+namespace {
+
+/** One stream; gRPC calls it back until `mIsDone`. */
+class stream_reactor
+  : public grpc::ClientBidiReactor<wire::WatchUp, wire::WatchDown>
+{
+  const watch_client_hooks& mHooks;
+  std::unique_ptr<wire::Control::Stub> mStub;
+  grpc::ClientContext mContext;
+  wire::WatchDown mDown;
+  wire::WatchUp mUp;
+
+  std::mutex mLock;
+  std::condition_variable mChanged;
+  std::map<std::uint64_t, steady_time> mMarks;
+  std::uint64_t mNextMark = 1;
+  bool mIsWriting = false;
+  bool mIsDone = false;
+  steady_time mHeardAt;
+
+public:
+  stream_reactor(const watch_client_hooks& aHooks,
+                 const std::string& aAddress,
+                 steady_time aNow)
+    : mHooks(aHooks)
+    , mStub(wire::Control::NewStub(OpenChannel(aAddress)))
+    , mHeardAt(aNow)
+  {
+    mStub->async()->Watch(&mContext, this);
+    StartRead(&mDown);
+    StartCall();
+  }
+
+  void SendMark(steady_time aNow, bool aIsFirst)
+  {
+    watch_report report = mHooks.mReport(aNow);
+    std::lock_guard guard(mLock);
+    if (mIsWriting || mIsDone) {
+      return;
+    }
+    mUp.Clear();
+    if (aIsFirst) {
+      WriteEntryHost(mHooks.mHello(), *mUp.mutable_hello());
+    }
+    mUp.set_mark(mNextMark);
+    mUp.set_held_index(report.mHeldIndex);
+    mUp.set_confirmed_age_ms(
+      static_cast<std::uint64_t>(report.mConfirmedAge.count()));
+    // The mark's time is taken before it leaves, never after.
+    mMarks[mNextMark++] = aNow;
+    mIsWriting = true;
+    StartWrite(&mUp);
+  }
+
+  void OnWriteDone(bool /*aIsOk*/) override
+  {
+    std::lock_guard guard(mLock);
+    mIsWriting = false;
+  }
+
+  void OnReadDone(bool aIsOk) override
+  {
+    if (!aIsOk) {
+      return;
+    }
+    TakeUpdate(std::chrono::steady_clock::now());
+    StartRead(&mDown);
+  }
+
+  void OnDone(const grpc::Status& /*aStatus*/) override
+  {
+    std::lock_guard guard(mLock);
+    mIsDone = true;
+    mChanged.notify_all();
+  }
+
+  /** Waits for the next mark's time; false when the stream is at its end. */
+  bool WaitUntil(steady_time aTime, milliseconds aSilence)
+  {
+    std::unique_lock guard(mLock);
+    mChanged.wait_until(guard, aTime, [&] { return mIsDone; });
+    return !mIsDone && aTime - mHeardAt < aSilence;
+  }
+
+  void CancelAndWait()
+  {
+    mContext.TryCancel();
+    std::unique_lock guard(mLock);
+    mChanged.wait(guard, [&] { return mIsDone; });
+  }
+
+private:
+  void TakeUpdate(steady_time aNow)
+  {
+    watch_update update;
+    update.mReplaces = mDown.replace();
+    update.mIndex = mDown.index();
+    update.mConfirmedMark = mDown.confirmed_mark();
+    for (const wire::RecordChange& fact : mDown.facts()) {
+      auto read = ReadChange(fact);
+      if (!read) {
+        // A fact that can't be read must not be passed over in silence.
+        log_event("watch_broken", log_event::severity::Error)
+          .Add("cause", read.error().mDetail);
+        mContext.TryCancel();
+        return;
+      }
+      update.mFacts.push_back(std::move(read.value()));
+    }
+    mHooks.mApply(update, aNow);
+    std::optional<steady_time> sentAt;
+    {
+      std::lock_guard guard(mLock);
+      mHeardAt = aNow;
+      auto mark = mMarks.find(update.mConfirmedMark);
+      if (mark != mMarks.end()) {
+        sentAt = mark->second;
+        mMarks.erase(mMarks.begin(), std::next(mark));
+      }
+    }
+    if (sentAt) {
+      mHooks.mConfirmed(*sentAt);
+    }
+  }
+};
+
+}
+
+watch_client::watch_client(std::shared_ptr<state> aState)
+  : mState(std::move(aState))
+  , mThread([kept = mState] { Run(kept); })
+{
+}
+
+watch_client::~watch_client()
+{
+  if (mThread.joinable()) {
+    Stop();
+  }
+}
+
+watch_client
+watch_client::create(watch_client_config aConfig, watch_client_hooks aHooks)
+{
+  auto made = std::make_shared<state>();
+  made->mConfig = std::move(aConfig);
+  made->mHooks = std::move(aHooks);
+  return watch_client(std::move(made));
+}
+
+void
+watch_client::Stop()
+{
+  {
+    std::lock_guard guard(mState->mLock);
+    mState->mIsStopping = true;
+  }
+  mState->mChanged.notify_all();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+void
+watch_client::Run(const std::shared_ptr<state>& aState)
+{
+  const auto& addresses = aState->mConfig.mAddresses;
+  std::uint64_t turn = aState->mConfig.mSeed;
+  while (!aState->IsStopping()) {
+    auto place = addresses.begin();
+    std::advance(place,
+                 static_cast<std::ptrdiff_t>(turn++ % addresses.size()));
+    RunStream(aState, place->second);
+    std::unique_lock guard(aState->mLock);
+    aState->mChanged.wait_for(
+      guard, kReconnectPause, [&] { return aState->mIsStopping; });
+  }
+}
+
+void
+watch_client::RunStream(const std::shared_ptr<state>& aState,
+                        const std::string& aAddress)
+{
+  steady_time now = std::chrono::steady_clock::now();
+  stream_reactor stream(aState->mHooks, aAddress, now);
+  stream.SendMark(now, true);
+  while (!aState->IsStopping()) {
+    now += aState->mConfig.mMarkInterval;
+    if (!stream.WaitUntil(now, aState->mConfig.mSilence)) {
+      break;
+    }
+    now = std::chrono::steady_clock::now();
+    stream.SendMark(now, false);
+  }
+  stream.CancelAndWait();
+}
+
+}
--- /dev/null
+++ b/messages/control_codec.cpp
@@ -0,0 +1,571 @@
+#include "messages/control_codec.h"
+
+namespace hibiscusspool {
+
+namespace {
+
+using codec_failure = failure<codec_error>;
+using texts = google::protobuf::RepeatedPtrField<wire::Text>;
+
+void
+WriteTexts(const std::map<std::string, std::string>& aTexts, texts& aOut)
+{
+  for (const auto& [name, value] : aTexts) {
+    wire::Text& text = *aOut.Add();
+    text.set_name(name);
+    text.set_value(value);
+  }
+}
+
+std::map<std::string, std::string>
+ReadTexts(const texts& aIn)
+{
+  std::map<std::string, std::string> read;
+  for (const wire::Text& text : aIn) {
+    read[text.name()] = text.value();
+  }
+  return read;
+}
+
+/** The value of a number on the wire, if its table of names has such a row. */
+template<typename value>
+result<value, codec_error>
+ReadEnum(std::uint32_t aNumber)
+{
+  if (aNumber >= kNames<value>.size()) {
+    return Fail(codec_error::UnknownName,
+                "No value has the number " + std::to_string(aNumber) + ".");
+  }
+  return static_cast<value>(aNumber);
+}
+
+void
+WriteServer(const server_record& aRecord, wire::ServerRecord& aOut)
+{
+  aOut.set_name(aRecord.mServer.mValue);
+  aOut.set_version(aRecord.mVersion);
+  aOut.set_incarnation(aRecord.mIncarnation);
+  aOut.set_sequence(aRecord.mSequence);
+  aOut.set_service(aRecord.mService.mValue);
+  aOut.set_failure_domain(aRecord.mFailureDomain.mValue);
+  aOut.set_address(aRecord.mAddress);
+  aOut.set_slots(aRecord.mSlots);
+  aOut.set_connections(aRecord.mConnections);
+  aOut.set_cold_slots(aRecord.mColdSlots);
+  aOut.set_state(static_cast<std::uint32_t>(aRecord.mState));
+  for (snapshot_number snapshot : aRecord.mSnapshots) {
+    aOut.add_snapshots(snapshot);
+  }
+  aOut.set_sponsor(aRecord.mSponsor.mValue);
+}
+
+result<record_change, codec_error>
+ReadServer(const wire::ServerRecord& aIn)
+{
+  auto state = ReadEnum<server_state>(aIn.state());
+  if (!state) {
+    return state.error();
+  }
+  server_record record;
+  record.mServer.mValue = aIn.name();
+  record.mVersion = aIn.version();
+  record.mIncarnation = aIn.incarnation();
+  record.mSequence = aIn.sequence();
+  record.mService.mValue = aIn.service();
+  record.mFailureDomain.mValue = aIn.failure_domain();
+  record.mAddress = aIn.address();
+  record.mSlots = aIn.slots();
+  record.mConnections = aIn.connections();
+  record.mColdSlots = aIn.cold_slots();
+  record.mState = state.value();
+  record.mSnapshots.assign(aIn.snapshots().begin(), aIn.snapshots().end());
+  record.mSponsor.mValue = aIn.sponsor();
+  return record;
+}
+
+void
+WriteClaim(const claim_record& aRecord, wire::ClaimRecord& aOut)
+{
+  aOut.set_team(aRecord.mTeam.mValue);
+  aOut.set_key(aRecord.mKey.mValue);
+  aOut.set_version(aRecord.mVersion);
+  aOut.set_fingerprint(aRecord.mFingerprint.mValue);
+  aOut.set_attempt(aRecord.mAttempt.mValue);
+  aOut.set_owner(aRecord.mOwner.mValue);
+  aOut.set_owner_incarnation(aRecord.mOwnerIncarnation);
+  aOut.set_state(static_cast<std::uint32_t>(aRecord.mState));
+  aOut.set_outcome(aRecord.mOutcome);
+  aOut.set_settled_at_ms(aRecord.mSettledAt);
+}
+
+result<claim_record, codec_error>
+ReadClaim(const wire::ClaimRecord& aIn)
+{
+  auto state = ReadEnum<claim_state>(aIn.state());
+  if (!state) {
+    return state.error();
+  }
+  claim_record record;
+  record.mTeam.mValue = aIn.team();
+  record.mKey.mValue = aIn.key();
+  record.mVersion = aIn.version();
+  record.mFingerprint.mValue = aIn.fingerprint();
+  record.mAttempt.mValue = aIn.attempt();
+  record.mOwner.mValue = aIn.owner();
+  record.mOwnerIncarnation = aIn.owner_incarnation();
+  record.mState = state.value();
+  record.mOutcome = aIn.outcome();
+  record.mSettledAt = aIn.settled_at_ms();
+  return record;
+}
+
+record_change
+ReadQuarantine(const wire::QuarantineRecord& aIn)
+{
+  quarantine_record record;
+  record.mFingerprint.mValue = aIn.fingerprint();
+  record.mVersion = aIn.version();
+  for (const std::string& server : aIn.crashed_servers()) {
+    record.mCrashedServers.push_back(server_id{ server });
+  }
+  record.mTrials.assign(aIn.trials().begin(), aIn.trials().end());
+  record.mUntil = aIn.until_ms();
+  return record;
+}
+
+/** Fills the message of the record's kind. */
+struct change_writer
+{
+  wire::RecordChange& mOut;
+
+  void operator()(const template_record& aRecord) const
+  {
+    wire::TemplateRecord& out = *mOut.mutable_template_record();
+    out.set_name(aRecord.mTemplate.mValue);
+    out.set_version(aRecord.mVersion);
+    WriteTexts(aRecord.mFields, *out.mutable_fields());
+    WriteTexts(aRecord.mDefaults, *out.mutable_defaults());
+  }
+  void operator()(const team_record& aRecord) const
+  {
+    wire::TeamRecord& out = *mOut.mutable_team();
+    out.set_name(aRecord.mTeam.mValue);
+    out.set_version(aRecord.mVersion);
+    out.set_template_name(aRecord.mTemplate.mValue);
+    WriteTexts(aRecord.mParameters, *out.mutable_parameters());
+  }
+  void operator()(const failure_domain_record& aRecord) const
+  {
+    wire::FailureDomainRecord& out = *mOut.mutable_failure_domain();
+    out.set_name(aRecord.mFailureDomain.mValue);
+    out.set_version(aRecord.mVersion);
+    out.set_state(static_cast<std::uint32_t>(aRecord.mState));
+  }
+  void operator()(const entry_host_record& aRecord) const
+  {
+    WriteEntryHost(aRecord, *mOut.mutable_entry_host());
+  }
+  void operator()(const server_record& aRecord) const
+  {
+    WriteServer(aRecord, *mOut.mutable_server());
+  }
+  void operator()(const quarantine_record& aRecord) const
+  {
+    wire::QuarantineRecord& out = *mOut.mutable_quarantine();
+    out.set_fingerprint(aRecord.mFingerprint.mValue);
+    out.set_version(aRecord.mVersion);
+    for (const server_id& server : aRecord.mCrashedServers) {
+      out.add_crashed_servers(server.mValue);
+    }
+    for (const std::string& trial : aRecord.mTrials) {
+      out.add_trials(trial);
+    }
+    out.set_until_ms(aRecord.mUntil);
+  }
+  void operator()(const claim_record& aRecord) const
+  {
+    WriteClaim(aRecord, *mOut.mutable_claim());
+  }
+  void operator()(const record_removal& aRecord) const
+  {
+    wire::Removal& out = *mOut.mutable_removal();
+    out.set_kind(static_cast<std::uint32_t>(aRecord.mKind));
+    out.set_name(aRecord.mName);
+  }
+};
+
+void
+WritePeers(const std::vector<raft_peer>& aPeers, wire::PeerList& aOut)
+{
+  for (const raft_peer& peer : aPeers) {
+    wire::Peer& out = *aOut.add_peers();
+    WritePeerId(peer.mId, *out.mutable_id());
+    out.set_voter(peer.mIsVoter);
+  }
+}
+
+std::vector<raft_peer>
+ReadPeers(const wire::PeerList& aIn)
+{
+  std::vector<raft_peer> peers;
+  for (const wire::Peer& peer : aIn.peers()) {
+    peers.push_back({ ReadPeerId(peer.id()), peer.voter() });
+  }
+  return peers;
+}
+
+/** Turns a result of one record type into a result of the variant. */
+template<typename record>
+result<record_change, codec_error>
+AsChange(result<record, codec_error> aRead)
+{
+  if (!aRead) {
+    return aRead.error();
+  }
+  return record_change(std::move(aRead.value()));
+}
+
+}
+
+void
+WriteEntryHost(const entry_host_record& aRecord, wire::EntryHostRecord& aOut)
+{
+  aOut.set_name(aRecord.mHost.mValue);
+  aOut.set_version(aRecord.mVersion);
+  aOut.set_incarnation(aRecord.mIncarnation);
+  aOut.set_failure_domain(aRecord.mFailureDomain.mValue);
+  aOut.set_callers_address(aRecord.mCallersAddress);
+  aOut.set_announce_address(aRecord.mAnnounceAddress);
+  aOut.set_state(static_cast<std::uint32_t>(aRecord.mState));
+  aOut.set_sponsor(aRecord.mSponsor.mValue);
+}
+
+result<entry_host_record, codec_error>
+ReadEntryHost(const wire::EntryHostRecord& aIn)
+{
+  auto state = ReadEnum<entry_host_state>(aIn.state());
+  if (!state) {
+    return state.error();
+  }
+  entry_host_record record;
+  record.mHost.mValue = aIn.name();
+  record.mVersion = aIn.version();
+  record.mIncarnation = aIn.incarnation();
+  record.mFailureDomain.mValue = aIn.failure_domain();
+  record.mCallersAddress = aIn.callers_address();
+  record.mAnnounceAddress = aIn.announce_address();
+  record.mState = state.value();
+  record.mSponsor.mValue = aIn.sponsor();
+  return record;
+}
+
+void
+WriteChange(const record_change& aChange, wire::RecordChange& aOut)
+{
+  std::visit(change_writer{ aOut }, aChange);
+}
+
+result<record_change, codec_error>
+ReadChange(const wire::RecordChange& aIn)
+{
+  switch (aIn.record_case()) {
+    case wire::RecordChange::kTemplateRecord: {
+      const auto& in = aIn.template_record();
+      return template_record{ template_id{ in.name() },
+                              in.version(),
+                              ReadTexts(in.fields()),
+                              ReadTexts(in.defaults()) };
+    }
+    case wire::RecordChange::kTeam: {
+      const auto& in = aIn.team();
+      return team_record{ team_id{ in.name() },
+                          in.version(),
+                          template_id{ in.template_name() },
+                          ReadTexts(in.parameters()) };
+    }
+    case wire::RecordChange::kFailureDomain: {
+      const auto& in = aIn.failure_domain();
+      auto state = ReadEnum<failure_domain_state>(in.state());
+      if (!state) {
+        return state.error();
+      }
+      return failure_domain_record{ failure_domain_id{ in.name() },
+                                    in.version(),
+                                    state.value() };
+    }
+    case wire::RecordChange::kEntryHost:
+      return AsChange(ReadEntryHost(aIn.entry_host()));
+    case wire::RecordChange::kServer:
+      return ReadServer(aIn.server());
+    case wire::RecordChange::kQuarantine:
+      return ReadQuarantine(aIn.quarantine());
+    case wire::RecordChange::kClaim:
+      return AsChange(ReadClaim(aIn.claim()));
+    case wire::RecordChange::kRemoval: {
+      auto kind = ReadEnum<record_kind>(aIn.removal().kind());
+      if (!kind) {
+        return kind.error();
+      }
+      return record_removal{ kind.value(), aIn.removal().name() };
+    }
+    case wire::RecordChange::RECORD_NOT_SET:
+      break;
+  }
+  return Fail(codec_error::Malformed, "A change holds no record.");
+}
+
+void
+WriteCommand(const change_command& aCommand, wire::Command& aOut)
+{
+  aOut.set_change_id(aCommand.mChange.mValue);
+  if (aCommand.mIfVersion) {
+    aOut.set_if_version(*aCommand.mIfVersion);
+  }
+  aOut.set_proposed_at_ms(aCommand.mProposedAt);
+  for (const record_change& wish : aCommand.mWishes) {
+    WriteChange(wish, *aOut.add_wishes());
+  }
+}
+
+result<change_command, codec_error>
+ReadCommand(const wire::Command& aIn)
+{
+  change_command command;
+  command.mChange.mValue = aIn.change_id();
+  if (aIn.has_if_version()) {
+    command.mIfVersion = aIn.if_version();
+  }
+  command.mProposedAt = aIn.proposed_at_ms();
+  for (const wire::RecordChange& wish : aIn.wishes()) {
+    auto read = ReadChange(wish);
+    if (!read) {
+      return read.error();
+    }
+    command.mWishes.push_back(std::move(read.value()));
+  }
+  return command;
+}
+
+void
+WriteOutcome(const change_outcome& aOutcome, wire::Outcome& aOut)
+{
+  aOut.set_verdict(static_cast<std::uint32_t>(aOutcome.mVerdict));
+  aOut.set_version(aOutcome.mVersion);
+  aOut.set_index(aOutcome.mIndex);
+  aOut.set_detail(aOutcome.mDetail);
+  aOut.set_recorded_outcome(aOutcome.mRecordedOutcome);
+}
+
+result<change_outcome, codec_error>
+ReadOutcome(const wire::Outcome& aIn)
+{
+  auto verdict = ReadEnum<change_verdict>(aIn.verdict());
+  if (!verdict) {
+    return verdict.error();
+  }
+  change_outcome outcome;
+  outcome.mVerdict = verdict.value();
+  outcome.mVersion = aIn.version();
+  outcome.mIndex = aIn.index();
+  outcome.mDetail = aIn.detail();
+  outcome.mRecordedOutcome = aIn.recorded_outcome();
+  return outcome;
+}
+
+void
+WritePeerId(const raft_peer_id& aPeer, wire::PeerId& aOut)
+{
+  aOut.set_host(aPeer.mHost.mValue);
+  aOut.set_disk(aPeer.mDisk.mValue);
+}
+
+raft_peer_id
+ReadPeerId(const wire::PeerId& aIn)
+{
+  return { host_id{ aIn.host() }, disk_id{ aIn.disk() } };
+}
+
+void
+WriteEntry(const raft_entry& aEntry, wire::Entry& aOut)
+{
+  aOut.set_term(aEntry.mTerm);
+  aOut.set_index(aEntry.mIndex);
+  aOut.set_payload(aEntry.mPayload);
+  if (aEntry.mPeers) {
+    WritePeers(*aEntry.mPeers, *aOut.mutable_peers());
+  }
+}
+
+raft_entry
+ReadEntry(const wire::Entry& aIn)
+{
+  raft_entry entry;
+  entry.mTerm = aIn.term();
+  entry.mIndex = aIn.index();
+  entry.mPayload = aIn.payload();
+  if (aIn.has_peers()) {
+    entry.mPeers = ReadPeers(aIn.peers());
+  }
+  return entry;
+}
+
+void
+WriteHardState(const raft_hard_state& aState, wire::HardState& aOut)
+{
+  aOut.set_term(aState.mTerm);
+  WritePeerId(aState.mVote, *aOut.mutable_vote());
+}
+
+raft_hard_state
+ReadHardState(const wire::HardState& aIn)
+{
+  return { aIn.term(), ReadPeerId(aIn.vote()) };
+}
+
+void
+WriteSnapshot(const raft_snapshot& aSnapshot, wire::Snapshot& aOut)
+{
+  aOut.set_index(aSnapshot.mIndex);
+  aOut.set_term(aSnapshot.mTerm);
+  WritePeers(aSnapshot.mPeers, *aOut.mutable_peers());
+  aOut.set_state(aSnapshot.mState);
+}
+
+raft_snapshot
+ReadSnapshot(const wire::Snapshot& aIn)
+{
+  return { aIn.index(), aIn.term(), ReadPeers(aIn.peers()), aIn.state() };
+}
+
+void
+WriteMessage(const raft_message& aMessage, wire::RaftMessage& aOut)
+{
+  aOut.set_kind(static_cast<std::uint32_t>(aMessage.mKind));
+  WritePeerId(aMessage.mFrom, *aOut.mutable_from());
+  WritePeerId(aMessage.mTo, *aOut.mutable_to());
+  aOut.set_term(aMessage.mTerm);
+  aOut.set_index(aMessage.mIndex);
+  aOut.set_log_term(aMessage.mLogTerm);
+  for (const raft_entry& entry : aMessage.mEntries) {
+    WriteEntry(entry, *aOut.add_entries());
+  }
+  aOut.set_commit(aMessage.mCommit);
+  aOut.set_refused(aMessage.mIsRefused);
+  aOut.set_transfer(aMessage.mIsTransfer);
+  aOut.set_number(aMessage.mNumber);
+  if (aMessage.mSnapshot) {
+    WriteSnapshot(*aMessage.mSnapshot, *aOut.mutable_snapshot());
+  }
+}
+
+result<raft_message, codec_error>
+ReadMessage(const wire::RaftMessage& aIn)
+{
+  auto kind = ReadEnum<raft_message_kind>(aIn.kind());
+  if (!kind) {
+    return kind.error();
+  }
+  bool needsSnapshot = kind.value() == raft_message_kind::Snapshot;
+  if (needsSnapshot && !aIn.has_snapshot()) {
+    return Fail(codec_error::Malformed, "A snapshot message lacks its state.");
+  }
+  raft_message message;
+  message.mKind = kind.value();
+  message.mFrom = ReadPeerId(aIn.from());
+  message.mTo = ReadPeerId(aIn.to());
+  message.mTerm = aIn.term();
+  message.mIndex = aIn.index();
+  message.mLogTerm = aIn.log_term();
+  for (const wire::Entry& entry : aIn.entries()) {
+    message.mEntries.push_back(ReadEntry(entry));
+  }
+  message.mCommit = aIn.commit();
+  message.mIsRefused = aIn.refused();
+  message.mIsTransfer = aIn.transfer();
+  message.mNumber = aIn.number();
+  if (aIn.has_snapshot()) {
+    message.mSnapshot = ReadSnapshot(aIn.snapshot());
+  }
+  return message;
+}
+
+std::string
+EncodeCommand(const change_command& aCommand)
+{
+  wire::Command command;
+  WriteCommand(aCommand, command);
+  return command.SerializeAsString();
+}
+
+result<change_command, codec_error>
+DecodeCommand(const std::string& aBytes)
+{
+  wire::Command command;
+  if (!command.ParseFromString(aBytes)) {
+    return Fail(codec_error::Malformed, "A command can't be parsed.");
+  }
+  return ReadCommand(command);
+}
+
+std::string
+EncodeState(const control_state& aState)
+{
+  wire::ControlSnapshot snapshot;
+  snapshot.set_index(aState.Index());
+  snapshot.set_time_ms(aState.Time());
+  for (const record_change& fact : aState.Facts()) {
+    WriteChange(fact, *snapshot.add_facts());
+  }
+  for (const claim_record& claim : aState.Claims()) {
+    WriteClaim(claim, *snapshot.add_claims());
+  }
+  for (const judged_change& judged : aState.JudgedChanges()) {
+    wire::JudgedChange& out = *snapshot.add_judged();
+    out.set_change_id(judged.mChange.mValue);
+    out.set_judged_at_ms(judged.mJudgedAt);
+    WriteChange(judged.mWish, *out.mutable_wish());
+    WriteOutcome(judged.mOutcome, *out.mutable_outcome());
+  }
+  return snapshot.SerializeAsString();
+}
+
+result<control_state, codec_error>
+DecodeState(const std::string& aBytes, control_limits aLimits)
+{
+  wire::ControlSnapshot snapshot;
+  if (!snapshot.ParseFromString(aBytes)) {
+    return Fail(codec_error::Malformed, "A snapshot can't be parsed.");
+  }
+  std::vector<record_change> facts;
+  for (const wire::RecordChange& fact : snapshot.facts()) {
+    auto read = ReadChange(fact);
+    if (!read) {
+      return read.error();
+    }
+    facts.push_back(std::move(read.value()));
+  }
+  std::vector<claim_record> claims;
+  for (const wire::ClaimRecord& claim : snapshot.claims()) {
+    auto read = ReadClaim(claim);
+    if (!read) {
+      return read.error();
+    }
+    claims.push_back(std::move(read.value()));
+  }
+  std::vector<judged_change> judged;
+  for (const wire::JudgedChange& change : snapshot.judged()) {
+    auto wish = ReadChange(change.wish());
+    auto outcome = ReadOutcome(change.outcome());
+    if (!wish || !outcome) {
+      return Fail(codec_error::Malformed, "A judged change can't be read.");
+    }
+    judged.push_back({ change_id{ change.change_id() },
+                       change.judged_at_ms(),
+                       std::move(wish.value()),
+                       std::move(outcome.value()) });
+  }
+  return control_state::Restore(
+    aLimits, snapshot.index(), snapshot.time_ms(), facts, claims, judged);
+}
+
+}
--- /dev/null
+++ b/messages/control_codec.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/failure.h"
+#include "decisions/control_state.h"
+#include "decisions/raft_node.h"
+
+#include <string>
+
+#include <control.pb.h>
+
+namespace hibiscusspool {
+
+enum class codec_error
+{
+  Malformed,
+  UnknownName,
+};
+
+template<>
+inline constexpr name_table<codec_error, 2> kNames<codec_error>{ {
+  { codec_error::Malformed, "malformed" },
+  { codec_error::UnknownName, "unknown_name" },
+} };
+
+// Each Write fills a message of the wire, and each Read takes one in. Reading
+// fails when a message lacks a part or names something that doesn't exist.
+
+void
+WriteChange(const record_change& aChange, wire::RecordChange& aOut);
+result<record_change, codec_error>
+ReadChange(const wire::RecordChange& aIn);
+
+void
+WriteEntryHost(const entry_host_record& aRecord, wire::EntryHostRecord& aOut);
+result<entry_host_record, codec_error>
+ReadEntryHost(const wire::EntryHostRecord& aIn);
+
+void
+WriteCommand(const change_command& aCommand, wire::Command& aOut);
+result<change_command, codec_error>
+ReadCommand(const wire::Command& aIn);
+
+void
+WriteOutcome(const change_outcome& aOutcome, wire::Outcome& aOut);
+result<change_outcome, codec_error>
+ReadOutcome(const wire::Outcome& aIn);
+
+void
+WriteMessage(const raft_message& aMessage, wire::RaftMessage& aOut);
+result<raft_message, codec_error>
+ReadMessage(const wire::RaftMessage& aIn);
+
+void
+WriteEntry(const raft_entry& aEntry, wire::Entry& aOut);
+raft_entry
+ReadEntry(const wire::Entry& aIn);
+
+void
+WriteHardState(const raft_hard_state& aState, wire::HardState& aOut);
+raft_hard_state
+ReadHardState(const wire::HardState& aIn);
+
+void
+WriteSnapshot(const raft_snapshot& aSnapshot, wire::Snapshot& aOut);
+raft_snapshot
+ReadSnapshot(const wire::Snapshot& aIn);
+
+void
+WritePeerId(const raft_peer_id& aPeer, wire::PeerId& aOut);
+raft_peer_id
+ReadPeerId(const wire::PeerId& aIn);
+
+/** A command as a payload of the log. */
+std::string
+EncodeCommand(const change_command& aCommand);
+result<change_command, codec_error>
+DecodeCommand(const std::string& aBytes);
+
+/** The whole control state as a snapshot's state. */
+std::string
+EncodeState(const control_state& aState);
+result<control_state, codec_error>
+DecodeState(const std::string& aBytes, control_limits aLimits);
+
+}
