--- /dev/null
+++ b/controllers/account_controller.cpp
@@ -0,0 +1,89 @@
+#include "controllers/account_controller.h"
+
+#include <algorithm>
+
+namespace hibiscusspool {
+
+namespace {
+
+constexpr unsigned kLatencyBins = 240;
+constexpr double kLowestMs = 0.1;
+constexpr double kHighestMs = 20'000;
+
+/** Refusals that a caller brought about count against no objective. */
+bool
+IsCallersFault(refusal_reason aReason)
+{
+  switch (aReason) {
+    case refusal_reason::BadRequest:
+    case refusal_reason::BodyTooLarge:
+    case refusal_reason::UnknownTeam:
+    case refusal_reason::MissingKey:
+    case refusal_reason::KeyReused:
+    case refusal_reason::Quarantined:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}
+
+latency_histogram
+MakeLatencyHistogram()
+{
+  using namespace boost::histogram;
+  return make_histogram(axis::regular<double, axis::transform::log>(
+    kLatencyBins, kLowestMs, kHighestMs));
+}
+
+double
+QuantileOf(const latency_histogram& aHistogram, double aQuantile)
+{
+  using boost::histogram::indexed;
+  auto coverage = boost::histogram::coverage::all;
+  double all = 0;
+  for (auto&& bin : indexed(aHistogram, coverage)) {
+    all += *bin;
+  }
+  double wanted = all * aQuantile;
+  double seen = 0;
+  for (auto&& bin : indexed(aHistogram, coverage)) {
+    seen += *bin;
+    if (seen >= wanted && *bin > 0) {
+      return std::min(kHighestMs, static_cast<double>(bin.bin().upper()));
+    }
+  }
+  return 0;
+}
+
+void
+account_controller::Count(const request_result& aResult,
+                          const team_policy& aPolicy,
+                          wall_ms aNow)
+{
+  double took = static_cast<double>(aResult.mTook.count()) / 1000;
+  mTeams.Update(aResult.mTeam, [&](team_account& aTeam) {
+    aTeam.mAttempts += aResult.mAttempts;
+    aTeam.mHedges += aResult.mHedges;
+    aTeam.mRetries += aResult.mRetries;
+    if (aResult.mIsRefused) {
+      ++aTeam.mRefused[static_cast<std::size_t>(aResult.mReason)];
+      if (!IsCallersFault(aResult.mReason)) {
+        aTeam.mBurn.Add(objective::Availability, true, aNow);
+      }
+      return;
+    }
+    ++aTeam.mAnswered;
+    aTeam.mLatency(took);
+    aTeam.mCoverageSum += aResult.mCoverage;
+    bool isPartial = aResult.mCoverage < 1;
+    aTeam.mPartial += isPartial ? 1 : 0;
+    bool isLate = aResult.mTook > aPolicy.mLatencyObjective;
+    aTeam.mBurn.Add(objective::Availability, false, aNow);
+    aTeam.mBurn.Add(objective::Latency, isLate, aNow);
+    aTeam.mBurn.Add(objective::Coverage, isPartial, aNow);
+  });
+}
+
+}
--- /dev/null
+++ b/controllers/account_controller.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "core/sharded_map.h"
+#include "decisions/burn.h"
+#include "decisions/refusal.h"
+#include "decisions/team_policy.h"
+
+#include <boost/histogram.hpp>
+
+#include <array>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace hibiscusspool {
+
+/** Latencies in milliseconds, on a logarithmic axis from 0.1 ms to 20 s. */
+using latency_histogram = boost::histogram::histogram<std::tuple<
+  boost::histogram::axis::regular<double,
+                                  boost::histogram::axis::transform::log>>>;
+
+latency_histogram
+MakeLatencyHistogram();
+
+/** The latency below which this share of the samples lies, in milliseconds. */
+double
+QuantileOf(const latency_histogram& aHistogram, double aQuantile);
+
+/** How one request ended, for the account. */
+struct request_result
+{
+  team_id mTeam;
+  bool mIsRefused = false;
+  refusal_reason mReason = refusal_reason::BadRequest;
+  microseconds mTook{ 0 };
+  double mCoverage = 1;
+  std::size_t mAttempts = 0;
+  std::size_t mHedges = 0;
+  std::size_t mRetries = 0;
+};
+
+/** Counts of one team since the process started. */
+struct team_account
+{
+  latency_histogram mLatency = MakeLatencyHistogram();
+  std::uint64_t mAnswered = 0;
+  std::uint64_t mPartial = 0;
+  double mCoverageSum = 0;
+  std::uint64_t mAttempts = 0;
+  std::uint64_t mHedges = 0;
+  std::uint64_t mRetries = 0;
+  std::array<std::uint64_t, kNames<refusal_reason>.size()> mRefused{};
+  burn_history mBurn;
+};
+
+/** Counts each request once, in shards by team. */
+class account_controller
+{
+  sharded_map<team_id, team_account> mTeams;
+
+public:
+  void Count(const request_result& aResult,
+             const team_policy& aPolicy,
+             wall_ms aNow);
+
+  /** Runs `aBody(const team_id&, const team_account&)` for each team. */
+  template<typename body>
+  void ForEach(body&& aBody) const
+  {
+    mTeams.ForEach(std::forward<body>(aBody));
+  }
+};
+
+}
--- /dev/null
+++ b/controllers/backend_controller.cpp
@@ -0,0 +1,547 @@
+#include "controllers/backend_controller.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace hibiscusspool {
+
+namespace {
+
+/** Refusals in a row after which a ready server is taken for a cold one. */
+constexpr std::uint32_t kColdAfterRefusals = 8;
+
+template<typename pool>
+auto
+FindBackend(pool& aPool, const server_id& aServer)
+{
+  return std::find_if(
+    aPool.mBackends.begin(), aPool.mBackends.end(), [&](const auto& aBackend) {
+      return aBackend.mRecord.mServer == aServer;
+    });
+}
+
+bool
+IsOverload(attempt_status aStatus)
+{
+  return aStatus == attempt_status::Shed ||
+         aStatus == attempt_status::TimedOut ||
+         aStatus == attempt_status::NotSent || aStatus == attempt_status::Reset;
+}
+
+}
+
+std::vector<host_id>
+backend_controller::Hosts() const
+{
+  std::lock_guard guard(mViewLock);
+  return mHosts;
+}
+
+std::set<failure_domain_id>
+backend_controller::DomainsOut() const
+{
+  std::lock_guard guard(mViewLock);
+  return mDomainsOut;
+}
+
+std::uint32_t
+backend_controller::Share(const backend& aBackend, steady_time aNow) const
+{
+  return aBackend.mShare.Usable(aNow);
+}
+
+std::uint32_t
+backend_controller::Allowed(const backend& aBackend, steady_time aNow) const
+{
+  std::uint32_t share = Share(aBackend, aNow);
+  std::uint32_t cold = aBackend.mColdShare.Usable(aNow);
+  bool isCold =
+    aBackend.mRecord.mState == server_state::Cold || aBackend.mLooksCold;
+  if (isCold) {
+    return std::min(share, cold);
+  }
+  std::uint32_t allowed = std::min(share, aBackend.mLimit.Allowed());
+  auto warm =
+    std::chrono::duration_cast<milliseconds>(aNow - aBackend.mReadySince);
+  if (warm >= mConfig.mRamp) {
+    return allowed;
+  }
+  // The ramp leads from one attempt to the whole share.
+  auto steps = static_cast<std::uint32_t>(
+    (share * warm.count()) / std::max<std::int64_t>(1, mConfig.mRamp.count()));
+  return std::min(allowed, std::max(1U, steps));
+}
+
+void
+backend_controller::SetShares(backend& aBackend,
+                              const std::vector<host_id>& aHosts,
+                              bool aIsFresh,
+                              steady_time aNow) const
+{
+  const server_record& record = aBackend.mRecord;
+  std::uint32_t share =
+    ShareOf(record.mServer, record.mConnections, aHosts, mConfig.mSelf);
+  std::uint32_t cold =
+    ShareOf(record.mServer, record.mColdSlots, aHosts, mConfig.mSelf);
+  if (aIsFresh) {
+    aBackend.mShare.SetFresh(share);
+    aBackend.mColdShare.SetFresh(cold);
+    return;
+  }
+  aBackend.mShare.SetTarget(share, aNow, mConfig.mHandOver);
+  aBackend.mColdShare.SetTarget(cold, aNow, mConfig.mHandOver);
+}
+
+std::vector<connection_id>
+backend_controller::TakeSurplus(backend& aBackend, steady_time aNow) const
+{
+  std::vector<connection_id> surplus;
+  while (!aBackend.mIdle.empty() && aBackend.mOpen > Share(aBackend, aNow)) {
+    // The connections that were unused for longest stand in front.
+    surplus.push_back(aBackend.mIdle.front());
+    aBackend.mIdle.erase(aBackend.mIdle.begin());
+    --aBackend.mOpen;
+  }
+  return surplus;
+}
+
+void
+backend_controller::SetHosts(std::vector<host_id> aHosts, steady_time aNow)
+{
+  {
+    std::lock_guard guard(mViewLock);
+    if (mHosts == aHosts) {
+      return;
+    }
+    mHosts = aHosts;
+  }
+  std::vector<connection_id> surplus;
+  mServices.ForEach([&](const service_id& /*aName*/, service_pool& aPool) {
+    for (backend& entry : aPool.mBackends) {
+      SetShares(entry, aHosts, false, aNow);
+      std::vector<connection_id> taken = TakeSurplus(entry, aNow);
+      surplus.insert(surplus.end(), taken.begin(), taken.end());
+    }
+  });
+  mHooks.mClose(surplus);
+}
+
+void
+backend_controller::SetDomainsOut(std::set<failure_domain_id> aDomains)
+{
+  std::lock_guard guard(mViewLock);
+  mDomainsOut = std::move(aDomains);
+}
+
+void
+backend_controller::DropFromService(const service_id& aService,
+                                    const server_id& aServer)
+{
+  std::vector<connection_id> idle;
+  mServices.UpdateIfPresent(aService, [&](service_pool& aPool) {
+    auto found = FindBackend(aPool, aServer);
+    if (found != aPool.mBackends.end()) {
+      idle = std::move(found->mIdle);
+      aPool.mBackends.erase(found);
+    }
+  });
+  mHooks.mClose(idle);
+}
+
+void
+backend_controller::Put(const server_record& aRecord,
+                        bool aIsFresh,
+                        steady_time aNow)
+{
+  auto known = mServiceOf.Get(aRecord.mServer);
+  if (known && *known != aRecord.mService) {
+    DropFromService(*known, aRecord.mServer);
+  }
+  mServiceOf.Set(aRecord.mServer, aRecord.mService);
+  std::vector<host_id> hosts = Hosts();
+  std::vector<connection_id> closed;
+  std::vector<std::function<void()>> waiters;
+  mServices.Update(aRecord.mService, [&](service_pool& aPool) {
+    if (aPool.mBackends.empty()) {
+      const std::string& name = aRecord.mService.mValue;
+      aPool.mRandom.seed(mConfig.mSeed ^ XXH3_64bits(name.data(), name.size()));
+    }
+    auto found = FindBackend(aPool, aRecord.mServer);
+    bool isNewRun = found == aPool.mBackends.end() ||
+                    found->mRecord.mIncarnation != aRecord.mIncarnation;
+    if (isNewRun && found != aPool.mBackends.end()) {
+      closed = std::move(found->mIdle);
+      aPool.mBackends.erase(found);
+      found = aPool.mBackends.end();
+    }
+    if (found == aPool.mBackends.end()) {
+      found = aPool.mBackends.insert(found, backend{});
+      // A server that was ready before this host came needs no ramp here.
+      found->mReadySince = aNow - mConfig.mRamp;
+    }
+    bool turnsReady = found->mRecord.mState == server_state::Cold &&
+                      aRecord.mState == server_state::Ready && !isNewRun;
+    bool unitsChange = found->mRecord.mConnections != aRecord.mConnections ||
+                       found->mRecord.mColdSlots != aRecord.mColdSlots;
+    if (turnsReady) {
+      found->mReadySince = aNow;
+      found->mLooksCold = false;
+      found->mRefusedInRow = 0;
+      found->mLimit.Restart();
+    }
+    bool looksCold = !isNewRun && aRecord.mColdMark != 0 &&
+                     found->mRecord.mColdMark != aRecord.mColdMark;
+    if (looksCold) {
+      found->mLooksCold = true;
+      found->mLimit.Restart();
+    }
+    found->mRecord = aRecord;
+    if (isNewRun || unitsChange) {
+      SetShares(*found, hosts, isNewRun && aIsFresh, aNow);
+    }
+    if (!CanAnswer(*found, {})) {
+      // A server that leaves is not kept from it by unused connections.
+      found->mOpen -= static_cast<std::uint32_t>(found->mIdle.size());
+      std::vector<connection_id> unused = std::exchange(found->mIdle, {});
+      closed.insert(closed.end(), unused.begin(), unused.end());
+    }
+    std::vector<connection_id> surplus = TakeSurplus(*found, aNow);
+    closed.insert(closed.end(), surplus.begin(), surplus.end());
+    waiters = std::exchange(aPool.mWaiters, {});
+  });
+  mHooks.mClose(closed);
+  for (const auto& wake : waiters) {
+    wake();
+  }
+}
+
+void
+backend_controller::Remove(const server_id& aServer)
+{
+  auto service = mServiceOf.Take(aServer);
+  if (service) {
+    DropFromService(*service, aServer);
+  }
+}
+
+bool
+backend_controller::CanAnswer(const backend& aBackend,
+                              const std::set<failure_domain_id>& aDomainsOut)
+{
+  const server_record& record = aBackend.mRecord;
+  bool isInService =
+    record.mState == server_state::Ready || record.mState == server_state::Cold;
+  return isInService && !aDomainsOut.contains(record.mFailureDomain);
+}
+
+std::vector<replica_candidate>
+backend_controller::Candidates(const service_pool& aPool,
+                               const choice_request& aRequest,
+                               const std::set<failure_domain_id>& aDomainsOut,
+                               steady_time aNow) const
+{
+  std::vector<replica_candidate> candidates;
+  for (std::size_t place = 0; place < aPool.mBackends.size(); ++place) {
+    const backend& entry = aPool.mBackends[place];
+    const server_record& record = entry.mRecord;
+    bool holds = aRequest.mAnySnapshot ||
+                 std::find(record.mSnapshots.begin(),
+                           record.mSnapshots.end(),
+                           aRequest.mSnapshot) != record.mSnapshots.end();
+    bool isExcluded = std::find(aRequest.mExcluded.begin(),
+                                aRequest.mExcluded.end(),
+                                record.mServer) != aRequest.mExcluded.end();
+    bool hasPlace = entry.mOutstanding < Allowed(entry, aNow) &&
+                    (!entry.mIdle.empty() || entry.mOpen < Share(entry, aNow));
+    if (!holds || isExcluded || !hasPlace || !CanAnswer(entry, aDomainsOut)) {
+      continue;
+    }
+    candidates.push_back({ place,
+                           entry.mOutstanding,
+                           entry.mServiceTime.Mean(),
+                           record.mFailureDomain == mConfig.mFailureDomain,
+                           !entry.mIdle.empty() });
+  }
+  return candidates;
+}
+
+std::optional<attempt_permit>
+backend_controller::Choose(const choice_request& aRequest, steady_time aNow)
+{
+  std::set<failure_domain_id> domainsOut = DomainsOut();
+  std::optional<attempt_permit> permit;
+  mServices.UpdateIfPresent(aRequest.mService, [&](service_pool& aPool) {
+    auto candidates = Candidates(aPool, aRequest, domainsOut, aNow);
+    auto inOther = candidates;
+    std::erase_if(inOther, [&](const replica_candidate& aCandidate) {
+      return aPool.mBackends[aCandidate.mPlace].mRecord.mFailureDomain ==
+             aRequest.mAvoidedDomain;
+    });
+    auto place =
+      PickReplica(inOther.empty() ? candidates : inOther, aPool.mRandom);
+    if (!place) {
+      return;
+    }
+    backend& chosen = aPool.mBackends[*place];
+    permit = attempt_permit{ aRequest.mService,
+                             chosen.mRecord.mServer,
+                             chosen.mRecord.mIncarnation,
+                             chosen.mRecord.mAddress,
+                             chosen.mRecord.mFailureDomain,
+                             0,
+                             aNow };
+    ++chosen.mOutstanding;
+    if (chosen.mIdle.empty()) {
+      ++chosen.mOpen;
+      return;
+    }
+    permit->mConnection = chosen.mIdle.back();
+    chosen.mIdle.pop_back();
+  });
+  return permit;
+}
+
+void
+backend_controller::Learn(backend& aBackend,
+                          service_pool& aPool,
+                          const attempt_report& aReport,
+                          steady_time aNow) const
+{
+  bool isAnswer = aReport.mStatus == attempt_status::Answered;
+  if (isAnswer) {
+    aBackend.mServiceTime.Add(aReport.mTook);
+    aBackend.mLimit.OnAnswer(aBackend.mOutstanding);
+    aPool.mTail.Add(aReport.mTook);
+    aBackend.mRefusedInRow = 0;
+    return;
+  }
+  if (aReport.mStatus == attempt_status::Cancelled) {
+    // A loser that ran long says that the server is at least that slow.
+    if (aReport.mTook > aBackend.mServiceTime.Mean()) {
+      aBackend.mServiceTime.Add(aReport.mTook);
+    }
+    return;
+  }
+  if (!IsOverload(aReport.mStatus)) {
+    return;
+  }
+  aBackend.mLimit.OnOverload(aNow, aBackend.mServiceTime.Mean());
+  ++aBackend.mRefusedInRow;
+}
+
+void
+backend_controller::Finish(const attempt_permit& aPermit,
+                           const attempt_report& aReport,
+                           steady_time aNow)
+{
+  std::vector<connection_id> closed;
+  std::vector<std::function<void()>> waiters;
+  bool turnedCold = false;
+  bool isKnown = false;
+  mServices.UpdateIfPresent(aPermit.mService, [&](service_pool& aPool) {
+    auto found = FindBackend(aPool, aPermit.mServer);
+    isKnown = found != aPool.mBackends.end() &&
+              found->mRecord.mIncarnation == aPermit.mIncarnation;
+    if (!isKnown) {
+      return;
+    }
+    --found->mOutstanding;
+    Learn(*found, aPool, aReport, aNow);
+    if (aReport.mConnection == 0) {
+      --found->mOpen;
+    } else {
+      found->mIdle.push_back(aReport.mConnection);
+    }
+    closed = TakeSurplus(*found, aNow);
+    turnedCold = !found->mLooksCold &&
+                 found->mRecord.mState == server_state::Ready &&
+                 found->mRefusedInRow >= kColdAfterRefusals;
+    if (turnedCold) {
+      found->mLooksCold = true;
+      found->mLimit.Restart();
+    } else if (found->mLooksCold &&
+               aReport.mStatus == attempt_status::Answered) {
+      // It bears the cold load; the ramp leads back to the whole share.
+      found->mLooksCold = false;
+      found->mReadySince = aNow;
+    }
+    waiters = std::exchange(aPool.mWaiters, {});
+  });
+  if (!isKnown && aReport.mConnection != 0) {
+    closed.push_back(aReport.mConnection);
+  }
+  mHooks.mClose(closed);
+  if (turnedCold) {
+    mHooks.mTurnedCold(aPermit.mServer);
+  }
+  for (const auto& wake : waiters) {
+    wake();
+  }
+}
+
+void
+backend_controller::WaitForPlace(const service_id& aService,
+                                 std::function<void()> aWake)
+{
+  mServices.UpdateIfPresent(aService, [&](service_pool& aPool) {
+    aPool.mWaiters.push_back(std::move(aWake));
+  });
+}
+
+std::optional<connection_id>
+backend_controller::BorrowIdle(const server_id& aServer)
+{
+  std::optional<connection_id> borrowed;
+  auto service = mServiceOf.Get(aServer);
+  if (!service) {
+    return borrowed;
+  }
+  mServices.UpdateIfPresent(*service, [&](service_pool& aPool) {
+    auto found = FindBackend(aPool, aServer);
+    if (found != aPool.mBackends.end() && !found->mIdle.empty()) {
+      borrowed = found->mIdle.back();
+      found->mIdle.pop_back();
+    }
+  });
+  return borrowed;
+}
+
+void
+backend_controller::ReturnIdle(const server_id& aServer,
+                               connection_id aConnection)
+{
+  bool isKept = false;
+  auto service = mServiceOf.Get(aServer);
+  if (service) {
+    mServices.UpdateIfPresent(*service, [&](service_pool& aPool) {
+      auto found = FindBackend(aPool, aServer);
+      isKept = found != aPool.mBackends.end();
+      if (isKept) {
+        found->mIdle.push_back(aConnection);
+      }
+    });
+  }
+  if (!isKept) {
+    mHooks.mClose({ aConnection });
+  }
+}
+
+void
+backend_controller::LoseBorrowed(const server_id& aServer)
+{
+  auto service = mServiceOf.Get(aServer);
+  if (!service) {
+    return;
+  }
+  mServices.UpdateIfPresent(*service, [&](service_pool& aPool) {
+    auto found = FindBackend(aPool, aServer);
+    if (found != aPool.mBackends.end() && found->mOpen > 0) {
+      --found->mOpen;
+    }
+  });
+}
+
+void
+backend_controller::CloseIdle()
+{
+  std::vector<connection_id> closed;
+  mServices.ForEach([&](const service_id& /*aName*/, service_pool& aPool) {
+    for (backend& entry : aPool.mBackends) {
+      closed.insert(closed.end(), entry.mIdle.begin(), entry.mIdle.end());
+      entry.mOpen -= static_cast<std::uint32_t>(entry.mIdle.size());
+      entry.mIdle.clear();
+    }
+  });
+  mHooks.mClose(closed);
+}
+
+void
+backend_controller::CloseSurplus(steady_time aNow)
+{
+  std::vector<connection_id> closed;
+  mServices.ForEach([&](const service_id& /*aName*/, service_pool& aPool) {
+    for (backend& entry : aPool.mBackends) {
+      std::vector<connection_id> surplus = TakeSurplus(entry, aNow);
+      closed.insert(closed.end(), surplus.begin(), surplus.end());
+    }
+  });
+  mHooks.mClose(closed);
+}
+
+std::vector<service_snapshots>
+backend_controller::Snapshots(const std::vector<service_id>& aServices)
+{
+  std::set<failure_domain_id> domainsOut = DomainsOut();
+  std::vector<service_snapshots> all;
+  all.reserve(aServices.size());
+  for (const service_id& service : aServices) {
+    service_snapshots held{ service, {} };
+    mServices.UpdateIfPresent(service, [&](service_pool& aPool) {
+      for (const backend& entry : aPool.mBackends) {
+        if (CanAnswer(entry, domainsOut)) {
+          held.mSnapshots.insert(held.mSnapshots.end(),
+                                 entry.mRecord.mSnapshots.begin(),
+                                 entry.mRecord.mSnapshots.end());
+        }
+      }
+    });
+    std::sort(held.mSnapshots.begin(), held.mSnapshots.end());
+    auto last = std::unique(held.mSnapshots.begin(), held.mSnapshots.end());
+    held.mSnapshots.erase(last, held.mSnapshots.end());
+    all.push_back(std::move(held));
+  }
+  return all;
+}
+
+std::optional<microseconds>
+backend_controller::SlowAfter(const service_id& aService)
+{
+  std::optional<microseconds> slow;
+  mServices.UpdateIfPresent(aService, [&](service_pool& aPool) {
+    if (aPool.mTail.IsSettled()) {
+      slow = aPool.mTail.Value();
+    }
+  });
+  return slow;
+}
+
+std::vector<backend_view>
+backend_controller::Views(steady_time aNow) const
+{
+  std::vector<backend_view> views;
+  mServices.ForEach(
+    [&](const service_id& /*aName*/, const service_pool& aPool) {
+      for (const backend& entry : aPool.mBackends) {
+        views.push_back({ entry.mRecord,
+                          Share(entry, aNow),
+                          entry.mOpen,
+                          entry.mOutstanding,
+                          Allowed(entry, aNow),
+                          entry.mServiceTime.Mean() });
+      }
+    });
+  return views;
+}
+
+std::optional<server_record>
+backend_controller::Record(const server_id& aServer) const
+{
+  std::optional<server_record> record;
+  auto service = mServiceOf.Get(aServer);
+  if (!service) {
+    return record;
+  }
+  mServices.ForEach([&](const service_id& aName, const service_pool& aPool) {
+    if (aName != *service) {
+      return;
+    }
+    auto found = FindBackend(aPool, aServer);
+    if (found != aPool.mBackends.end()) {
+      record = found->mRecord;
+    }
+  });
+  return record;
+}
+
+}
--- /dev/null
+++ b/controllers/catalog_controller.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "controllers/backend_controller.h"
+#include "controllers/watch_hub.h"
+#include "core/sharded_map.h"
+#include "decisions/team_policy.h"
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <set>
+#include <vector>
+
+namespace hibiscusspool {
+
+/** A team's policy and the log index from which it is in force. */
+struct team_view
+{
+  team_policy mPolicy;
+  log_index mVersion = 0;
+};
+
+struct catalog_hooks
+{
+  /** The facts of an update are in force on this daemon. */
+  std::function<void()> mChanged;
+};
+
+/**
+ * What is in force, as the watch stream told this daemon: teams, templates,
+ * failure domains, entry hosts and quarantine. Servers go on to the backend
+ * controller. Facts are applied in the order of the log, since shares depend
+ * on the entry hosts that were in view when a server came.
+ */
+class catalog_controller
+{
+  struct applier;
+
+  host_id mSelf;
+  backend_controller& mBackends;
+  catalog_hooks mHooks;
+  sharded_map<template_id, template_record> mTemplates;
+  sharded_map<team_id, team_record> mTeams;
+  sharded_map<team_id, team_view> mViews;
+  sharded_map<failure_domain_id, failure_domain_record> mFailureDomains;
+  sharded_map<host_id, entry_host_record> mEntryHosts;
+  sharded_map<fingerprint_id, quarantine_record> mQuarantine;
+  std::atomic<log_index> mIndex{ 0 };
+  std::atomic<std::uint32_t> mServingHosts{ 1 };
+  /** Updates come from one stream at a time, but streams overlap at a switch.
+   */
+  std::mutex mApplyLock;
+
+  void FillTeam(const team_id& aTeam);
+  void RefreshHosts(steady_time aNow);
+  void RefreshDomains();
+  void Remove(const record_removal& aRemoval, steady_time aNow);
+  void RemoveAllBut(const std::vector<record_change>& aFacts, steady_time aNow);
+
+public:
+  catalog_controller(host_id aSelf,
+                     backend_controller& aBackends,
+                     catalog_hooks aHooks)
+    : mSelf(std::move(aSelf))
+    , mBackends(aBackends)
+    , mHooks(std::move(aHooks))
+  {
+  }
+
+  void Apply(const watch_update& aUpdate, steady_time aNow);
+
+  /** The index up to which this daemon holds all facts. */
+  [[nodiscard]] log_index Index() const { return mIndex; }
+  [[nodiscard]] std::optional<team_view> Team(const team_id& aTeam) const;
+  [[nodiscard]] std::optional<quarantine_record> Quarantine(
+    const fingerprint_id& aFingerprint) const;
+  [[nodiscard]] std::vector<entry_host_record> EntryHosts() const;
+  [[nodiscard]] std::vector<team_id> Teams() const;
+  [[nodiscard]] std::vector<quarantine_record> QuarantineList() const;
+  [[nodiscard]] std::vector<failure_domain_record> FailureDomains() const;
+  [[nodiscard]] std::vector<template_record> Templates() const;
+  [[nodiscard]] std::optional<team_record> TeamRecord(
+    const team_id& aTeam) const;
+  [[nodiscard]] bool IsOut(const failure_domain_id& aDomain) const;
+  /** Entry hosts that serve callers now, at least one. */
+  [[nodiscard]] std::uint32_t ServingHosts() const { return mServingHosts; }
+};
+
+}
--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -39,8 +39,7 @@
     }
     state = std::move(*decoded);
   }
-  auto node =
-    raft_node::create(aConfig.mRaft, std::move(aPersisted), aNow);
+  auto node = raft_node::create(aConfig.mRaft, std::move(aPersisted), aNow);
   if (!node) {
     return Fail(group_error::BadStart, node.error().mDetail);
   }
@@ -139,13 +138,36 @@
     RetryConfirms(now);
     UpdateStatus();
   }
-  for (auto& [index, proposal] : mProposals) {
-    proposal.mReply({ propose_status::NotLeader, {}, {} });
+  AnswerAllAtEnd();
+  return boost::outcome_v2::success();
+}
+
+void
+control_group::AnswerAllAtEnd()
+{
+  std::vector<event> events;
+  {
+    std::lock_guard guard(mQueueLock);
+    events.swap(mQueue);
   }
-  for (auto& [name, reply] : mClaimWaiters) {
-    reply({ propose_status::NotLeader, {}, {} });
+  for (event& next : events) {
+    if (auto* proposal = std::get_if<propose_event>(&next)) {
+      proposal->mReply({ propose_status::NotLeader, {}, {} });
+    }
+  }
+  FailProposals();
+}
+
+void
+control_group::FailProposals()
+{
+  host_id leader = mNode.Leader().mHost;
+  for (auto& [index, proposal] : std::exchange(mProposals, {})) {
+    proposal.mReply({ propose_status::NotLeader, leader, {} });
+  }
+  for (auto& [name, reply] : std::exchange(mClaimWaiters, {})) {
+    reply({ propose_status::NotLeader, leader, {} });
   }
-  return boost::outcome_v2::success();
 }
 
 void
@@ -365,12 +387,7 @@
   }
   // What was proposed may still be committed by the next leader; whoever
   // sends it again gets the first outcome.
-  for (auto& [index, proposal] : std::exchange(mProposals, {})) {
-    proposal.mReply({ propose_status::NotLeader, mNode.Leader().mHost, {} });
-  }
-  for (auto& [name, reply] : std::exchange(mClaimWaiters, {})) {
-    reply({ propose_status::NotLeader, mNode.Leader().mHost, {} });
-  }
+  FailProposals();
 }
 
 void
@@ -381,8 +398,7 @@
   }
   const auto& domains = mState.FailureDomains();
   auto own = domains.find(mConfig.mFailureDomain);
-  if (own == domains.end() ||
-      own->second.mState == failure_domain_state::In) {
+  if (own == domains.end() || own->second.mState == failure_domain_state::In) {
     return;
   }
   mTransferDue = aNow + kTransferInterval;
@@ -405,6 +421,7 @@
 void
 control_group::UpdateStatus()
 {
+  steady_time now = mHooks.mSteadyNow();
   std::lock_guard guard(mStateLock);
   mStatus.mRole = mNode.Role();
   mStatus.mTerm = mNode.Term();
@@ -415,6 +432,8 @@
   mStatus.mPeers = mNode.Peers();
   mStatus.mClaims = mState.ClaimCount();
   mStatus.mServers = mState.ServerCount();
+  mStatus.mIsEmpty = mNode.LastIndex() == 0 && mNode.Term() == 0;
+  mStatus.mHeard = mNode.HeardHosts(now);
 }
 
 control_group_status
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -30,7 +30,8 @@
   { propose_status::Busy, "busy" },
 } };
 
-/** The answer to a proposal; a proposal that is not judged may be sent again. */
+/** The answer to a proposal; a proposal that is not judged may be sent again.
+ */
 struct propose_answer
 {
   propose_status mStatus = propose_status::NotLeader;
@@ -84,6 +85,10 @@
   std::vector<raft_peer> mPeers;
   std::size_t mClaims = 0;
   std::size_t mServers = 0;
+  /** The member holds nothing and has never voted. */
+  bool mIsEmpty = false;
+  /** Control hosts that this leader has heard lately, with itself. */
+  std::set<host_id> mHeard;
 };
 
 enum class group_error
@@ -123,8 +128,7 @@
     std::vector<raft_peer> mVoters;
   };
   struct transfer_event
-  {
-  };
+  {};
   using event = std::variant<propose_event,
                              receive_event,
                              confirm_event,
@@ -184,6 +188,8 @@
   void AnswerReadyConfirms();
   void RetryConfirms(steady_time aNow);
   void NoteRole();
+  void AnswerAllAtEnd();
+  void FailProposals();
   void LeaveIfOut(steady_time aNow);
   bool CompactIfLong();
   void UpdateStatus();
--- a/decisions/admission.cpp
+++ b/decisions/admission.cpp
@@ -81,9 +81,7 @@
 }
 
 std::vector<admission_release>
-admission::Release(const team_id& aTeam,
-                   microseconds aRan,
-                   steady_time aNow)
+admission::Release(const team_id& aTeam, microseconds aRan, steady_time aNow)
 {
   team_state& ended = mTeams[aTeam];
   --ended.mRunning;
--- a/decisions/control_state.cpp
+++ b/decisions/control_state.cpp
@@ -45,8 +45,7 @@
 {
   return Refuse(change_verdict::Conflict,
                 aCurrent,
-                "The record has version " + std::to_string(aCurrent) +
-                  " now.");
+                "The record has version " + std::to_string(aCurrent) + " now.");
 }
 
 template<typename records>
@@ -246,16 +245,21 @@
 
 change_outcome
 control_state::Put(const server_record& aWish,
-                   const std::optional<log_index>& /*aIfVersion*/,
+                   const std::optional<log_index>& aIfVersion,
                    change_effects& aEffects)
 {
+  log_index current = CurrentVersion(mServers, aWish.mServer);
+  // A transition that was overtaken on its way must not undo the later one.
+  if (!Matches(aIfVersion, current)) {
+    return VersionConflict(current);
+  }
   auto found = mServers.find(aWish.mServer);
   if (found != mServers.end()) {
     const server_record& known = found->second;
-    bool older = aWish.mIncarnation < known.mIncarnation ||
-                 (aWish.mIncarnation == known.mIncarnation &&
-                  aWish.mSponsor == known.mSponsor &&
-                  aWish.mSequence < known.mSequence);
+    bool older =
+      aWish.mIncarnation < known.mIncarnation ||
+      (aWish.mIncarnation == known.mIncarnation &&
+       aWish.mSponsor == known.mSponsor && aWish.mSequence < known.mSequence);
     if (older) {
       return Refuse(change_verdict::Stale,
                     known.mVersion,
@@ -273,7 +277,7 @@
                     found->second.mVersion,
                     "Another entry host sponsors this server.");
     }
-    RemoveServer(aWish.mServer, aEffects);
+    RetireServer(found->second, aEffects);
     return Accept(mIndex);
   }
   auto holder = mServerAddresses.find(aWish.mAddress);
@@ -285,6 +289,7 @@
   }
   if (found != mServers.end()) {
     mServerAddresses.erase(found->second.mAddress);
+    mGoneServers.erase({ found->second.mGoneAt, aWish.mServer });
   }
   server_record& kept = mServers[aWish.mServer];
   kept = aWish;
@@ -304,8 +309,9 @@
   if (isTrial && found != mQuarantine.end()) {
     quarantine_record& known = found->second;
     const std::string& trial = aWish.mTrials.front();
-    bool resent = std::find(known.mTrials.begin(), known.mTrials.end(), trial) !=
-                  known.mTrials.end();
+    bool resent =
+      std::find(known.mTrials.begin(), known.mTrials.end(), trial) !=
+      known.mTrials.end();
     if (resent) {
       return Accept(known.mVersion);
     }
@@ -350,11 +356,19 @@
   if (found != mClaims.end() && found->second.mAttempt == aWish.mAttempt) {
     return SettleClaim(found->second, aWish, aEffects);
   }
+  bool isFree =
+    found == mClaims.end() || found->second.mState == claim_state::Released;
+  if (aWish.mState == claim_state::Released && isFree) {
+    claim_record& kept = mClaims[name];
+    kept = aWish;
+    Settle(kept, claim_state::Released, aEffects);
+    return Accept(mIndex);
+  }
   if (aWish.mState != claim_state::Claimed) {
     return Refuse(change_verdict::NotFound, 0, "The claim is not held.");
   }
-  if (found == mClaims.end()) {
-    if (mClaims.size() >= mLimits.mMostClaims) {
+  if (isFree) {
+    if (found == mClaims.end() && mClaims.size() >= mLimits.mMostClaims) {
       return Refuse(change_verdict::TableFull, 0, "The claims table is full.");
     }
     claim_record& kept = mClaims[name];
@@ -378,6 +392,10 @@
 {
   // A lost claim that turns out to be done is settled anew: the truth counts.
   bool settled = aClaim.mState == claim_state::Done;
+  if (aClaim.mState == claim_state::Released) {
+    return Refuse(
+      change_verdict::Stale, aClaim.mVersion, "The claim was released.");
+  }
   if (aWish.mState == claim_state::Claimed || settled) {
     if (aClaim.mState == claim_state::Unknown) {
       return Refuse(change_verdict::AlreadyUnknown,
@@ -386,12 +404,6 @@
     }
     return Accept(aClaim.mVersion);
   }
-  if (aWish.mState == claim_state::Released) {
-    std::string name = ClaimName(aWish.mTeam, aWish.mKey);
-    aEffects.mSettledClaims.push_back(name);
-    mClaims.erase(name);
-    return Accept(mIndex);
-  }
   aClaim.mOutcome = aWish.mOutcome;
   Settle(aClaim, aWish.mState, aEffects);
   return Accept(mIndex);
@@ -406,7 +418,8 @@
   aClaim.mState = aState;
   aClaim.mVersion = mIndex;
   aClaim.mSettledAt = mTime;
-  mSettledClaims.emplace_back(mTime, name);
+  bool isReleased = aState == claim_state::Released;
+  (isReleased ? mReleasedClaims : mSettledClaims).emplace_back(mTime, name);
   aEffects.mSettledClaims.push_back(name);
 }
 
@@ -426,13 +439,30 @@
 }
 
 void
-control_state::RemoveServer(const server_id& aServer, change_effects& aEffects)
+control_state::RetireServer(server_record& aServer, change_effects& aEffects)
 {
-  auto found = mServers.find(aServer);
-  mServerAddresses.erase(found->second.mAddress);
-  mServers.erase(found);
-  aEffects.mFacts.emplace_back(
-    record_removal{ record_kind::Server, aServer.mValue });
+  if (aServer.mState == server_state::Gone) {
+    return;
+  }
+  mServerAddresses.erase(aServer.mAddress);
+  aServer.mState = server_state::Gone;
+  aServer.mGoneAt = mTime;
+  aServer.mVersion = mIndex;
+  mGoneServers.insert({ mTime, aServer.mServer });
+  aEffects.mFacts.emplace_back(aServer);
+}
+
+void
+control_state::ForgetGoneServers(change_effects& aEffects)
+{
+  wall_ms oldest = mTime - mLimits.mGoneServerKept.count();
+  while (!mGoneServers.empty() && mGoneServers.begin()->first < oldest) {
+    server_id server = mGoneServers.begin()->second;
+    mGoneServers.erase(mGoneServers.begin());
+    mServers.erase(server);
+    aEffects.mFacts.emplace_back(
+      record_removal{ record_kind::Server, server.mValue });
+  }
 }
 
 log_index
@@ -444,8 +474,7 @@
     case record_kind::Team:
       return CurrentVersion(mTeams, team_id{ aName.mName });
     case record_kind::FailureDomain:
-      return CurrentVersion(mFailureDomains,
-                            failure_domain_id{ aName.mName });
+      return CurrentVersion(mFailureDomains, failure_domain_id{ aName.mName });
     case record_kind::EntryHost:
       return CurrentVersion(mEntryHosts, host_id{ aName.mName });
     case record_kind::Server:
@@ -509,7 +538,7 @@
       mQuarantine.erase(fingerprint_id{ aWish.mName });
       break;
     case record_kind::Server:
-      RemoveServer(server_id{ aWish.mName }, aEffects);
+      RetireServer(mServers[server_id{ aWish.mName }], aEffects);
       return Accept(mIndex);
     case record_kind::Claim:
       return Refuse(change_verdict::Invalid,
@@ -521,20 +550,27 @@
 }
 
 void
-control_state::Forget(change_effects& aEffects)
+control_state::ForgetClaims(std::deque<std::pair<wall_ms, std::string>>& aEnded,
+                            milliseconds aKept)
 {
-  wall_ms oldestClaim = mTime - mLimits.mClaimKept.count();
-  while (!mSettledClaims.empty() &&
-         mSettledClaims.front().first < oldestClaim) {
-    auto [settledAt, name] = mSettledClaims.front();
-    mSettledClaims.pop_front();
+  wall_ms oldest = mTime - aKept.count();
+  while (!aEnded.empty() && aEnded.front().first < oldest) {
+    auto [settledAt, name] = aEnded.front();
+    aEnded.pop_front();
     auto found = mClaims.find(name);
-    // A lost claim that was settled again stands twice in the queue.
+    // A claim that was settled again, or made anew, is not meant.
     if (found != mClaims.end() && found->second.mSettledAt == settledAt &&
         found->second.mState != claim_state::Claimed) {
       mClaims.erase(found);
     }
   }
+}
+
+void
+control_state::Forget(change_effects& aEffects)
+{
+  ForgetClaims(mSettledClaims, mLimits.mClaimKept);
+  ForgetClaims(mReleasedClaims, mLimits.mReleaseKept);
   wall_ms oldestChange = mTime - mLimits.mChangeIdKept.count();
   while (!mJudgedOrder.empty() &&
          (mJudgedOrder.size() > mLimits.mMostChangeIds ||
@@ -542,6 +578,7 @@
     mJudged.erase(mJudgedOrder.front());
     mJudgedOrder.pop_front();
   }
+  ForgetGoneServers(aEffects);
   for (auto entry = mQuarantine.begin(); entry != mQuarantine.end();) {
     if (entry->second.mUntil >= mTime) {
       ++entry;
@@ -613,6 +650,7 @@
   std::map<host_id, entry_host_record>& mEntryHosts;
   std::map<server_id, server_record>& mServers;
   std::map<std::string, server_id>& mServerAddresses;
+  std::set<std::pair<wall_ms, server_id>>& mGoneServers;
   std::map<fingerprint_id, quarantine_record>& mQuarantine;
 
   void operator()(const template_record& aRecord) const
@@ -634,6 +672,10 @@
   void operator()(const server_record& aRecord) const
   {
     mServers[aRecord.mServer] = aRecord;
+    if (aRecord.mState == server_state::Gone) {
+      mGoneServers.insert({ aRecord.mGoneAt, aRecord.mServer });
+      return;
+    }
     mServerAddresses[aRecord.mAddress] = aRecord.mServer;
   }
   void operator()(const quarantine_record& aRecord) const
@@ -658,23 +700,24 @@
   control_state state(aLimits);
   state.mIndex = aIndex;
   state.mTime = aTime;
-  fact_loader loader{ state.mTemplates,       state.mTeams,
-                      state.mFailureDomains,  state.mEntryHosts,
-                      state.mServers,         state.mServerAddresses,
-                      state.mQuarantine };
+  fact_loader loader{ state.mTemplates,      state.mTeams,
+                      state.mFailureDomains, state.mEntryHosts,
+                      state.mServers,        state.mServerAddresses,
+                      state.mGoneServers,    state.mQuarantine };
   for (const record_change& fact : aFacts) {
     std::visit(loader, fact);
   }
-  std::vector<std::pair<wall_ms, std::string>> settled;
   for (const claim_record& claim : aClaims) {
     std::string name = ClaimName(claim.mTeam, claim.mKey);
     state.mClaims[name] = claim;
-    if (claim.mState != claim_state::Claimed) {
-      settled.emplace_back(claim.mSettledAt, name);
+    if (claim.mState == claim_state::Released) {
+      state.mReleasedClaims.emplace_back(claim.mSettledAt, name);
+    } else if (claim.mState != claim_state::Claimed) {
+      state.mSettledClaims.emplace_back(claim.mSettledAt, name);
     }
   }
-  std::sort(settled.begin(), settled.end());
-  state.mSettledClaims.assign(settled.begin(), settled.end());
+  std::sort(state.mSettledClaims.begin(), state.mSettledClaims.end());
+  std::sort(state.mReleasedClaims.begin(), state.mReleasedClaims.end());
   for (const judged_change& judged : aJudged) {
     state.mJudged[judged.mChange] = judged;
     state.mJudgedOrder.push_back(judged.mChange);
--- a/decisions/control_state.h
+++ b/decisions/control_state.h
@@ -13,9 +13,20 @@
 {
   std::size_t mMostClaims = 200'000;
   milliseconds mClaimKept = std::chrono::hours(48);
+  /**
+   * How long a released claim is remembered, so that its own late proposal
+   * does not claim it again.
+   */
+  milliseconds mReleaseKept = std::chrono::minutes(10);
   std::size_t mMostChangeIds = 20'000;
   milliseconds mChangeIdKept = std::chrono::hours(24 * 7);
   milliseconds mQuarantine = std::chrono::minutes(30);
+  /**
+   * How long the record of a server that went is kept, so that a server which
+   * comes back in the same run is not taken for one that nobody uses. Longer
+   * than a lease and the longest wait together.
+   */
+  milliseconds mGoneServerKept = std::chrono::seconds(60);
   /** Servers that one request may crash, over all hosts. */
   std::size_t mMostCrashes = 2;
 };
@@ -46,10 +57,12 @@
   std::map<host_id, entry_host_record> mEntryHosts;
   std::map<server_id, server_record> mServers;
   std::map<std::string, server_id> mServerAddresses;
+  std::set<std::pair<wall_ms, server_id>> mGoneServers;
   std::map<fingerprint_id, quarantine_record> mQuarantine;
   std::map<std::string, claim_record> mClaims;
   /** Settled claims in the order in which they settled. */
   std::deque<std::pair<wall_ms, std::string>> mSettledClaims;
+  std::deque<std::pair<wall_ms, std::string>> mReleasedClaims;
   std::map<change_id, judged_change> mJudged;
   std::deque<change_id> mJudgedOrder;
 
@@ -92,10 +105,12 @@
   void Settle(claim_record& aClaim,
               claim_state aState,
               change_effects& aEffects);
-  void RemoveServer(const server_id& aServer, change_effects& aEffects);
+  void RetireServer(server_record& aServer, change_effects& aEffects);
+  void ForgetGoneServers(change_effects& aEffects);
   void Forget(change_effects& aEffects);
-  void Remember(const change_command& aCommand,
-                const change_outcome& aOutcome);
+  void ForgetClaims(std::deque<std::pair<wall_ms, std::string>>& aEnded,
+                    milliseconds aKept);
+  void Remember(const change_command& aCommand, const change_outcome& aOutcome);
 
 public:
   explicit control_state(control_limits aLimits)
--- /dev/null
+++ b/decisions/membership.cpp
@@ -0,0 +1,128 @@
+#include "decisions/membership.h"
+
+#include <algorithm>
+
+namespace hibiscusspool {
+
+namespace {
+
+/** True once something has been missed for longer than allowed. */
+template<typename id>
+bool
+IsMissedFor(std::map<id, steady_time>& aSince,
+            const id& aName,
+            milliseconds aAllowed,
+            steady_time aNow)
+{
+  auto [since, isNew] = aSince.emplace(aName, aNow);
+  return aNow - since->second > aAllowed;
+}
+
+}
+
+std::vector<record_change>
+membership::Wishes(const std::vector<heard_daemon>& aHeard,
+                   const membership_view& aView,
+                   steady_time aNow)
+{
+  std::vector<record_change> wishes;
+  AddArrivals(aHeard, aView, aNow, wishes);
+  AddSilent(aHeard, aView, aNow, wishes);
+  AddOrphans(aView, aNow, wishes);
+  return wishes;
+}
+
+void
+membership::AddArrivals(const std::vector<heard_daemon>& aHeard,
+                        const membership_view& aView,
+                        steady_time aNow,
+                        std::vector<record_change>& aWishes) const
+{
+  for (const heard_daemon& daemon : aHeard) {
+    if (aNow - daemon.mHeardAt > mConfig.mSilence) {
+      continue;
+    }
+    auto found = aView.mEntryHosts.find(daemon.mHost.mHost);
+    bool isKnown = found != aView.mEntryHosts.end() &&
+                   found->second.mIncarnation >= daemon.mHost.mIncarnation;
+    if (isKnown) {
+      const entry_host_record& known = found->second;
+      bool isSettled = known.mIncarnation > daemon.mHost.mIncarnation ||
+                       known.mState == entry_host_state::Leaving ||
+                       (known.mState == entry_host_state::Serving &&
+                        known.mSponsor == mConfig.mSelf);
+      if (isSettled) {
+        continue;
+      }
+    }
+    entry_host_record arrival = daemon.mHost;
+    arrival.mState = entry_host_state::Serving;
+    arrival.mSponsor = mConfig.mSelf;
+    aWishes.emplace_back(std::move(arrival));
+  }
+}
+
+void
+membership::AddSilent(const std::vector<heard_daemon>& aHeard,
+                      const membership_view& aView,
+                      steady_time aNow,
+                      std::vector<record_change>& aWishes)
+{
+  std::map<host_id, steady_time> heardAt;
+  for (const heard_daemon& daemon : aHeard) {
+    steady_time& latest = heardAt[daemon.mHost.mHost];
+    latest = std::max(latest, daemon.mHeardAt);
+  }
+  for (const auto& [host, known] : aView.mEntryHosts) {
+    if (known.mState == entry_host_state::Silent) {
+      mLostSince.erase(host);
+      continue;
+    }
+    bool isOwn = known.mSponsor == mConfig.mSelf;
+    bool isMissed = false;
+    if (isOwn) {
+      // After a restart the streams have a silence's time to come back.
+      steady_time latest = std::max(heardAt[host], mStartedAt);
+      isMissed = aNow - latest > mConfig.mSilence;
+      mLostSince.erase(host);
+    } else if (aView.mIsLeading &&
+               !aView.mHeardControlHosts.contains(known.mSponsor)) {
+      isMissed = IsMissedFor(mLostSince, host, mConfig.mSilence, aNow);
+    } else {
+      mLostSince.erase(host);
+    }
+    if (isMissed) {
+      entry_host_record silent = known;
+      silent.mState = entry_host_state::Silent;
+      aWishes.emplace_back(std::move(silent));
+    }
+  }
+}
+
+void
+membership::AddOrphans(const membership_view& aView,
+                       steady_time aNow,
+                       std::vector<record_change>& aWishes)
+{
+  if (!aView.mIsLeading) {
+    mOrphanSince.clear();
+    return;
+  }
+  for (const auto& [server, known] : aView.mServers) {
+    auto sponsor = aView.mEntryHosts.find(known.mSponsor);
+    bool hasSponsor = sponsor != aView.mEntryHosts.end() &&
+                      sponsor->second.mState != entry_host_state::Silent;
+    if (hasSponsor || known.mState == server_state::Gone) {
+      mOrphanSince.erase(server);
+      continue;
+    }
+    if (IsMissedFor(mOrphanSince, server, mConfig.mServerLapse, aNow)) {
+      server_record gone = known;
+      gone.mState = server_state::Gone;
+      aWishes.emplace_back(std::move(gone));
+      mOrphanSince.erase(server);
+    }
+  }
+}
+
+}
--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -75,11 +75,10 @@
 std::size_t
 raft_node::Quorum() const
 {
-  auto voters = std::count_if(mPeers.begin(),
-                              mPeers.end(),
-                              [](const raft_peer& peer) {
-                                return peer.mIsVoter;
-                              });
+  auto voters =
+    std::count_if(mPeers.begin(), mPeers.end(), [](const raft_peer& peer) {
+      return peer.mIsVoter;
+    });
   return static_cast<std::size_t>(voters) / 2 + 1;
 }
 
@@ -99,8 +98,19 @@
   if (mRole == raft_role::Leader) {
     return true;
   }
-  return !mLeader.mHost.IsEmpty() &&
-         aNow - mLeaderSeenAt < mConfig.mElection;
+  return !mLeader.mHost.IsEmpty() && aNow - mLeaderSeenAt < mConfig.mElection;
+}
+
+std::set<host_id>
+raft_node::HeardHosts(steady_time aNow) const
+{
+  std::set<host_id> heard{ mConfig.mSelf.mHost };
+  for (const auto& [peer, state] : mProgress) {
+    if (aNow - state.mLastContact < mConfig.mElection) {
+      heard.insert(peer.mHost);
+    }
+  }
+  return heard;
 }
 
 bool
@@ -134,8 +144,8 @@
 void
 raft_node::SetElectionDue(steady_time aNow)
 {
-  std::uniform_int_distribution<std::int64_t> spread(
-    0, mConfig.mElection.count());
+  std::uniform_int_distribution<std::int64_t> spread(0,
+                                                     mConfig.mElection.count());
   mElectionDue = aNow + mConfig.mElection + milliseconds(spread(mRandom));
 }
 
@@ -622,8 +632,7 @@
 }
 
 void
-raft_node::TransferLeadership(const std::set<host_id>& aAvoid,
-                              steady_time aNow)
+raft_node::TransferLeadership(const std::set<host_id>& aAvoid, steady_time aNow)
 {
   if (mRole != raft_role::Leader) {
     return;
@@ -634,8 +643,7 @@
                      mProgress[aPeer.mId].mMatch);
   };
   for (const raft_peer& peer : mPeers) {
-    bool isFresh =
-      aNow - mProgress[peer.mId].mLastContact < mConfig.mElection;
+    bool isFresh = aNow - mProgress[peer.mId].mLastContact < mConfig.mElection;
     if (!peer.mIsVoter || peer.mId == mConfig.mSelf || !isFresh) {
       continue;
     }
@@ -697,9 +705,9 @@
   if (isVote && !aMessage.mIsTransfer && HearsLeader(aNow)) {
     return;
   }
-  bool isPreVote = aMessage.mKind == raft_message_kind::PreVote ||
-                   (aMessage.mKind == raft_message_kind::PreVoteReply &&
-                    !aMessage.mIsRefused);
+  bool isPreVote =
+    aMessage.mKind == raft_message_kind::PreVote ||
+    (aMessage.mKind == raft_message_kind::PreVoteReply && !aMessage.mIsRefused);
   if (aMessage.mTerm > mHardState.mTerm && !isPreVote) {
     bool isLeaders = aMessage.mKind == raft_message_kind::Append ||
                      aMessage.mKind == raft_message_kind::Snapshot;
@@ -757,8 +765,8 @@
 void
 raft_node::OnVote(const raft_message& aMessage, steady_time aNow)
 {
-  bool isFree = mHardState.mVote.mHost.IsEmpty() ||
-                mHardState.mVote == aMessage.mFrom;
+  bool isFree =
+    mHardState.mVote.mHost.IsEmpty() || mHardState.mVote == aMessage.mFrom;
   bool isGranted = isFree && mLeader.mHost.IsEmpty() && IsUpToDate(aMessage);
   if (isGranted) {
     mHardState.mVote = aMessage.mFrom;
@@ -805,8 +813,7 @@
   answer.mKind = raft_message_kind::AppendReply;
   answer.mNumber = aMessage.mNumber;
   bool isBeforeSnapshot = aMessage.mIndex < mSnapshot.mIndex;
-  bool fits =
-    isBeforeSnapshot || TermAt(aMessage.mIndex) == aMessage.mLogTerm;
+  bool fits = isBeforeSnapshot || TermAt(aMessage.mIndex) == aMessage.mLogTerm;
   if (!fits) {
     answer.mIsRefused = true;
     answer.mIndex = std::min(aMessage.mIndex - 1, LastIndex());
@@ -814,8 +821,8 @@
     return;
   }
   StoreEntries(aMessage);
-  log_index lastNew = std::max(
-    aMessage.mIndex + aMessage.mEntries.size(), mSnapshot.mIndex);
+  log_index lastNew =
+    std::max(aMessage.mIndex + aMessage.mEntries.size(), mSnapshot.mIndex);
   mCommit = std::max(mCommit, std::min(aMessage.mCommit, lastNew));
   answer.mIndex = lastNew;
   Reply(aMessage, std::move(answer));
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -189,6 +189,8 @@
     return mSnapshot.mIndex + mLog.size();
   }
   [[nodiscard]] const raft_snapshot& Snapshot() const { return mSnapshot; }
+  /** Hosts that this leader has heard lately, with itself. */
+  [[nodiscard]] std::set<host_id> HeardHosts(steady_time aNow) const;
   [[nodiscard]] std::uint64_t HeartbeatRound() const { return mRound; }
   /** The log after the snapshot, for checks. */
   [[nodiscard]] const std::deque<raft_entry>& Log() const { return mLog; }
--- a/decisions/raft_types.h
+++ b/decisions/raft_types.h
@@ -131,7 +131,8 @@
   { raft_role::Leader, "leader" },
 } };
 
-/** A read that is confirmed: all that was committed before it is at `mIndex`. */
+/** A read that is confirmed: all that was committed before it is at `mIndex`.
+ */
 struct raft_read
 {
   std::uint64_t mToken = 0;
--- a/decisions/records.h
+++ b/decisions/records.h
@@ -140,6 +140,10 @@
   std::vector<snapshot_number> mSnapshots;
   /** The entry host that holds the announcement's lease. */
   host_id mSponsor;
+  /** Changes when some host found that the server behaves as if cold. */
+  log_index mColdMark = 0;
+  /** When the server went; its record stays for a while in state `Gone`. */
+  wall_ms mGoneAt = 0;
 
   bool operator==(const server_record&) const = default;
 };
--- a/decisions/server_limit.cpp
+++ b/decisions/server_limit.cpp
@@ -55,8 +55,7 @@
     return;
   }
   // Steps are larger while there are few samples, so that it settles fast.
-  double step =
-    std::max(kQuantileStep, 1.0 / static_cast<double>(mCount));
+  double step = std::max(kQuantileStep, 1.0 / static_cast<double>(mCount));
   bool isAbove = sample > mMicroseconds;
   double change = isAbove ? step * mQuantile : -step * (1 - mQuantile);
   mMicroseconds *= 1 + change;
--- a/decisions/share.cpp
+++ b/decisions/share.cpp
@@ -13,8 +13,7 @@
 {
   std::uint64_t seed =
     XXH3_64bits(aServer.mValue.data(), aServer.mValue.size());
-  return XXH3_64bits_withSeed(
-    aHost.mValue.data(), aHost.mValue.size(), seed);
+  return XXH3_64bits_withSeed(aHost.mValue.data(), aHost.mValue.size(), seed);
 }
 
 }
@@ -59,9 +58,8 @@
                         milliseconds aHandOver)
 {
   mUsable = std::min(Usable(aNow), aUnits);
-  std::erase_if(mGains, [&](const gain& aGain) {
-    return aGain.mUsableAt <= aNow;
-  });
+  std::erase_if(mGains,
+                [&](const gain& aGain) { return aGain.mUsableAt <= aNow; });
   std::uint32_t granted = mUsable;
   for (gain& waiting : mGains) {
     waiting.mUnits = std::min(waiting.mUnits, aUnits);
--- a/decisions/team_policy.cpp
+++ b/decisions/team_policy.cpp
@@ -36,9 +36,8 @@
   std::set<service_id> names;
   std::istringstream parts(aText);
   for (std::string part; std::getline(parts, part, ',');) {
-    std::erase_if(part, [](unsigned char aLetter) {
-      return std::isspace(aLetter) != 0;
-    });
+    std::erase_if(
+      part, [](unsigned char aLetter) { return std::isspace(aLetter) != 0; });
     if (!part.empty()) {
       names.insert(service_id{ part });
     }
@@ -76,12 +75,11 @@
 UsesParameter(const template_record& aTemplate, const std::string& aName)
 {
   std::string mark = "${" + aName + "}";
-  return std::any_of(
-    aTemplate.mFields.begin(),
-    aTemplate.mFields.end(),
-    [&](const auto& aField) {
-      return aField.second.find(mark) != std::string::npos;
-    });
+  return std::any_of(aTemplate.mFields.begin(),
+                     aTemplate.mFields.end(),
+                     [&](const auto& aField) {
+                       return aField.second.find(mark) != std::string::npos;
+                     });
 }
 
 constexpr double kMostConcurrency = 1e6;
--- /dev/null
+++ b/drivers/backend_client.cpp
@@ -0,0 +1,369 @@
+#include "drivers/backend_client.h"
+
+#include "core/address.h"
+#include "core/sharded_map.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <charconv>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace hibiscusspool {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+/** Time without an acknowledgement after which the kernel gives up, in ms. */
+constexpr unsigned kUnacknowledgedMs = 3000;
+/** A run must not be lost to a connection that the server just closed. */
+constexpr milliseconds kFreshForRun{ 1000 };
+constexpr milliseconds kCancelTimeout{ 500 };
+
+struct backend_connection
+{
+  tcp::socket mSocket;
+  beast::flat_buffer mBuffer;
+  steady_time mUsedAt;
+
+  explicit backend_connection(asio::io_context& aContext)
+    : mSocket(aContext)
+  {
+  }
+
+  /** True when the peer closed it or sent what nobody asked for. */
+  bool IsStale()
+  {
+    char byte = 0;
+    ssize_t got =
+      recv(mSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    bool isQuiet = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return !isQuiet || mBuffer.size() > 0;
+  }
+};
+
+using connection_pointer = std::shared_ptr<backend_connection>;
+using attempt_request = http::request<http::span_body<const char>>;
+using attempt_parser = http::response_parser<http::string_body>;
+
+attempt_request
+MakeRequest(const attempt_order& aOrder, steady_time aNow)
+{
+  bool isRun = aOrder.mKind == request_kind::Run;
+  attempt_request request(
+    http::verb::post, isRun ? "/v1/run" : "/v1/search", 11);
+  request.set(http::field::host, aOrder.mPermit.mAddress);
+  request.set("Request-Id", aOrder.mAttempt.mValue);
+  auto left = std::chrono::duration_cast<milliseconds>(aOrder.mDeadline - aNow);
+  request.set("Deadline-Ms",
+              std::to_string(std::max<std::int64_t>(1, left.count())));
+  request.set("Team", aOrder.mTeam.mValue);
+  if (isRun) {
+    request.set("Idempotency-Key", aOrder.mKey.mValue);
+  } else {
+    request.set("Snapshot", std::to_string(aOrder.mSnapshot));
+  }
+  request.body() = { aOrder.mBody->data(), aOrder.mBody->size() };
+  request.prepare_payload();
+  return request;
+}
+
+/** Whether a whole answer may be used. */
+attempt_status
+JudgeAnswer(const attempt_order& aOrder,
+            const http::response<http::string_body>& aAnswer)
+{
+  // An answer to another request proves that the connection is crossed.
+  if (aAnswer["Request-Id"] != aOrder.mAttempt.mValue) {
+    return attempt_status::BadAnswer;
+  }
+  if (aAnswer.result() == http::status::service_unavailable &&
+      aAnswer["Not-Run"] == "true") {
+    return attempt_status::Shed;
+  }
+  if (aAnswer.result() != http::status::ok) {
+    return attempt_status::Failed;
+  }
+  bool isPinned = aOrder.mKind == request_kind::Query;
+  if (isPinned && aAnswer["Snapshot"] != std::to_string(aOrder.mSnapshot)) {
+    return attempt_status::WrongSnapshot;
+  }
+  return attempt_status::Answered;
+}
+
+double
+LoadOf(const http::response<http::string_body>& aAnswer)
+{
+  auto text = aAnswer["Load"];
+  double load = 0;
+  std::from_chars(text.data(), text.data() + text.size(), load);
+  return load;
+}
+
+}
+
+struct backend_client::state
+{
+  asio::io_context& mContext;
+  backend_client_config mConfig;
+  backend_client_hooks mHooks;
+  sharded_map<connection_id, connection_pointer> mConnections;
+  std::atomic<connection_id> mNextConnection{ 1 };
+
+  state(asio::io_context& aContext,
+        backend_client_config aConfig,
+        backend_client_hooks aHooks)
+    : mContext(aContext)
+    , mConfig(aConfig)
+    , mHooks(std::move(aHooks))
+  {
+  }
+
+  /** The permitted connection, unless it should not be used any more. */
+  connection_pointer TakeOpen(const attempt_order& aOrder, steady_time aNow)
+  {
+    if (aOrder.mPermit.mConnection == 0) {
+      return nullptr;
+    }
+    auto kept = mConnections.Take(aOrder.mPermit.mConnection);
+    if (!kept) {
+      return nullptr;
+    }
+    bool isRun = aOrder.mKind == request_kind::Run;
+    milliseconds longest = isRun ? kFreshForRun : mConfig.mIdleProbe;
+    bool isOld = aNow - (*kept)->mUsedAt > longest;
+    if (isOld || (*kept)->IsStale()) {
+      return nullptr;
+    }
+    return std::move(*kept);
+  }
+
+  asio::awaitable<connection_pointer> Open(const attempt_order& aOrder)
+  {
+    auto address = ParseAddress(aOrder.mPermit.mAddress);
+    if (!address) {
+      co_return nullptr;
+    }
+    auto opened = std::make_shared<backend_connection>(mContext);
+    asio::steady_timer timeout(co_await asio::this_coro::executor);
+    timeout.expires_at(
+      std::min(aOrder.mGiveUpAt,
+               std::chrono::steady_clock::now() + mConfig.mConnectTimeout));
+    timeout.async_wait([opened](beast::error_code aError) {
+      if (!aError) {
+        beast::error_code ignored;
+        opened->mSocket.close(ignored);
+      }
+    });
+    tcp::endpoint endpoint(asio::ip::make_address(address->mIp),
+                           address->mPort);
+    auto [error] = co_await opened->mSocket.async_connect(endpoint, kNoThrow);
+    timeout.cancel();
+    if (error || !opened->mSocket.is_open()) {
+      co_return nullptr;
+    }
+    beast::error_code ignored;
+    opened->mSocket.set_option(tcp::no_delay(true), ignored);
+    unsigned limit = kUnacknowledgedMs;
+    setsockopt(opened->mSocket.native_handle(),
+               IPPROTO_TCP,
+               TCP_USER_TIMEOUT,
+               &limit,
+               sizeof limit);
+    co_return opened;
+  }
+
+  connection_id Keep(connection_pointer aConnection, steady_time aNow)
+  {
+    aConnection->mUsedAt = aNow;
+    connection_id number = mNextConnection++;
+    mConnections.Set(number, std::move(aConnection));
+    return number;
+  }
+
+  asio::awaitable<attempt_result> Exchange(const attempt_order& aOrder,
+                                           connection_pointer aConnection)
+  {
+    attempt_result ended;
+    attempt_request request =
+      MakeRequest(aOrder, std::chrono::steady_clock::now());
+    auto [writeError, written] =
+      co_await http::async_write(aConnection->mSocket, request, kNoThrow);
+    if (writeError) {
+      bool wasCancelled = writeError == asio::error::operation_aborted;
+      ended.mStatus = written == 0   ? attempt_status::NotSent
+                      : wasCancelled ? attempt_status::Cancelled
+                                     : attempt_status::Reset;
+      co_return ended;
+    }
+    attempt_parser parser;
+    parser.body_limit(mConfig.mAnswerBytes);
+    auto [readError, count] = co_await http::async_read(
+      aConnection->mSocket, aConnection->mBuffer, parser, kNoThrow);
+    if (readError) {
+      ended.mStatus = StatusOf(readError);
+      co_return ended;
+    }
+    auto& answer = parser.get();
+    ended.mStatus = JudgeAnswer(aOrder, answer);
+    ended.mLoad = LoadOf(answer);
+    bool isUsable = ended.mStatus != attempt_status::BadAnswer &&
+                    parser.keep_alive() && aConnection->mBuffer.size() == 0;
+    ended.mBody = std::move(answer.body());
+    if (isUsable) {
+      ended.mConnection =
+        Keep(std::move(aConnection), std::chrono::steady_clock::now());
+    }
+    co_return ended;
+  }
+
+  static attempt_status StatusOf(beast::error_code aError)
+  {
+    if (aError == asio::error::operation_aborted) {
+      return attempt_status::Cancelled;
+    }
+    bool isConnections =
+      aError == http::error::end_of_stream ||
+      aError == http::error::partial_message ||
+      aError.category() == asio::error::get_system_category() ||
+      aError.category() == asio::error::get_misc_category();
+    return isConnections ? attempt_status::Reset : attempt_status::BadAnswer;
+  }
+
+  /** Tells a server that nobody waits for an attempt any more. */
+  asio::awaitable<void> SendCancel(std::shared_ptr<state> /*aKept*/,
+                                   server_id aServer,
+                                   std::string aAddress,
+                                   connection_id aNumber,
+                                   request_id aAttempt)
+  {
+    auto kept = mConnections.Take(aNumber);
+    if (!kept || (*kept)->IsStale()) {
+      mHooks.mLost(aServer);
+      co_return;
+    }
+    connection_pointer connection = std::move(*kept);
+    asio::steady_timer timeout(co_await asio::this_coro::executor);
+    timeout.expires_after(kCancelTimeout);
+    timeout.async_wait([connection](beast::error_code aError) {
+      if (!aError) {
+        beast::error_code ignored;
+        connection->mSocket.close(ignored);
+      }
+    });
+    http::request<http::empty_body> request(
+      http::verb::delete_, "/v1/requests/" + aAttempt.mValue, 11);
+    request.set(http::field::host, aAddress);
+    request.set("Request-Id", aAttempt.mValue);
+    auto [writeError, written] =
+      co_await http::async_write(connection->mSocket, request, kNoThrow);
+    attempt_parser parser;
+    beast::error_code error = writeError;
+    if (!error) {
+      auto [readError, count] = co_await http::async_read(
+        connection->mSocket, connection->mBuffer, parser, kNoThrow);
+      error = readError;
+    }
+    timeout.cancel();
+    if (error || !parser.keep_alive()) {
+      mHooks.mLost(aServer);
+      co_return;
+    }
+    connection_id number =
+      Keep(std::move(connection), std::chrono::steady_clock::now());
+    mHooks.mReturn(aServer, number);
+  }
+};
+
+backend_client::backend_client(std::shared_ptr<state> aState)
+  : mState(std::move(aState))
+{
+}
+
+backend_client
+backend_client::create(asio::io_context& aContext,
+                       backend_client_config aConfig,
+                       backend_client_hooks aHooks)
+{
+  return backend_client(
+    std::make_shared<state>(aContext, aConfig, std::move(aHooks)));
+}
+
+asio::awaitable<attempt_result>
+backend_client::Attempt(attempt_order aOrder) const
+{
+  std::shared_ptr<state> kept = mState;
+  connection_pointer connection =
+    kept->TakeOpen(aOrder, std::chrono::steady_clock::now());
+  if (connection == nullptr) {
+    connection = co_await kept->Open(aOrder);
+  }
+  if (connection == nullptr) {
+    co_return attempt_result{};
+  }
+  // Only a run waits longer than its request, whose end cancels the others.
+  asio::steady_timer timeout(co_await asio::this_coro::executor);
+  bool hasTimeout = aOrder.mGiveUpAt != aOrder.mDeadline;
+  auto timedOut = std::make_shared<bool>(false);
+  if (hasTimeout) {
+    timeout.expires_at(aOrder.mGiveUpAt);
+    timeout.async_wait([connection, timedOut](beast::error_code aError) {
+      if (!aError) {
+        *timedOut = true;
+        beast::error_code ignored;
+        connection->mSocket.close(ignored);
+      }
+    });
+  }
+  attempt_result ended = co_await kept->Exchange(aOrder, connection);
+  timeout.cancel();
+  bool isPast = std::chrono::steady_clock::now() >= aOrder.mDeadline;
+  if (ended.mStatus == attempt_status::Cancelled && (isPast || *timedOut)) {
+    ended.mStatus = attempt_status::TimedOut;
+  }
+  if (ended.mStatus == attempt_status::Cancelled) {
+    const server_id& server = aOrder.mPermit.mServer;
+    auto borrowed = kept->mHooks.mBorrow(server);
+    if (borrowed) {
+      asio::co_spawn(
+        asio::make_strand(kept->mContext),
+        kept->SendCancel(
+          kept, server, aOrder.mPermit.mAddress, *borrowed, aOrder.mAttempt),
+        asio::detached);
+    }
+  }
+  co_return ended;
+}
+
+void
+backend_client::Close(const std::vector<connection_id>& aConnections) const
+{
+  for (connection_id number : aConnections) {
+    mState->mConnections.Take(number);
+  }
+}
+
+std::size_t
+backend_client::OpenCount() const
+{
+  return mState->mConnections.Count();
+}
+
+}
--- a/drivers/control_client.cpp
+++ b/drivers/control_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <condition_variable>
 #include <mutex>
 
 #include <control.grpc.pb.h>
@@ -35,9 +36,8 @@
 };
 
 template<typename request, typename reply>
-using unary_start =
-  std::function<void(unary_call<request, reply>&,
-                     std::function<void(grpc::Status)>)>;
+using unary_start = std::function<void(unary_call<request, reply>&,
+                                       std::function<void(grpc::Status)>)>;
 
 }
 
@@ -48,6 +48,28 @@
   std::mutex mLock;
   std::map<host_id, std::shared_ptr<grpc::Channel>> mChannels;
   host_id mLeader;
+  std::condition_variable mCallEnded;
+  std::map<std::uint64_t, grpc::ClientContext*> mCalls;
+  std::uint64_t mNextCall = 1;
+  bool mIsStopped = false;
+
+  /** Notes a call that starts; nothing when no more may. */
+  std::optional<std::uint64_t> BeginCall(grpc::ClientContext& aContext)
+  {
+    std::lock_guard guard(mLock);
+    if (mIsStopped) {
+      return std::nullopt;
+    }
+    mCalls[mNextCall] = &aContext;
+    return mNextCall++;
+  }
+
+  void EndCall(std::uint64_t aCall)
+  {
+    std::lock_guard guard(mLock);
+    mCalls.erase(aCall);
+    mCallEnded.notify_all();
+  }
 
   std::shared_ptr<grpc::Channel> Channel(const host_id& aHost)
   {
@@ -86,29 +108,33 @@
 
   /** One call to one host; nothing when it failed. */
   template<typename request, typename reply>
-  asio::awaitable<std::optional<reply>> Call(
-    host_id aHost,
-    request aRequest,
-    milliseconds aTimeout,
-    unary_start<request, reply> aStart)
+  asio::awaitable<std::optional<reply>> Call(host_id aHost,
+                                             request aRequest,
+                                             milliseconds aTimeout,
+                                             unary_start<request, reply> aStart)
   {
     auto call = std::make_shared<unary_call<request, reply>>();
     call->mRequest = std::move(aRequest);
     call->mStub = wire::Control::NewStub(Channel(aHost));
     call->mContext.set_deadline(std::chrono::system_clock::now() + aTimeout);
     auto executor = co_await asio::this_coro::executor;
-    auto initiate = [call, executor, &aStart](auto aHandler) {
-      auto shared =
-        std::make_shared<decltype(aHandler)>(std::move(aHandler));
-      aStart(*call, [shared, executor](grpc::Status aStatus) {
-        asio::post(executor, [shared, aStatus] {
-          (*shared)(static_cast<int>(aStatus.error_code()));
-        });
-      });
+    auto number = BeginCall(call->mContext);
+    if (!number) {
+      co_return std::nullopt;
+    }
+    auto initiate = [this, call, executor, number, &aStart](auto aHandler) {
+      auto shared = std::make_shared<decltype(aHandler)>(std::move(aHandler));
+      aStart(*call,
+             [this, call, shared, executor, number](grpc::Status aStatus) {
+               asio::post(executor, [shared, aStatus] {
+                 (*shared)(static_cast<int>(aStatus.error_code()));
+               });
+               EndCall(*number);
+             });
     };
-    int code = co_await asio::async_initiate<
-      const asio::use_awaitable_t<>&,
-      void(int)>(initiate, asio::use_awaitable);
+    int code =
+      co_await asio::async_initiate<const asio::use_awaitable_t<>&, void(int)>(
+        initiate, asio::use_awaitable);
     if (code == grpc::StatusCode::DEADLINE_EXCEEDED) {
       DropChannel(aHost);
     }
@@ -137,6 +163,17 @@
   return control_client(std::move(made));
 }
 
+void
+control_client::Stop()
+{
+  std::unique_lock guard(mState->mLock);
+  mState->mIsStopped = true;
+  for (auto& [number, context] : mState->mCalls) {
+    context->TryCancel();
+  }
+  mState->mCallEnded.wait(guard, [&] { return mState->mCalls.empty(); });
+}
+
 std::vector<host_id>
 control_client::Hosts() const
 {
@@ -257,9 +294,8 @@
   wire::RefusalQuery query;
   query.set_from_ms(aFrom);
   for (const host_id& host : Hosts()) {
-    auto reply =
-      co_await mState->Call<wire::RefusalQuery, wire::RefusalReport>(
-        host, query, kStatusTimeout, start);
+    auto reply = co_await mState->Call<wire::RefusalQuery, wire::RefusalReport>(
+      host, query, kStatusTimeout, start);
     if (!reply) {
       continue;
     }
--- a/drivers/control_client.h
+++ b/drivers/control_client.h
@@ -69,8 +69,10 @@
     wall_ms aFrom);
 
   /** What a control host says of itself, if it answers. */
-  boost::asio::awaitable<std::optional<wire::ProbeReply>> Probe(
-    host_id aHost);
+  boost::asio::awaitable<std::optional<wire::ProbeReply>> Probe(host_id aHost);
+
+  /** Ends all calls; none is under way when it returns. */
+  void Stop();
 
   [[nodiscard]] std::vector<host_id> Hosts() const;
 };
--- a/drivers/control_service.cpp
+++ b/drivers/control_service.cpp
@@ -118,10 +118,9 @@
                    "A stream starts with the daemon's own record." });
       return;
     }
-    mHooks.mReport(mStream,
-                   { mUp.mark(),
-                     mUp.held_index(),
-                     milliseconds(mUp.confirmed_age_ms()) });
+    mHooks.mReport(
+      mStream,
+      { mUp.mark(), mUp.held_index(), milliseconds(mUp.confirmed_age_ms()) });
     Wake(mGate);
     StartRead(&mUp);
   }
@@ -204,8 +203,7 @@
     }
     mHooks.mPropose(
       std::move(command.value()), [reactor, aReply](propose_answer aAnswer) {
-        aReply->set_status(
-          static_cast<wire::ProposeStatus>(aAnswer.mStatus));
+        aReply->set_status(static_cast<wire::ProposeStatus>(aAnswer.mStatus));
         aReply->set_leader_host(aAnswer.mLeader.mValue);
         for (const change_outcome& outcome : aAnswer.mOutcomes) {
           WriteOutcome(outcome, *aReply->add_outcomes());
@@ -245,10 +243,9 @@
     return reactor;
   }
 
-  grpc::ServerUnaryReactor* StoreRefusals(
-    grpc::CallbackServerContext* aContext,
-    const wire::RefusalBatch* aRequest,
-    wire::RefusalAck* aReply) override
+  grpc::ServerUnaryReactor* StoreRefusals(grpc::CallbackServerContext* aContext,
+                                          const wire::RefusalBatch* aRequest,
+                                          wire::RefusalAck* aReply) override
   {
     auto* reactor = aContext->DefaultReactor();
     auto synced = mHooks.mStoreRefusals(ReadRefusals(*aRequest));
@@ -261,10 +258,9 @@
     return reactor;
   }
 
-  grpc::ServerUnaryReactor* ReadRefusals(
-    grpc::CallbackServerContext* aContext,
-    const wire::RefusalQuery* aRequest,
-    wire::RefusalReport* aReply) override
+  grpc::ServerUnaryReactor* ReadRefusals(grpc::CallbackServerContext* aContext,
+                                         const wire::RefusalQuery* aRequest,
+                                         wire::RefusalReport* aReply) override
   {
     for (const refusal_batch& batch :
          mHooks.mReadRefusals(aRequest->from_ms())) {
@@ -290,8 +286,8 @@
       out.set_held_index(daemon.mReport.mHeldIndex);
       out.set_confirmed_age_ms(
         static_cast<std::uint64_t>(daemon.mReport.mConfirmedAge.count()));
-      auto ago = std::chrono::duration_cast<milliseconds>(
-        now - daemon.mHeardAt);
+      auto ago =
+        std::chrono::duration_cast<milliseconds>(now - daemon.mHeardAt);
       out.set_heard_ms_ago(static_cast<std::uint64_t>(ago.count()));
     }
   }
--- a/drivers/control_service.h
+++ b/drivers/control_service.h
@@ -35,7 +35,8 @@
   std::function<void(std::vector<raft_message>)> mDeliver;
   std::function<probe_answer()> mProbe;
   std::function<void(change_command, propose_reply)> mPropose;
-  /** A daemon opened a stream; `mWake` is to be called when `mNext` has more. */
+  /** A daemon opened a stream; `mWake` is to be called when `mNext` has more.
+   */
   std::function<stream_id(entry_host_record, std::function<void()>)> mOpen;
   std::function<void(stream_id, watch_report)> mReport;
   std::function<std::optional<watch_update>(stream_id)> mNext;
--- /dev/null
+++ b/drivers/http_server.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/failure.h"
+#include "core/name_table.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hibiscusspool {
+
+enum class http_error
+{
+  CannotListen,
+};
+
+template<>
+inline constexpr name_table<http_error, 1> kNames<http_error>{ {
+  { http_error::CannotListen, "cannot_listen" },
+} };
+
+/** Something wrong with a request before its body was whole. */
+enum class http_fault
+{
+  None,
+  Malformed,
+  BodyTooLarge,
+  TooSlow,
+};
+
+template<>
+inline constexpr name_table<http_fault, 4> kNames<http_fault>{ {
+  { http_fault::None, "none" },
+  { http_fault::Malformed, "malformed" },
+  { http_fault::BodyTooLarge, "body_too_large" },
+  { http_fault::TooSlow, "too_slow" },
+} };
+
+struct http_request
+{
+  std::string mMethod;
+  /** Path without the query. */
+  std::string mPath;
+  std::string mQuery;
+  /** Header values by lower-case name. */
+  std::map<std::string, std::string> mHeaders;
+  std::string mBody;
+  http_fault mFault = http_fault::None;
+
+  [[nodiscard]] std::optional<std::string> Header(
+    const std::string& aName) const;
+  /** A parameter of the query, or nothing. */
+  [[nodiscard]] std::optional<std::string> Parameter(
+    const std::string& aName) const;
+};
+
+struct http_reply
+{
+  unsigned mStatus = 200;
+  std::string mBody;
+  std::string mContentType = "application/json";
+  std::vector<std::pair<std::string, std::string>> mHeaders;
+};
+
+using http_handler =
+  std::function<boost::asio::awaitable<http_reply>(http_request)>;
+
+struct http_server_config
+{
+  std::string mAddress;
+  std::size_t mBodyBytes = 1 << 20;
+  milliseconds mSlowSender{ 5000 };
+  milliseconds mIdle{ 60'000 };
+  std::size_t mMostConnections = 4096;
+};
+
+/**
+ * An HTTP/1.1 listener. Each connection runs on a strand of its own and takes
+ * one request after the other; requests with a fault reach the handler too,
+ * so that their refusal is accounted for.
+ */
+class http_server
+{
+  struct state;
+  std::shared_ptr<state> mState;
+
+  explicit http_server(std::shared_ptr<state> aState);
+  static boost::asio::awaitable<void> Accept(std::shared_ptr<state> aState);
+
+public:
+  static result<http_server, http_error> create(
+    boost::asio::io_context& aContext,
+    http_server_config aConfig,
+    http_handler aHandler);
+
+  /** Answers with `Connection: close` from now on, and keeps accepting. */
+  void StartClosing();
+  /** Accepts no more and closes connections that wait for a request. */
+  void Stop();
+  /** Requests that are being answered. */
+  [[nodiscard]] std::size_t Active() const;
+};
+
+}
--- /dev/null
+++ b/drivers/metrics_page.cpp
@@ -0,0 +1,155 @@
+#include "drivers/metrics_page.h"
+
+#include <sstream>
+
+namespace hibiscusspool {
+
+namespace {
+
+constexpr std::array<double, 12> kBucketSeconds{ 0.001, 0.0025, 0.005, 0.01,
+                                                 0.025, 0.05,   0.1,   0.25,
+                                                 0.5,   1,      2.5,   10 };
+constexpr double kMsInSecond = 1000;
+
+void
+Head(std::ostringstream& aPage,
+     std::string_view aName,
+     std::string_view aType,
+     std::string_view aHelp)
+{
+  aPage << "# HELP hibiscusspool_" << aName << ' ' << aHelp
+        << "\n# TYPE hibiscusspool_" << aName << ' ' << aType << '\n';
+}
+
+void
+AddLatency(std::ostringstream& aPage,
+           const std::string& aTeam,
+           const latency_histogram& aLatency)
+{
+  constexpr std::string_view kName = "hibiscusspool_request_seconds";
+  double seen = 0;
+  double sum = 0;
+  std::size_t bucket = 0;
+  auto flush = [&](double aUpTo) {
+    while (bucket < kBucketSeconds.size() && kBucketSeconds[bucket] < aUpTo) {
+      aPage << kName << "_bucket{team=\"" << aTeam << "\",le=\""
+            << kBucketSeconds[bucket] << "\"} " << seen << '\n';
+      ++bucket;
+    }
+  };
+  for (auto&& bin : boost::histogram::indexed(aLatency)) {
+    flush(bin.bin().upper() / kMsInSecond);
+    seen += *bin;
+    sum += *bin * bin.bin().center() / kMsInSecond;
+  }
+  flush(std::numeric_limits<double>::max());
+  aPage << kName << "_bucket{team=\"" << aTeam << "\",le=\"+Inf\"} " << seen
+        << '\n'
+        << kName << "_sum{team=\"" << aTeam << "\"} " << sum << '\n'
+        << kName << "_count{team=\"" << aTeam << "\"} " << seen << '\n';
+}
+
+void
+AddTeams(std::ostringstream& aPage, const account_controller& aAccounts)
+{
+  std::ostringstream refusals;
+  std::ostringstream attempts;
+  std::ostringstream latencies;
+  aAccounts.ForEach([&](const team_id& aTeam, const team_account& aAccount) {
+    const std::string& team = aTeam.mValue;
+    aPage << "hibiscusspool_answers_total{team=\"" << team
+          << "\",coverage=\"full\"} " << aAccount.mAnswered - aAccount.mPartial
+          << "\nhibiscusspool_answers_total{team=\"" << team
+          << "\",coverage=\"partial\"} " << aAccount.mPartial << '\n';
+    for (const auto& row : kNames<refusal_reason>) {
+      std::uint64_t count =
+        aAccount.mRefused[static_cast<std::size_t>(row.mValue)];
+      if (count > 0) {
+        refusals << "hibiscusspool_refusals_total{team=\"" << team
+                 << "\",reason=\"" << row.mName << "\"} " << count << '\n';
+      }
+    }
+    attempts << "hibiscusspool_attempts_total{team=\"" << team
+             << "\",kind=\"all\"} " << aAccount.mAttempts
+             << "\nhibiscusspool_attempts_total{team=\"" << team
+             << "\",kind=\"hedge\"} " << aAccount.mHedges
+             << "\nhibiscusspool_attempts_total{team=\"" << team
+             << "\",kind=\"retry\"} " << aAccount.mRetries << '\n';
+    AddLatency(latencies, team, aAccount.mLatency);
+  });
+  Head(aPage, "refusals_total", "counter", "Refused requests by reason.");
+  aPage << refusals.str();
+  Head(aPage, "attempts_total", "counter", "Attempts at backend servers.");
+  aPage << attempts.str();
+  Head(aPage, "request_seconds", "histogram", "Time to answer a request.");
+  aPage << latencies.str();
+}
+
+void
+AddBackends(std::ostringstream& aPage,
+            const std::vector<backend_view>& aBackends)
+{
+  struct service_sum
+  {
+    std::uint64_t mShare = 0;
+    std::uint64_t mOpen = 0;
+    std::uint64_t mOutstanding = 0;
+    std::uint64_t mServers = 0;
+  };
+  std::map<std::string, service_sum> services;
+  for (const backend_view& view : aBackends) {
+    service_sum& sum = services[view.mRecord.mService.mValue];
+    sum.mShare += view.mShare;
+    sum.mOpen += view.mOpen;
+    sum.mOutstanding += view.mOutstanding;
+    bool isReady = view.mRecord.mState == server_state::Ready;
+    sum.mServers += isReady ? 1 : 0;
+  }
+  auto add = [&](std::string_view aName,
+                 std::string_view aHelp,
+                 std::uint64_t service_sum::*aMember) {
+    Head(aPage, aName, "gauge", aHelp);
+    for (const auto& [service, sum] : services) {
+      aPage << "hibiscusspool_" << aName << "{service=\"" << service << "\"} "
+            << sum.*aMember << '\n';
+    }
+  };
+  add(
+    "ready_servers", "Backend servers that are ready.", &service_sum::mServers);
+  add("connection_share",
+      "Connections that this host may open.",
+      &service_sum::mShare);
+  add("connections_open", "Connections that are open.", &service_sum::mOpen);
+  add("attempts_outstanding",
+      "Attempts that are under way.",
+      &service_sum::mOutstanding);
+}
+
+}
+
+std::string
+MakeMetricsPage(const metrics_source& aSource)
+{
+  std::ostringstream page;
+  Head(page,
+       "confirmed_age_seconds",
+       "gauge",
+       "Time since the newest confirmed mark was sent.");
+  page << "hibiscusspool_confirmed_age_seconds "
+       << static_cast<double>(aSource.mConfirmedAge.count()) / kMsInSecond
+       << '\n';
+  Head(page, "catalog_index", "gauge", "Log index that this host holds.");
+  page << "hibiscusspool_catalog_index " << aSource.mIndex << '\n';
+  Head(page, "requests_running", "gauge", "Requests that are under way.");
+  page << "hibiscusspool_requests_running " << aSource.mRunning << '\n';
+  Head(page, "host_limit", "gauge", "Requests that may be under way.");
+  page << "hibiscusspool_host_limit " << aSource.mHostLimit << '\n';
+  Head(page, "refusals_numbered_total", "counter", "Refusals of this run.");
+  page << "hibiscusspool_refusals_numbered_total " << aSource.mRefusals << '\n';
+  Head(page, "answers_total", "counter", "Answered requests.");
+  AddTeams(page, aSource.mAccounts);
+  AddBackends(page, aSource.mBackends);
+  return page.str();
+}
+
+}
--- /dev/null
+++ b/drivers/metrics_page.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "controllers/account_controller.h"
+#include "controllers/backend_controller.h"
+
+#include <string>
+
+namespace hibiscusspool {
+
+/** What a page of metrics is made of. */
+struct metrics_source
+{
+  const account_controller& mAccounts;
+  std::vector<backend_view> mBackends;
+  log_index mIndex = 0;
+  milliseconds mConfirmedAge{ 0 };
+  std::uint32_t mRunning = 0;
+  std::uint32_t mHostLimit = 0;
+  std::uint64_t mRefusals = 0;
+};
+
+/** All metrics in the Prometheus text format. */
+std::string
+MakeMetricsPage(const metrics_source& aSource);
+
+}
--- /dev/null
+++ b/drivers/operators_front.cpp
@@ -0,0 +1,335 @@
+#include "drivers/operators_front.h"
+
+#include "core/log_event.h"
+#include "messages/caller_json.h"
+#include "messages/operator_json.h"
+
+#include <charconv>
+
+namespace hibiscusspool {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr milliseconds kChangeTimeout{ 10'000 };
+constexpr milliseconds kReadTimeout{ 3000 };
+constexpr std::size_t kLongestChangeId = 128;
+
+http_reply
+JsonReply(unsigned aStatus, const json::value& aBody)
+{
+  http_reply reply;
+  reply.mStatus = aStatus;
+  reply.mBody = json::serialize(aBody);
+  return reply;
+}
+
+http_reply
+ErrorReply(unsigned aStatus, std::string_view aCode, std::string_view aDetail)
+{
+  http_reply reply;
+  reply.mStatus = aStatus;
+  reply.mBody = EncodeError(aCode, aDetail);
+  return reply;
+}
+
+unsigned
+StatusOf(change_verdict aVerdict)
+{
+  switch (aVerdict) {
+    case change_verdict::Accepted:
+      return 200;
+    case change_verdict::NotFound:
+      return 404;
+    case change_verdict::Invalid:
+      return 400;
+    case change_verdict::Conflict:
+    case change_verdict::InUse:
+    case change_verdict::InProgress:
+    case change_verdict::AlreadyDone:
+    case change_verdict::AlreadyUnknown:
+    case change_verdict::KeyReused:
+    case change_verdict::Quarantined:
+    case change_verdict::Stale:
+      return 409;
+    case change_verdict::TableFull:
+      return 503;
+  }
+  return 500;
+}
+
+/** `/v1/KIND/NAME`, or `/v1/KIND` for a list. */
+struct record_path
+{
+  record_kind mKind = record_kind::Template;
+  std::string mName;
+};
+
+std::optional<record_path>
+ParsePath(const std::string& aPath)
+{
+  static const std::map<std::string, record_kind> sKinds{
+    { "templates", record_kind::Template },
+    { "teams", record_kind::Team },
+    { "failure-domains", record_kind::FailureDomain },
+    { "entry-hosts", record_kind::EntryHost },
+    { "servers", record_kind::Server },
+    { "quarantine", record_kind::Quarantine },
+  };
+  constexpr std::string_view kPrefix = "/v1/";
+  if (!aPath.starts_with(kPrefix)) {
+    return std::nullopt;
+  }
+  std::string rest = aPath.substr(kPrefix.size());
+  std::size_t slash = rest.find('/');
+  auto kind = sKinds.find(rest.substr(0, slash));
+  if (kind == sKinds.end()) {
+    return std::nullopt;
+  }
+  bool isList = slash == std::string::npos;
+  return record_path{ kind->second, isList ? "" : rest.substr(slash + 1) };
+}
+
+/** The name under which a record is listed. */
+struct name_of
+{
+  record_path operator()(const template_record& aRecord) const
+  {
+    return { record_kind::Template, aRecord.mTemplate.mValue };
+  }
+  record_path operator()(const team_record& aRecord) const
+  {
+    return { record_kind::Team, aRecord.mTeam.mValue };
+  }
+  record_path operator()(const failure_domain_record& aRecord) const
+  {
+    return { record_kind::FailureDomain, aRecord.mFailureDomain.mValue };
+  }
+  record_path operator()(const entry_host_record& aRecord) const
+  {
+    return { record_kind::EntryHost, aRecord.mHost.mValue };
+  }
+  record_path operator()(const server_record& aRecord) const
+  {
+    return { record_kind::Server, aRecord.mServer.mValue };
+  }
+  record_path operator()(const quarantine_record& aRecord) const
+  {
+    return { record_kind::Quarantine, aRecord.mFingerprint.mValue };
+  }
+  record_path operator()(const claim_record& aRecord) const
+  {
+    return { record_kind::Claim, aRecord.mKey.mValue };
+  }
+  record_path operator()(const record_removal& aRecord) const
+  {
+    return { aRecord.mKind, aRecord.mName };
+  }
+};
+
+template<typename record>
+result<record_change, json_error>
+AsWish(result<record, json_error> aParsed)
+{
+  if (!aParsed) {
+    return aParsed.error();
+  }
+  return record_change(std::move(aParsed.value()));
+}
+
+result<record_change, json_error>
+ParseWish(const record_path& aPath, const http_request& aRequest)
+{
+  if (aRequest.mMethod == "DELETE") {
+    return record_removal{ aPath.mKind, aPath.mName };
+  }
+  switch (aPath.mKind) {
+    case record_kind::Template:
+      return AsWish(ParseTemplate(aPath.mName, aRequest.mBody));
+    case record_kind::Team:
+      return AsWish(ParseTeam(aPath.mName, aRequest.mBody));
+    case record_kind::FailureDomain:
+      return AsWish(ParseFailureDomain(aPath.mName, aRequest.mBody));
+    default:
+      return Fail(json_error::Unknown, "This can't be put.");
+  }
+}
+
+bool
+MayChange(const record_path& aPath, const std::string& aMethod)
+{
+  switch (aPath.mKind) {
+    case record_kind::Template:
+    case record_kind::Team:
+    case record_kind::FailureDomain:
+      return aMethod == "PUT" || aMethod == "DELETE";
+    case record_kind::Quarantine:
+      return aMethod == "DELETE";
+    default:
+      return false;
+  }
+}
+
+/** Reads `Change-Id` and `If-Version`; the error is for the operator. */
+std::optional<http_reply>
+ReadHeaders(const http_request& aRequest, change_command& aCommand)
+{
+  auto change = aRequest.Header("change-id");
+  if (change && (change->empty() || change->size() > kLongestChangeId)) {
+    return ErrorReply(
+      400, "bad_header", "Change-Id must have 1 to 128 letters.");
+  }
+  if (change) {
+    aCommand.mChange.mValue = *change;
+  }
+  auto version = aRequest.Header("if-version");
+  if (!version) {
+    return std::nullopt;
+  }
+  log_index number = 0;
+  const char* end = version->data() + version->size();
+  auto [stop, problem] = std::from_chars(version->data(), end, number);
+  if (problem != std::errc{} || stop != end) {
+    return ErrorReply(400, "bad_header", "If-Version must be a whole number.");
+  }
+  aCommand.mIfVersion = number;
+  return std::nullopt;
+}
+
+asio::awaitable<http_reply>
+Change(const http_request& aRequest,
+       const record_path& aPath,
+       const operators_front_hooks& aHooks)
+{
+  change_command command;
+  auto badHeader = ReadHeaders(aRequest, command);
+  if (badHeader) {
+    co_return std::move(*badHeader);
+  }
+  auto wish = ParseWish(aPath, aRequest);
+  if (!wish) {
+    co_return ErrorReply(400, NameOf(wish.error().mCode), wish.error().mDetail);
+  }
+  if (command.mChange.IsEmpty()) {
+    // The change may be sent to several control hosts and must count once.
+    command.mChange = aHooks.mNewChange();
+  }
+  command.mWishes.push_back(std::move(wish.value()));
+  change_id change = command.mChange;
+  auto outcomes = co_await aHooks.mPropose(std::move(command),
+                                           aHooks.mNow() + kChangeTimeout);
+  if (!outcomes || outcomes.value().size() != 1) {
+    co_return ErrorReply(503,
+                         "no_quorum",
+                         "Whether the change was accepted is not known; send "
+                         "it again with Change-Id " +
+                           change.mValue + ".");
+  }
+  const change_outcome& outcome = outcomes.value().front();
+  json::object body = EncodeOutcome(outcome);
+  body["change_id"] = change.mValue;
+  log_event("operator_change")
+    .Add("method", aRequest.mMethod)
+    .Add("path", aRequest.mPath)
+    .Add("change", change.mValue)
+    .Add("verdict", NameOf(outcome.mVerdict))
+    .Add("index", outcome.mIndex);
+  co_return JsonReply(StatusOf(outcome.mVerdict), body);
+}
+
+asio::awaitable<http_reply>
+Show(const record_path& aPath, const operators_front_hooks& aHooks)
+{
+  auto facts = co_await aHooks.mConfirmedFacts(aHooks.mNow() + kReadTimeout);
+  if (!facts) {
+    co_return ErrorReply(
+      503, "no_quorum", "This control host can't reach a quorum.");
+  }
+  json::array list;
+  for (const record_change& fact : *facts) {
+    record_path name = std::visit(name_of{}, fact);
+    if (name.mKind != aPath.mKind) {
+      continue;
+    }
+    if (aPath.mName.empty()) {
+      list.push_back(EncodeRecord(fact));
+    } else if (name.mName == aPath.mName) {
+      co_return JsonReply(200, EncodeRecord(fact));
+    }
+  }
+  if (!aPath.mName.empty()) {
+    co_return ErrorReply(404, "not_found", "There is no such record.");
+  }
+  json::object body{ { "items", std::move(list) } };
+  co_return JsonReply(200, body);
+}
+
+asio::awaitable<http_reply>
+ShowRefusals(const http_request& aRequest, const operators_front_hooks& aHooks)
+{
+  wall_ms from = 0;
+  std::string text = aRequest.Parameter("from_ms").value_or("0");
+  std::from_chars(text.data(), text.data() + text.size(), from);
+  refusal_account account = MergeRefusals(co_await aHooks.mRefusals(from));
+  std::erase_if(account.mRefusals,
+                [&](const refusal& aKept) { return aKept.mAt < from; });
+  co_return JsonReply(200, EncodeRefusals(account));
+}
+
+asio::awaitable<http_reply>
+Handle(http_request aRequest,
+       const access_token& aToken,
+       const operators_front_hooks& aHooks)
+{
+  if (aRequest.mFault != http_fault::None) {
+    co_return ErrorReply(
+      400, NameOf(aRequest.mFault), "The request can't be read.");
+  }
+  if (aRequest.mPath == "/healthz") {
+    co_return JsonReply(200, json::object{ { "status", "alive" } });
+  }
+  if (!aToken.Admits(aRequest.Header("authorization").value_or(""))) {
+    log_event("access_refused", log_event::severity::Warning)
+      .Add("path", aRequest.mPath);
+    co_return ErrorReply(401, "no_access", "A bearer token is needed.");
+  }
+  bool isGet = aRequest.mMethod == "GET";
+  if (isGet && aRequest.mPath == "/v1/status") {
+    co_return JsonReply(200, EncodeStatus(co_await aHooks.mStatus()));
+  }
+  if (isGet && aRequest.mPath == "/v1/refusals") {
+    co_return co_await ShowRefusals(aRequest, aHooks);
+  }
+  auto path = ParsePath(aRequest.mPath);
+  if (!path) {
+    co_return ErrorReply(404, "no_such_path", "There is nothing here.");
+  }
+  if (isGet) {
+    co_return co_await Show(*path, aHooks);
+  }
+  if (path->mName.empty() || !MayChange(*path, aRequest.mMethod)) {
+    co_return ErrorReply(405, "wrong_method", "This can't be done here.");
+  }
+  co_return co_await Change(aRequest, *path, aHooks);
+}
+
+}
+
+http_handler
+MakeOperatorsFront(access_token aToken, operators_front_hooks aHooks)
+{
+  struct parts
+  {
+    access_token mToken;
+    operators_front_hooks mHooks;
+  };
+  auto kept = std::make_shared<const parts>(
+    parts{ std::move(aToken), std::move(aHooks) });
+  return [kept](http_request aRequest) -> asio::awaitable<http_reply> {
+    co_return co_await Handle(std::move(aRequest), kept->mToken, kept->mHooks);
+  };
+}
+
+}
--- a/drivers/raft_disk.cpp
+++ b/drivers/raft_disk.cpp
@@ -342,8 +342,8 @@
   DropSegmentsBefore(mSegmentNumber);
   for (std::uint64_t number : FileNumbers(mFolder, kSnapshotPrefix)) {
     if (number < aSnapshot.mIndex) {
-      std::filesystem::remove(
-        mFolder / (kSnapshotPrefix + std::to_string(number)));
+      std::filesystem::remove(mFolder /
+                              (kSnapshotPrefix + std::to_string(number)));
     }
   }
   return boost::outcome_v2::success();
--- a/drivers/raft_disk.h
+++ b/drivers/raft_disk.h
@@ -83,10 +83,9 @@
    * Puts a snapshot in place of the log up to it. `aTail` and `aHardState`
    * are what stays in force after it.
    */
-  result<void, disk_error> StoreSnapshot(
-    const raft_snapshot& aSnapshot,
-    const raft_hard_state& aHardState,
-    const std::deque<raft_entry>& aTail);
+  result<void, disk_error> StoreSnapshot(const raft_snapshot& aSnapshot,
+                                         const raft_hard_state& aHardState,
+                                         const std::deque<raft_entry>& aTail);
 };
 
 }
--- a/drivers/synced_file.cpp
+++ b/drivers/synced_file.cpp
@@ -90,8 +90,7 @@
 }
 
 result<void, file_error>
-ReplaceFileSynced(const std::filesystem::path& aPath,
-                  const std::string& aBytes)
+ReplaceFileSynced(const std::filesystem::path& aPath, const std::string& aBytes)
 {
   std::filesystem::path fresh = aPath;
   fresh += ".new";
@@ -128,10 +127,10 @@
 {
   frame parsed;
   std::size_t left = aBytes.size() - aOffset;
-  bool isBlank = std::all_of(
-    aBytes.begin() + static_cast<std::ptrdiff_t>(aOffset),
-    aBytes.end(),
-    [](char aByte) { return aByte == '\0'; });
+  bool isBlank =
+    std::all_of(aBytes.begin() + static_cast<std::ptrdiff_t>(aOffset),
+                aBytes.end(),
+                [](char aByte) { return aByte == '\0'; });
   // A file that grew before its data arrived ends in zeros.
   if (left < sizeof(frame_header) || isBlank) {
     parsed.mState = frame_state::Torn;
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -203,8 +203,7 @@
   std::uint64_t turn = aState->mConfig.mSeed;
   while (!aState->IsStopping()) {
     auto place = addresses.begin();
-    std::advance(place,
-                 static_cast<std::ptrdiff_t>(turn++ % addresses.size()));
+    std::advance(place, static_cast<std::ptrdiff_t>(turn++ % addresses.size()));
     RunStream(aState, place->second);
     std::unique_lock guard(aState->mLock);
     aState->mChanged.wait_for(
--- /dev/null
+++ b/filters/account.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "controllers/account_controller.h"
+#include "controllers/admission_controller.h"
+#include "controllers/refusal_controller.h"
+#include "filters/filter_chain.h"
+
+namespace hibiscusspool {
+
+struct account_hooks
+{
+  std::function<steady_time()> mNow;
+  std::function<wall_ms()> mWallNow;
+};
+
+/** Gives the place back, counts the request, and numbers a refusal. */
+filter
+MakeAccount(admission_controller& aAdmission,
+            account_controller& aAccounts,
+            refusal_controller& aRefusals,
+            account_hooks aHooks);
+
+}
--- /dev/null
+++ b/filters/filter_chain.cpp
@@ -0,0 +1,16 @@
+#include "filters/filter_chain.h"
+
+namespace hibiscusspool {
+
+boost::asio::awaitable<void>
+RunChain(const filter_chain& aChain, request_context& aRequest)
+{
+  for (const filter& step : aChain) {
+    bool isOpen = !aRequest.mRefusal.has_value();
+    if (isOpen || step.mWhen == filter_when::Always) {
+      co_await step.mRun(aRequest);
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/filters/filter_chain.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "core/name_table.h"
+#include "filters/request_context.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <vector>
+
+namespace hibiscusspool {
+
+/** The steps of a request, in their order. */
+enum class filter_name
+{
+  Identify,
+  Confirm,
+  Admit,
+  Quarantine,
+  Claim,
+  Plan,
+  Scatter,
+  Gather,
+  Settle,
+  Account,
+};
+
+template<>
+inline constexpr name_table<filter_name, 10> kNames<filter_name>{ {
+  { filter_name::Identify, "identify" },
+  { filter_name::Confirm, "confirm" },
+  { filter_name::Admit, "admit" },
+  { filter_name::Quarantine, "quarantine" },
+  { filter_name::Claim, "claim" },
+  { filter_name::Plan, "plan" },
+  { filter_name::Scatter, "scatter" },
+  { filter_name::Gather, "gather" },
+  { filter_name::Settle, "settle" },
+  { filter_name::Account, "account" },
+} };
+
+using filter_run =
+  std::function<boost::asio::awaitable<void>(request_context&)>;
+
+/** When a filter runs. */
+enum class filter_when
+{
+  /** Only while the request is not refused or answered. */
+  Open,
+  /** For each request, at the end too. */
+  Always,
+};
+
+template<>
+inline constexpr name_table<filter_when, 2> kNames<filter_when>{ {
+  { filter_when::Open, "open" },
+  { filter_when::Always, "always" },
+} };
+
+/** One step: a name and a hook, without state of its own. */
+struct filter
+{
+  filter_name mName = filter_name::Identify;
+  filter_when mWhen = filter_when::Open;
+  filter_run mRun;
+};
+
+using filter_chain = std::vector<filter>;
+
+/** Takes a request through the chain. */
+boost::asio::awaitable<void>
+RunChain(const filter_chain& aChain, request_context& aRequest);
+
+}
--- /dev/null
+++ b/filters/identify.cpp
@@ -0,0 +1,89 @@
+#include "filters/identify.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace hibiscusspool {
+
+namespace {
+
+fingerprint_id
+FingerprintOf(const request_context& aRequest)
+{
+  XXH128_hash_t hash =
+    XXH3_128bits_withSeed(aRequest.mBody->data(),
+                          aRequest.mBody->size(),
+                          static_cast<XXH64_hash_t>(aRequest.mKind));
+  XXH128_canonical_t canonical;
+  XXH128_canonicalFromHash(&canonical, hash);
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (unsigned char byte : canonical.digest) {
+    text += kDigits[byte >> 4U];
+    text += kDigits[byte & 15U];
+  }
+  return fingerprint_id{ text };
+}
+
+void
+Identify(const identify_hooks& aHooks, request_context& aRequest)
+{
+  if (aRequest.mRequest.IsEmpty()) {
+    aRequest.mRequest = aHooks.mNewRequest();
+  }
+  aRequest.mDeadline = aRequest.mReceivedAt + kLongestWait;
+  // Whoever sends a key may have sent it before, so that until the claims
+  // table is asked nobody can say that the request never ran.
+  bool mayHaveRun =
+    aRequest.mKind == request_kind::Run && !aRequest.mKey.IsEmpty();
+  aRequest.mRan = mayHaveRun ? ran_answer::Unknown : ran_answer::No;
+  if (aRequest.mFault) {
+    aRequest.Refuse(aRequest.mFault->mReason, aRequest.mFault->mDetail);
+    return;
+  }
+  auto team = aHooks.mTeam(aRequest.mTeam);
+  if (!team) {
+    aRequest.Refuse(refusal_reason::UnknownTeam,
+                    "There is no team \"" + aRequest.mTeam.mValue + "\".");
+    return;
+  }
+  aRequest.mPolicy = std::move(team->mPolicy);
+  aRequest.mHasPolicy = true;
+  milliseconds wait = aRequest.mPolicy.mWait;
+  if (aRequest.mCallerWait) {
+    wait = std::min(wait, *aRequest.mCallerWait);
+  }
+  aRequest.mDeadline = aRequest.mReceivedAt + wait;
+  aRequest.mFingerprint = FingerprintOf(aRequest);
+  bool isRun = aRequest.mKind == request_kind::Run;
+  if (!isRun) {
+    aRequest.mServices = aRequest.mPolicy.mServices;
+  } else if (aRequest.mKey.IsEmpty()) {
+    aRequest.Refuse(refusal_reason::MissingKey,
+                    "A run needs the header Idempotency-Key.");
+    return;
+  } else if (!aRequest.mPolicy.mRunService.IsEmpty()) {
+    aRequest.mServices = { aRequest.mPolicy.mRunService };
+  }
+  if (aRequest.mServices.empty()) {
+    aRequest.Refuse(refusal_reason::BadRequest,
+                    "The team's template names no service for this.");
+  }
+}
+
+}
+
+filter
+MakeIdentify(identify_hooks aHooks)
+{
+  return { filter_name::Identify,
+           filter_when::Open,
+           [hooks = std::move(aHooks)](
+             request_context& aRequest) -> boost::asio::awaitable<void> {
+             Identify(hooks, aRequest);
+             co_return;
+           } };
+}
+
+}
--- /dev/null
+++ b/filters/request_context.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "controllers/catalog_controller.h"
+#include "core/clock.h"
+#include "core/ids.h"
+#include "decisions/refusal.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hibiscusspool {
+
+enum class request_kind
+{
+  /** Asks all services of the team; may run more than once. */
+  Query,
+  /** Runs at one server, at most once. */
+  Run,
+};
+
+template<>
+inline constexpr name_table<request_kind, 2> kNames<request_kind>{ {
+  { request_kind::Query, "query" },
+  { request_kind::Run, "run" },
+} };
+
+/** Why an answer lacks a service. */
+enum class missing_reason
+{
+  NoServer,
+  NoAnswerInTime,
+  Failed,
+};
+
+template<>
+inline constexpr name_table<missing_reason, 3> kNames<missing_reason>{ {
+  { missing_reason::NoServer, "no_server" },
+  { missing_reason::NoAnswerInTime, "no_answer_in_time" },
+  { missing_reason::Failed, "failed" },
+} };
+
+struct service_answer
+{
+  service_id mService;
+  std::string mBody;
+};
+
+struct missing_service
+{
+  service_id mService;
+  missing_reason mReason = missing_reason::NoServer;
+};
+
+/** Something wrong with a request that the front saw before the chain. */
+struct request_fault
+{
+  refusal_reason mReason = refusal_reason::BadRequest;
+  std::string mDetail;
+};
+
+/**
+ * One request on its way through the filter chain. Fronts fill in the first
+ * part; each filter adds to the rest. It knows no protocol.
+ */
+struct request_context
+{
+  request_kind mKind = request_kind::Query;
+  team_id mTeam;
+  request_id mRequest;
+  idempotency_key mKey;
+  std::shared_ptr<const std::string> mBody;
+  /** How long the caller will wait, if it said so. */
+  std::optional<milliseconds> mCallerWait;
+  steady_time mReceivedAt;
+  std::optional<request_fault> mFault;
+
+  team_policy mPolicy;
+  bool mHasPolicy = false;
+  steady_time mDeadline;
+  fingerprint_id mFingerprint;
+  bool mIsAdmitted = false;
+  steady_time mAdmittedAt;
+  /** The request crashed a server before and runs as a trial. */
+  bool mIsTrial = false;
+  bool mIsClaimed = false;
+  /** The claims table held the answer; nothing is sent to a server. */
+  bool mIsAnswered = false;
+  /** Names this attempt at a claimed request. */
+  request_id mClaimAttempt;
+
+  std::vector<service_id> mServices;
+  snapshot_number mSnapshot = 0;
+  std::vector<service_answer> mAnswers;
+  std::vector<missing_service> mMissing;
+  double mCoverage = 0;
+  /** The answer to a `Run`. */
+  std::string mRunAnswer;
+  /** Whether a server may have run it, as far as is known. */
+  ran_answer mRan = ran_answer::No;
+
+  std::size_t mAttempts = 0;
+  std::size_t mHedges = 0;
+  std::size_t mRetries = 0;
+
+  std::optional<refusal> mRefusal;
+
+  /** Takes the answer to a `Run` that comes after the caller was told. */
+  std::function<void(std::string)> mLateAnswer;
+
+  /** Turns the request away; the first refusal counts. */
+  void Refuse(refusal_reason aReason,
+              std::string aDetail,
+              milliseconds aRetryAfter = milliseconds(0))
+  {
+    if (mRefusal) {
+      return;
+    }
+    refusal made;
+    made.mTeam = mTeam;
+    made.mRequest = mRequest;
+    made.mReason = aReason;
+    made.mRan = mRan;
+    made.mDetail = std::move(aDetail);
+    made.mRetryAfter = aRetryAfter;
+    mRefusal = std::move(made);
+  }
+};
+
+}
--- /dev/null
+++ b/main/control_role.cpp
@@ -0,0 +1,437 @@
+#include "main/control_role.h"
+
+#include "core/log_event.h"
+#include "drivers/access_token.h"
+#include "drivers/operators_front.h"
+#include "main/periodic.h"
+#include "messages/control_codec.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <iomanip>
+#include <random>
+#include <sstream>
+
+namespace hibiscusspool {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds kMembershipPause{ 500 };
+constexpr milliseconds kFormPause{ 300 };
+constexpr milliseconds kHandOverTime{ 2000 };
+constexpr milliseconds kHandOverCheck{ 20 };
+constexpr milliseconds kSystemChangeTimeout{ 2000 };
+
+std::string
+RandomHex(std::size_t aWords)
+{
+  std::random_device device;
+  std::ostringstream text;
+  for (std::size_t word = 0; word < aWords; ++word) {
+    text << std::hex << std::setw(8) << std::setfill('0') << device();
+  }
+  return text.str();
+}
+
+wall_ms
+WallNow()
+{
+  return ToWallMs(std::chrono::system_clock::now());
+}
+
+steady_time
+SteadyNow()
+{
+  return std::chrono::steady_clock::now();
+}
+
+std::map<host_id, std::string>
+ToHosts(const address_list& aAddresses)
+{
+  std::map<host_id, std::string> hosts;
+  for (const auto& [name, address] : aAddresses) {
+    hosts[host_id{ name }] = address;
+  }
+  return hosts;
+}
+
+}
+
+control_role::control_role(asio::io_context& aContext,
+                           settings aSettings,
+                           raft_disk aDisk,
+                           refusal_store aRefusals,
+                           control_client aClient)
+  : mContext(aContext)
+  , mSettings(std::move(aSettings))
+  , mDisk(std::move(aDisk))
+  , mRefusals(std::move(aRefusals))
+  , mTransport(raft_transport::create(ToHosts(mSettings.mControlMembers)))
+  , mClient(std::move(aClient))
+  , mMembership({ host_id{ mSettings.mHostId },
+                  milliseconds(mSettings.mControlSilenceMs),
+                  milliseconds(mSettings.mControlServerLapseMs) },
+                SteadyNow())
+{
+}
+
+result<std::unique_ptr<control_role>, role_error>
+control_role::create(asio::io_context& aContext,
+                     const settings& aSettings,
+                     std::function<void()> aOnFailure)
+{
+  std::filesystem::path folder(aSettings.mControlDataFolder);
+  auto disk = raft_disk::create(folder / "log", RandomHex(4));
+  if (!disk) {
+    return Fail(role_error::DiskFailed, disk.error().mDetail);
+  }
+  auto refusals =
+    refusal_store::create(folder / "refusals", aSettings.mControlRefusalDays);
+  if (!refusals) {
+    return Fail(role_error::DiskFailed, refusals.error().mDetail);
+  }
+  auto client = control_client::create(aContext.get_executor(),
+                                       ToHosts(aSettings.mControlMembers));
+  if (!client) {
+    return Fail(role_error::BadSettings, client.error().mDetail);
+  }
+  std::unique_ptr<control_role> role(
+    new control_role(aContext,
+                     aSettings,
+                     std::move(disk.value()),
+                     std::move(refusals.value()),
+                     std::move(client.value())));
+  auto group = role->SetUpGroup(std::move(aOnFailure));
+  if (!group) {
+    return group.error();
+  }
+  auto service = role->SetUpService();
+  if (!service) {
+    role->Stop();
+    return service.error();
+  }
+  auto operators = role->SetUpOperators();
+  if (!operators) {
+    role->Stop();
+    return operators.error();
+  }
+  role->StartLoops();
+  return role;
+}
+
+control_group_hooks
+control_role::GroupHooks()
+{
+  control_limits limits;
+  limits.mMostClaims = static_cast<std::size_t>(mSettings.mControlMostClaims);
+  limits.mClaimKept = std::chrono::hours(mSettings.mControlClaimHours);
+  control_group_hooks hooks;
+  hooks.mSteadyNow = SteadyNow;
+  hooks.mWallNow = WallNow;
+  hooks.mEncode = EncodeCommand;
+  hooks.mDecode =
+    [](const std::string& aBytes) -> std::optional<change_command> {
+    auto command = DecodeCommand(aBytes);
+    return command ? std::optional(std::move(command.value())) : std::nullopt;
+  };
+  hooks.mEncodeState = EncodeState;
+  hooks.mDecodeState =
+    [limits](const std::string& aBytes) -> std::optional<control_state> {
+    auto state = DecodeState(aBytes, limits);
+    return state ? std::optional(std::move(state.value())) : std::nullopt;
+  };
+  hooks.mPersist = [this](const raft_actions& aActions) {
+    auto done = mDisk.Persist(aActions);
+    if (!done) {
+      log_event("disk_failed", log_event::severity::Error)
+        .Add("cause", done.error().mDetail);
+    }
+    return done.has_value();
+  };
+  hooks.mStoreSnapshot = [this](const raft_snapshot& aSnapshot,
+                                const raft_hard_state& aHardState,
+                                const std::deque<raft_entry>& aTail) {
+    auto done = mDisk.StoreSnapshot(aSnapshot, aHardState, aTail);
+    if (!done) {
+      log_event("disk_failed", log_event::severity::Error)
+        .Add("cause", done.error().mDetail);
+    }
+    return done.has_value();
+  };
+  hooks.mSend = [this](std::vector<raft_message> aMessages) {
+    mTransport.Send(std::move(aMessages));
+  };
+  hooks.mPublish = [this](log_index aIndex, std::vector<record_change> aFacts) {
+    mHub->Publish(aIndex, std::move(aFacts));
+  };
+  hooks.mReplaced = [this](log_index aIndex) { mHub->Replaced(aIndex); };
+  return hooks;
+}
+
+result<void, role_error>
+control_role::SetUpGroup(std::function<void()> aOnFailure)
+{
+  control_group_config config;
+  config.mRaft.mSelf = { host_id{ mSettings.mHostId }, mDisk.Disk() };
+  for (const host_id& host : GroupHosts()) {
+    config.mRaft.mKnownHosts.insert(host);
+  }
+  config.mRaft.mHeartbeat = milliseconds(mSettings.mControlHeartbeatMs);
+  config.mRaft.mElection = milliseconds(mSettings.mControlElectionMs);
+  config.mRaft.mSeed = std::random_device{}();
+  config.mLimits.mMostClaims =
+    static_cast<std::size_t>(mSettings.mControlMostClaims);
+  config.mLimits.mClaimKept = std::chrono::hours(mSettings.mControlClaimHours);
+  config.mFailureDomain.mValue = mSettings.mHostFailureDomain;
+  config.mSnapshotEvery =
+    static_cast<log_index>(mSettings.mControlSnapshotEvery);
+  auto group = control_group::create(
+    std::move(config), GroupHooks(), mDisk.TakePersisted(), SteadyNow());
+  if (!group) {
+    return Fail(role_error::CannotStart, group.error().mDetail);
+  }
+  mGroup = std::move(group.value());
+  mHub = std::make_unique<watch_hub>(
+    watch_hub_hooks{ [this] { return mGroup->Facts(); },
+                     [this](std::function<void(log_index)> aReply) {
+                       mGroup->Confirm(std::move(aReply));
+                     } });
+  // The facts of a snapshot on the disk are in force before any entry.
+  mHub->Replaced(mGroup->Status().mApplied);
+  mThread = std::thread([this, onFailure = std::move(aOnFailure)] {
+    auto ended = mGroup->Run();
+    if (!ended) {
+      mHasFailed = true;
+      log_event("control_group_failed", log_event::severity::Error)
+        .Add("cause", ended.error().mDetail);
+      onFailure();
+    }
+  });
+  return boost::outcome_v2::success();
+}
+
+result<void, role_error>
+control_role::SetUpService()
+{
+  control_service_hooks hooks;
+  hooks.mSteadyNow = SteadyNow;
+  hooks.mDeliver = [this](std::vector<raft_message> aMessages) {
+    mGroup->Receive(std::move(aMessages));
+  };
+  hooks.mProbe = [this] {
+    control_group_status status = mGroup->Status();
+    return probe_answer{ status.mSelf, status.mIsEmpty, GroupHosts() };
+  };
+  hooks.mPropose = [this](change_command aCommand, propose_reply aReply) {
+    mGroup->Propose(std::move(aCommand), std::move(aReply));
+  };
+  hooks.mOpen = [this](entry_host_record aHost, std::function<void()> aWake) {
+    log_event("watch_opened").Add("host", aHost.mHost.mValue);
+    return mHub->Open(std::move(aHost), std::move(aWake), SteadyNow());
+  };
+  hooks.mReport = [this](stream_id aStream, watch_report aReport) {
+    mHub->Report(aStream, aReport, SteadyNow());
+  };
+  hooks.mNext = [this](stream_id aStream) { return mHub->Next(aStream); };
+  hooks.mClose = [this](stream_id aStream) { mHub->Close(aStream); };
+  hooks.mStatus = [this] { return mGroup->Status(); };
+  hooks.mDaemons = [this] { return mHub->Daemons(); };
+  hooks.mStoreRefusals =
+    [this](const refusal_batch& aBatch) -> std::optional<std::uint64_t> {
+    auto stored = mRefusals.Store(aBatch, WallNow());
+    if (!stored) {
+      log_event("disk_failed", log_event::severity::Error)
+        .Add("cause", stored.error().mDetail);
+      return std::nullopt;
+    }
+    return aBatch.mRefusals.empty() ? 0 : aBatch.mRefusals.back().mNumber;
+  };
+  hooks.mReadRefusals = [this](wall_ms aFrom) { return mRefusals.Read(aFrom); };
+  auto service =
+    control_service::create(mSettings.mControlAddress, std::move(hooks));
+  if (!service) {
+    return Fail(role_error::CannotListen, service.error().mDetail);
+  }
+  mService = std::make_unique<control_service>(std::move(service.value()));
+  return boost::outcome_v2::success();
+}
+
+result<void, role_error>
+control_role::SetUpOperators()
+{
+  auto token = access_token::create(mSettings.mControlOperatorsToken);
+  if (!token) {
+    return Fail(role_error::BadSettings, token.error().mDetail);
+  }
+  operators_front_hooks hooks;
+  hooks.mNow = SteadyNow;
+  hooks.mPropose = [this](change_command aCommand, steady_time aDeadline) {
+    return mClient.Propose(std::move(aCommand), aDeadline);
+  };
+  hooks.mConfirmedFacts = [this](steady_time aDeadline) {
+    return ConfirmedFacts(aDeadline);
+  };
+  hooks.mStatus = [this] { return mClient.Status(); };
+  hooks.mRefusals = [this](wall_ms aFrom) {
+    return mClient.ReadRefusals(aFrom);
+  };
+  hooks.mNewChange = [this] {
+    return change_id{ mSettings.mHostId + "-" + RandomHex(2) + "-" +
+                      std::to_string(mNextChange++) };
+  };
+  http_server_config config;
+  config.mAddress = mSettings.mControlOperatorsAddress;
+  auto server = http_server::create(
+    mContext,
+    config,
+    MakeOperatorsFront(std::move(token.value()), std::move(hooks)));
+  if (!server) {
+    return Fail(role_error::CannotListen, server.error().mDetail);
+  }
+  mOperators = std::make_unique<http_server>(std::move(server.value()));
+  return boost::outcome_v2::success();
+}
+
+void
+control_role::StartLoops()
+{
+  RunPeriodically(
+    mContext, kFormPause, mIsStopping, [this] { return FormGroup(); });
+  RunPeriodically(mContext, kMembershipPause, mIsStopping, [this] {
+    return TendMembership();
+  });
+}
+
+std::vector<host_id>
+control_role::GroupHosts() const
+{
+  std::vector<host_id> hosts;
+  for (const auto& [name, address] : mSettings.mControlMembers) {
+    hosts.push_back(host_id{ name });
+  }
+  return hosts;
+}
+
+asio::awaitable<void>
+control_role::FormGroup()
+{
+  control_group_status own = mGroup->Status();
+  std::vector<host_id> group = GroupHosts();
+  // One host alone may form the group, so that two can't form it unalike.
+  bool isFormer = own.mSelf.mHost == group.front();
+  if (!own.mIsEmpty || !isFormer) {
+    co_return;
+  }
+  std::vector<raft_peer> voters{ { own.mSelf, true } };
+  for (const host_id& host : group) {
+    if (host == own.mSelf.mHost) {
+      continue;
+    }
+    auto reply = co_await mClient.Probe(host);
+    bool agrees =
+      reply && reply->empty() && reply->self().host() == host.mValue &&
+      std::equal(group.begin(),
+                 group.end(),
+                 reply->group().begin(),
+                 reply->group().end(),
+                 [](const host_id& aOne, const std::string& aOther) {
+                   return aOne.mValue == aOther;
+                 });
+    if (!agrees) {
+      co_return;
+    }
+    voters.push_back({ ReadPeerId(reply->self()), true });
+  }
+  log_event("group_formed").Add("members", voters.size());
+  mGroup->Bootstrap(std::move(voters));
+}
+
+asio::awaitable<void>
+control_role::TendMembership()
+{
+  control_group_status status = mGroup->Status();
+  std::vector<heard_daemon> heard;
+  for (const daemon_status& daemon : mHub->Daemons()) {
+    heard.push_back({ daemon.mHost, daemon.mHeardAt });
+  }
+  std::vector<record_change> wishes =
+    mGroup->Look([&](const control_state& aState) {
+      membership_view view{ aState.EntryHosts(),
+                            aState.Servers(),
+                            status.mRole == raft_role::Leader,
+                            status.mHeard };
+      return mMembership.Wishes(heard, view, SteadyNow());
+    });
+  if (wishes.empty()) {
+    co_return;
+  }
+  change_command command;
+  command.mWishes = std::move(wishes);
+  for (const record_change& wish : command.mWishes) {
+    if (const auto* host = std::get_if<entry_host_record>(&wish)) {
+      log_event("entry_host_" + std::string(NameOf(host->mState)))
+        .Add("host", host->mHost.mValue)
+        .Add("incarnation", host->mIncarnation);
+    }
+    if (const auto* server = std::get_if<server_record>(&wish)) {
+      log_event("server_orphaned").Add("server", server->mServer.mValue);
+    }
+  }
+  co_await mClient.Propose(std::move(command),
+                           SteadyNow() + kSystemChangeTimeout);
+}
+
+asio::awaitable<std::optional<std::vector<record_change>>>
+control_role::ConfirmedFacts(steady_time aDeadline)
+{
+  auto executor = co_await asio::this_coro::executor;
+  auto confirmed = std::make_shared<asio::steady_timer>(executor, aDeadline);
+  auto isDone = std::make_shared<bool>(false);
+  mGroup->Confirm([confirmed, isDone, executor](log_index /*aIndex*/) {
+    asio::post(executor, [confirmed, isDone] {
+      *isDone = true;
+      confirmed->cancel();
+    });
+  });
+  co_await confirmed->async_wait(asio::as_tuple(asio::use_awaitable));
+  if (!*isDone) {
+    co_return std::nullopt;
+  }
+  co_return mGroup->Facts().second;
+}
+
+void
+control_role::Stop()
+{
+  bool leads = mGroup->Status().mRole == raft_role::Leader;
+  bool isAlone = mSettings.mControlMembers.size() == 1;
+  if (leads && !isAlone && !mHasFailed) {
+    mGroup->HandOver();
+    steady_time end = SteadyNow() + kHandOverTime;
+    while (mGroup->Status().mRole == raft_role::Leader && SteadyNow() < end) {
+      std::this_thread::sleep_for(kHandOverCheck);
+    }
+  }
+  mIsStopping = true;
+  if (mOperators != nullptr) {
+    mOperators->Stop();
+  }
+  mTransport.Stop();
+  mGroup->Stop();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+  // Calls that wait for the group are answered by now.
+  if (mService != nullptr) {
+    mService->Stop();
+  }
+  mClient.Stop();
+}
+
+}
--- /dev/null
+++ b/main/entry_role.cpp
@@ -0,0 +1,682 @@
+#include "main/entry_role.h"
+
+#include "core/log_event.h"
+#include "drivers/access_token.h"
+#include "drivers/callers_front.h"
+#include "drivers/metrics_page.h"
+#include "filters/account.h"
+#include "filters/admit.h"
+#include "filters/confirm.h"
+#include "filters/gather.h"
+#include "filters/identify.h"
+#include "filters/plan.h"
+#include "main/periodic.h"
+#include "messages/account_json.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <random>
+#include <thread>
+
+namespace hibiscusspool {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds kTendPause{ 250 };
+constexpr milliseconds kShipPause{ 500 };
+constexpr milliseconds kSystemChangeTimeout{ 2000 };
+constexpr milliseconds kRecordTimeout{ 5000 };
+constexpr milliseconds kRecordPause{ 200 };
+constexpr milliseconds kIndexPause{ 5 };
+constexpr milliseconds kStopCheck{ 20 };
+/** A first crash is reported at most this often by one host. */
+constexpr milliseconds kCrashReportPause{ 500 };
+constexpr std::size_t kMostInBatch = 1000;
+constexpr std::size_t kHarmlessKept = 100'000;
+/** Disk hosts that must have a refusal before it is forgotten here. */
+constexpr std::size_t kRefusalCopies = 2;
+constexpr double kPercent = 0.01;
+
+wall_ms
+WallNow()
+{
+  return ToWallMs(std::chrono::system_clock::now());
+}
+
+steady_time
+SteadyNow()
+{
+  return std::chrono::steady_clock::now();
+}
+
+std::map<host_id, std::string>
+ToHosts(const address_list& aAddresses)
+{
+  std::map<host_id, std::string> hosts;
+  for (const auto& [name, address] : aAddresses) {
+    hosts[host_id{ name }] = address;
+  }
+  return hosts;
+}
+
+/** Time until a gained share may be used: a lease, the longest wait, and one
+ * part in a hundred for clocks that run apart. */
+milliseconds
+HandOverTime(milliseconds aLease)
+{
+  milliseconds sum = aLease + kLongestWait;
+  return sum + sum / 100;
+}
+
+backend_config
+ToBackendConfig(const settings& aSettings)
+{
+  backend_config config;
+  config.mSelf.mValue = aSettings.mHostId;
+  config.mFailureDomain.mValue = aSettings.mHostFailureDomain;
+  config.mHandOver = HandOverTime(milliseconds(aSettings.mEntryLeaseMs));
+  config.mRamp = milliseconds(aSettings.mEntryRampMs);
+  config.mSeed = std::random_device{}();
+  return config;
+}
+
+}
+
+entry_role::entry_role(asio::io_context& aContext,
+                       settings aSettings,
+                       incarnation_number aIncarnation,
+                       control_client aClient)
+  : mContext(aContext)
+  , mSettings(std::move(aSettings))
+  , mSelf{ mSettings.mHostId }
+  , mIncarnation(aIncarnation)
+  , mClient(std::move(aClient))
+  , mLease(milliseconds(mSettings.mEntryLeaseMs))
+  , mBackends(ToBackendConfig(mSettings),
+              backend_hooks{
+                [this](const std::vector<connection_id>& aConnections) {
+                  mBackendClient->Close(aConnections);
+                },
+                [this](const server_id& aServer) { NoteColdServer(aServer); } })
+  , mCatalog(mSelf, mBackends, catalog_hooks{ [] {} })
+  , mAdmission(static_cast<std::uint32_t>(mSettings.mEntryHostLimit))
+  , mBudgets(static_cast<double>(mSettings.mEntryHedgePercent) * kPercent,
+             static_cast<double>(mSettings.mEntryRetryPercent) * kPercent)
+  , mFingerprints(kHarmlessKept)
+  , mRefusals(mSelf,
+              mIncarnation,
+              static_cast<std::size_t>(mSettings.mEntryRefusalsKept))
+  , mAnnouncements(milliseconds(mSettings.mEntryLapseMs))
+{
+}
+
+result<std::unique_ptr<entry_role>, role_error>
+entry_role::create(asio::io_context& aContext, const settings& aSettings)
+{
+  auto client = control_client::create(aContext.get_executor(),
+                                       ToHosts(aSettings.mEntryControlHosts));
+  if (!client) {
+    return Fail(role_error::BadSettings, client.error().mDetail);
+  }
+  auto incarnation = static_cast<incarnation_number>(WallNow());
+  std::unique_ptr<entry_role> role(new entry_role(
+    aContext, aSettings, incarnation, std::move(client.value())));
+  role->SetUpBackendClient();
+  role->SetUpChain();
+  auto fronts = role->SetUpFronts();
+  if (!fronts) {
+    return fronts.error();
+  }
+  role->SetUpWatch();
+  role->StartLoops();
+  return role;
+}
+
+void
+entry_role::SetUpBackendClient()
+{
+  backend_client_config config;
+  config.mAnswerBytes = static_cast<std::size_t>(mSettings.mEntryAnswerBytes);
+  config.mIdleProbe = milliseconds(mSettings.mEntryIdleProbeMs);
+  backend_client_hooks hooks;
+  hooks.mBorrow = [this](const server_id& aServer) {
+    return mBackends.BorrowIdle(aServer);
+  };
+  hooks.mReturn = [this](const server_id& aServer, connection_id aNumber) {
+    mBackends.ReturnIdle(aServer, aNumber);
+  };
+  hooks.mLost = [this](const server_id& aServer) {
+    mBackends.LoseBorrowed(aServer);
+  };
+  mBackendClient = std::make_unique<backend_client>(
+    backend_client::create(mContext, config, std::move(hooks)));
+}
+
+request_id
+entry_role::NewNumber(std::string_view aKind)
+{
+  return request_id{ mSelf.mValue + "-" + std::to_string(mIncarnation) + "-" +
+                     std::string(aKind) + std::to_string(mNextNumber++) };
+}
+
+void
+entry_role::SetUpChain()
+{
+  auto isConfirmed = [this](steady_time aNow) {
+    return mLease.IsConfirmed(aNow);
+  };
+  filter_chain chain{
+    MakeIdentify(
+      { [this](const team_id& aTeam) { return mCatalog.Team(aTeam); },
+        [this] { return NewNumber("r"); } }),
+    MakeConfirm({ SteadyNow, isConfirmed }),
+    MakeAdmit(
+      mAdmission,
+      { SteadyNow, [this] { return mCatalog.ServingHosts(); }, isConfirmed }),
+    MakeQuarantine(QuarantineHooks()),
+    MakeClaim(ClaimHooks()),
+    MakePlan({ [this](const std::vector<service_id>& aServices) {
+      return mBackends.Snapshots(aServices);
+    } }),
+    MakeScatter(mBackends, mBudgets, mFingerprints, ScatterHooks()),
+    MakeGather(),
+    MakeSettle(ClaimHooks()),
+    MakeAccount(mAdmission, mAccounts, mRefusals, { SteadyNow, WallNow }),
+  };
+  mChain = std::make_shared<const filter_chain>(std::move(chain));
+}
+
+scatter_hooks
+entry_role::ScatterHooks()
+{
+  scatter_hooks hooks;
+  hooks.mNow = SteadyNow;
+  hooks.mAttempt = [this](attempt_order aOrder) {
+    return mBackendClient->Attempt(std::move(aOrder));
+  };
+  hooks.mNewAttempt = [this] { return NewNumber("a"); };
+  hooks.mReportCrash = [this](crash_report aReport) {
+    return ReportCrash(std::move(aReport));
+  };
+  hooks.mReportHarmless = [this](const fingerprint_id& aFingerprint) {
+    LiftSuspicion(aFingerprint);
+  };
+  hooks.mReplan =
+    [this](const request_context& aRequest) -> std::optional<snapshot_number> {
+    auto plan = ChooseSnapshot(mBackends.Snapshots(aRequest.mServices),
+                               aRequest.mPolicy.mMinimumCoverage);
+    return plan ? std::optional(plan->mSnapshot) : std::nullopt;
+  };
+  hooks.mIsConfirmed = [this](steady_time aNow) {
+    return mLease.IsConfirmed(aNow);
+  };
+  return hooks;
+}
+
+quarantine_hooks
+entry_role::QuarantineHooks()
+{
+  return { [this](const fingerprint_id& aFingerprint) {
+            return mCatalog.Quarantine(aFingerprint);
+          },
+           [this](request_context& aRequest) { return AskTrial(aRequest); } };
+}
+
+claim_hooks
+entry_role::ClaimHooks()
+{
+  claim_hooks hooks;
+  hooks.mNow = SteadyNow;
+  hooks.mNewAttempt = [this] { return NewNumber("c"); };
+  hooks.mClaimFor = [this](const request_context& aRequest) {
+    claim_record claim;
+    claim.mTeam = aRequest.mTeam;
+    claim.mKey = aRequest.mKey;
+    claim.mFingerprint = aRequest.mFingerprint;
+    claim.mAttempt = aRequest.mClaimAttempt;
+    claim.mOwner = mSelf;
+    claim.mOwnerIncarnation = mIncarnation;
+    return claim;
+  };
+  hooks.mPropose = [this](claim_record aClaim, steady_time aDeadline) {
+    return ProposeOne(std::move(aClaim), std::nullopt, aDeadline);
+  };
+  hooks.mRecordLater = [this](claim_record aClaim) {
+    RecordLater(std::move(aClaim));
+  };
+  return hooks;
+}
+
+asio::awaitable<std::optional<change_outcome>>
+entry_role::ProposeOne(record_change aWish,
+                       std::optional<log_index> aIfVersion,
+                       steady_time aDeadline)
+{
+  change_command command;
+  command.mIfVersion = aIfVersion;
+  command.mWishes.push_back(std::move(aWish));
+  auto outcomes = co_await mClient.Propose(std::move(command), aDeadline);
+  if (!outcomes || outcomes.value().size() != 1) {
+    co_return std::nullopt;
+  }
+  co_return std::move(outcomes.value().front());
+}
+
+void
+entry_role::RecordLater(claim_record aClaim)
+{
+  asio::co_spawn(asio::make_strand(mContext),
+                 RecordUntilDone(std::move(aClaim)),
+                 asio::detached);
+}
+
+asio::awaitable<void>
+entry_role::RecordUntilDone(claim_record aClaim)
+{
+  asio::steady_timer pause(co_await asio::this_coro::executor);
+  while (!mIsStopping) {
+    auto outcome =
+      co_await ProposeOne(aClaim, std::nullopt, SteadyNow() + kRecordTimeout);
+    if (outcome) {
+      co_return;
+    }
+    pause.expires_after(kRecordPause);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<bool>
+entry_role::WaitForIndex(log_index aIndex, steady_time aDeadline)
+{
+  asio::steady_timer pause(co_await asio::this_coro::executor);
+  while (mCatalog.Index() < aIndex) {
+    if (SteadyNow() >= aDeadline) {
+      co_return false;
+    }
+    pause.expires_after(kIndexPause);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+  co_return true;
+}
+
+asio::awaitable<crash_verdict>
+entry_role::ReportCrash(crash_report aReport)
+{
+  // When many servers are lost at once, each running request is reset once:
+  // those first resets are reported sparingly, a second one always.
+  steady_time now = SteadyNow();
+  steady_time due{ steady_time::duration(mCrashReportDue.load()) };
+  bool isFirst = aReport.mServers.size() < 2;
+  if (isFirst && now < due) {
+    co_return crash_verdict::TryAgain;
+  }
+  mCrashReportDue = (now + kCrashReportPause).time_since_epoch().count();
+  quarantine_record crash;
+  crash.mFingerprint = aReport.mFingerprint;
+  crash.mCrashedServers = aReport.mServers;
+  log_event("server_reset_request", log_event::severity::Warning)
+    .Add("fingerprint", aReport.mFingerprint.mValue)
+    .Add("server", aReport.mServers.back().mValue);
+  quarantine_record trial;
+  trial.mFingerprint = aReport.mFingerprint;
+  trial.mTrials = { NewNumber("t").mValue };
+  change_command command;
+  command.mWishes = { crash, trial };
+  auto outcomes =
+    co_await mClient.Propose(std::move(command), aReport.mDeadline);
+  if (!outcomes || outcomes.value().size() != 2) {
+    co_return crash_verdict::Quarantined;
+  }
+  const change_outcome& verdict = outcomes.value().back();
+  if (verdict.mVerdict == change_verdict::Accepted) {
+    co_return crash_verdict::TryAgain;
+  }
+  // The caller is told once this host, and so most others, know it too.
+  co_await WaitForIndex(verdict.mIndex, aReport.mDeadline);
+  co_return crash_verdict::Quarantined;
+}
+
+asio::awaitable<trial_verdict>
+entry_role::AskTrial(request_context& aRequest)
+{
+  auto known = mCatalog.Quarantine(aRequest.mFingerprint);
+  constexpr std::size_t kMostCrashes = 2;
+  if (known && known->mCrashedServers.size() >= kMostCrashes) {
+    co_return trial_verdict::Refused;
+  }
+  quarantine_record trial;
+  trial.mFingerprint = aRequest.mFingerprint;
+  trial.mTrials = { NewNumber("t").mValue };
+  auto outcome = co_await ProposeOne(trial, std::nullopt, aRequest.mDeadline);
+  if (!outcome) {
+    co_return trial_verdict::Unasked;
+  }
+  bool isAllowed = outcome->mVerdict == change_verdict::Accepted;
+  co_return isAllowed ? trial_verdict::Allowed : trial_verdict::Refused;
+}
+
+void
+entry_role::LiftSuspicion(const fingerprint_id& aFingerprint)
+{
+  if (!mCatalog.Quarantine(aFingerprint)) {
+    return;
+  }
+  record_removal lift{ record_kind::Quarantine, aFingerprint.mValue };
+  asio::co_spawn(
+    asio::make_strand(mContext),
+    [this, lift]() -> asio::awaitable<void> {
+      co_await ProposeOne(
+        lift, std::nullopt, SteadyNow() + kSystemChangeTimeout);
+    },
+    asio::detached);
+}
+
+void
+entry_role::NoteColdServer(const server_id& aServer)
+{
+  auto record = mBackends.Record(aServer);
+  if (!record || record->mState != server_state::Ready) {
+    return;
+  }
+  log_event("server_looks_cold", log_event::severity::Warning)
+    .Add("server", aServer.mValue);
+  server_record cold = *record;
+  log_index version = cold.mVersion;
+  cold.mColdMark = version;
+  asio::co_spawn(
+    asio::make_strand(mContext),
+    [this, cold, version]() -> asio::awaitable<void> {
+      co_await ProposeOne(cold, version, SteadyNow() + kSystemChangeTimeout);
+    },
+    asio::detached);
+}
+
+asio::awaitable<announce_answer>
+entry_role::TakeAnnouncement(server_record aRecord)
+{
+  steady_time now = SteadyNow();
+  if (!mLease.IsConfirmed(now)) {
+    co_return announce_answer{ announce_verdict::Unavailable,
+                               "This host can't reach the control hosts." };
+  }
+  aRecord.mSponsor = mSelf;
+  std::sort(aRecord.mSnapshots.begin(), aRecord.mSnapshots.end());
+  auto known = mBackends.Record(aRecord.mServer);
+  if (known && !IsTransition(*known, aRecord)) {
+    mAnnouncements.Renew(aRecord.mServer, now);
+    co_return announce_answer{};
+  }
+  aRecord.mColdMark = known ? known->mColdMark : 0;
+  std::optional<log_index> version = known ? known->mVersion : 0;
+  steady_time deadline = now + kSystemChangeTimeout;
+  while (SteadyNow() < deadline) {
+    auto outcome = co_await ProposeOne(aRecord, version, deadline);
+    if (!outcome) {
+      break;
+    }
+    if (outcome->mVerdict == change_verdict::Conflict) {
+      version = outcome->mVersion;
+      continue;
+    }
+    if (outcome->mVerdict != change_verdict::Accepted) {
+      co_return announce_answer{ announce_verdict::Refused, outcome->mDetail };
+    }
+    log_event("server_announced")
+      .Add("server", aRecord.mServer.mValue)
+      .Add("state", NameOf(aRecord.mState))
+      .Add("index", outcome->mIndex);
+    if (aRecord.mState == server_state::Gone) {
+      mAnnouncements.Drop(aRecord.mServer);
+    } else {
+      mAnnouncements.Renew(aRecord.mServer, SteadyNow());
+    }
+    co_await WaitForIndex(outcome->mIndex, deadline);
+    co_return announce_answer{};
+  }
+  co_return announce_answer{ announce_verdict::Unavailable,
+                             "The control hosts did not answer in time." };
+}
+
+entry_host_record
+entry_role::OwnRecord() const
+{
+  entry_host_record record;
+  record.mHost = mSelf;
+  record.mIncarnation = mIncarnation;
+  record.mFailureDomain.mValue = mSettings.mHostFailureDomain;
+  record.mCallersAddress = mSettings.mEntryCallersAddress;
+  record.mAnnounceAddress = mSettings.mEntryAnnounceAddress;
+  record.mState =
+    mIsLeaving ? entry_host_state::Leaving : entry_host_state::Serving;
+  return record;
+}
+
+std::vector<entry_host_record>
+entry_role::ListEntryHosts(const failure_domain_id& aNearby) const
+{
+  std::vector<entry_host_record> hosts = mCatalog.EntryHosts();
+  std::erase_if(hosts, [&](const entry_host_record& aHost) {
+    return aHost.mState != entry_host_state::Serving ||
+           mCatalog.IsOut(aHost.mFailureDomain);
+  });
+  std::stable_partition(
+    hosts.begin(), hosts.end(), [&](const entry_host_record& aHost) {
+      return aHost.mFailureDomain == aNearby;
+    });
+  return hosts;
+}
+
+bool
+entry_role::IsReady() const
+{
+  return !mIsLeaving && mLease.IsConfirmed(SteadyNow());
+}
+
+result<void, role_error>
+entry_role::SetUpFronts()
+{
+  auto token = access_token::create(mSettings.mEntryAnnounceToken);
+  if (!token) {
+    return Fail(role_error::BadSettings, token.error().mDetail);
+  }
+  http_server_config callers;
+  callers.mAddress = mSettings.mEntryCallersAddress;
+  callers.mBodyBytes = static_cast<std::size_t>(mSettings.mEntryBodyBytes);
+  callers.mSlowSender = milliseconds(mSettings.mEntrySlowSenderMs);
+  callers.mMostConnections =
+    static_cast<std::size_t>(mSettings.mEntryMostCallers);
+  callers_front_hooks hooks;
+  hooks.mNow = SteadyNow;
+  hooks.mEntryHosts = [this](const failure_domain_id& aNearby) {
+    return ListEntryHosts(aNearby);
+  };
+  hooks.mIsReady = [this] { return IsReady(); };
+  hooks.mMetrics = [this] {
+    steady_time now = SteadyNow();
+    return MakeMetricsPage({ mAccounts,
+                             mBackends.Views(now),
+                             mCatalog.Index(),
+                             mLease.Age(now),
+                             mAdmission.Running(),
+                             mAdmission.HostLimit(),
+                             mRefusals.LastNumber() });
+  };
+  auto front = http_server::create(
+    mContext,
+    callers,
+    MakeCallersFront(
+      { milliseconds(mSettings.mEntryKeepListMs) }, mChain, std::move(hooks)));
+  if (!front) {
+    return Fail(role_error::CannotListen, front.error().mDetail);
+  }
+  mCallers = std::make_unique<http_server>(std::move(front.value()));
+  http_server_config announce;
+  announce.mAddress = mSettings.mEntryAnnounceAddress;
+  announce_front_hooks announceHooks;
+  announceHooks.mAnnounce = [this](server_record aRecord) {
+    return TakeAnnouncement(std::move(aRecord));
+  };
+  announceHooks.mAccount = [this] {
+    return EncodeAccount(mSelf, mAccounts, mCatalog);
+  };
+  auto second = http_server::create(
+    mContext,
+    announce,
+    MakeAnnounceFront({ milliseconds(mSettings.mEntryRenewMs) },
+                      std::move(token.value()),
+                      std::move(announceHooks)));
+  if (!second) {
+    return Fail(role_error::CannotListen, second.error().mDetail);
+  }
+  mAnnounce = std::make_unique<http_server>(std::move(second.value()));
+  return boost::outcome_v2::success();
+}
+
+void
+entry_role::SetUpWatch()
+{
+  watch_client_config config;
+  config.mAddresses = ToHosts(mSettings.mEntryControlHosts);
+  config.mMarkInterval = milliseconds(mSettings.mEntryMarkMs);
+  config.mSeed = std::random_device{}();
+  watch_client_hooks hooks;
+  hooks.mHello = [this] { return OwnRecord(); };
+  hooks.mReport = [this](steady_time aNow) {
+    return watch_report{ 0, mCatalog.Index(), mLease.Age(aNow) };
+  };
+  hooks.mApply = [this](const watch_update& aUpdate, steady_time aNow) {
+    mCatalog.Apply(aUpdate, aNow);
+  };
+  hooks.mConfirmed = [this](steady_time aSentAt) { mLease.Confirm(aSentAt); };
+  mWatch = std::make_unique<watch_client>(
+    watch_client::create(std::move(config), std::move(hooks)));
+}
+
+void
+entry_role::StartLoops()
+{
+  RunPeriodically(
+    mContext, kTendPause, mIsStopping, [this] { return TendAnnouncements(); });
+  RunPeriodically(
+    mContext, kTendPause, mIsStopping, [this] { return TendConnections(); });
+  RunPeriodically(
+    mContext, kShipPause, mIsStopping, [this] { return ShipRefusals(); });
+}
+
+asio::awaitable<void>
+entry_role::TendAnnouncements()
+{
+  steady_time now = SteadyNow();
+  if (!mLease.IsConfirmed(now)) {
+    co_return;
+  }
+  std::vector<server_id> sponsored;
+  for (const backend_view& view : mBackends.Views(now)) {
+    bool isOurs = view.mRecord.mSponsor == mSelf &&
+                  view.mRecord.mState != server_state::Gone;
+    if (isOurs) {
+      sponsored.push_back(view.mRecord.mServer);
+    }
+  }
+  mAnnouncements.Adopt(sponsored, now);
+  for (const server_id& server : mAnnouncements.TakeLapsed(now)) {
+    auto record = mBackends.Record(server);
+    bool isOurs = record && record->mSponsor == mSelf &&
+                  record->mState != server_state::Gone;
+    if (!isOurs) {
+      continue;
+    }
+    log_event("server_lapsed").Add("server", server.mValue);
+    record->mState = server_state::Gone;
+    co_await ProposeOne(
+      *record, record->mVersion, SteadyNow() + kSystemChangeTimeout);
+  }
+}
+
+asio::awaitable<void>
+entry_role::TendConnections()
+{
+  steady_time now = SteadyNow();
+  // Unused connections count at the server too, so that a host which may
+  // have lost its share without knowing must give them up.
+  if (!mLease.IsConfirmed(now)) {
+    mBackends.CloseIdle();
+  } else {
+    mBackends.CloseSurplus(now);
+  }
+  co_return;
+}
+
+asio::awaitable<void>
+entry_role::ShipRefusals()
+{
+  std::vector<host_id> hosts = mClient.Hosts();
+  // Hosts are asked in an order of one's own, so that the load is spread.
+  std::size_t start = std::hash<host_id>{}(mSelf) % hosts.size();
+  std::rotate(hosts.begin(),
+              hosts.begin() + static_cast<std::ptrdiff_t>(start),
+              hosts.end());
+  std::size_t copies = 0;
+  std::size_t wanted = std::min(kRefusalCopies, hosts.size());
+  std::uint64_t kept = mRefusals.LastNumber();
+  for (const host_id& host : hosts) {
+    if (copies == wanted) {
+      break;
+    }
+    std::uint64_t& synced = mRefusalsSynced[host];
+    refusal_batch batch = mRefusals.After(synced, kMostInBatch);
+    if (!batch.mRefusals.empty()) {
+      auto acknowledged = co_await mClient.StoreRefusals(host, batch);
+      if (!acknowledged) {
+        continue;
+      }
+      synced = std::max(synced, acknowledged.value());
+    }
+    kept = std::min(kept, synced);
+    ++copies;
+  }
+  if (copies == wanted) {
+    mRefusals.ForgetUpTo(kept);
+  }
+}
+
+void
+entry_role::Stop()
+{
+  mIsLeaving = true;
+  log_event("leaving").Add("host", mSelf.mValue);
+  mCallers->StartClosing();
+  asio::co_spawn(
+    asio::make_strand(mContext),
+    [this]() -> asio::awaitable<void> {
+      co_await ProposeOne(
+        OwnRecord(), std::nullopt, SteadyNow() + kRecordTimeout);
+    },
+    asio::detached);
+  // Callers may hold a list with this host in it for as long as it may be
+  // kept, given out at the latest by a host that had a lease to learn it.
+  std::this_thread::sleep_for(milliseconds(mSettings.mEntryKeepListMs) +
+                              mLease.Lease());
+  steady_time end = SteadyNow() + kLongestWait;
+  while (mCallers->Active() > 0 && SteadyNow() < end) {
+    std::this_thread::sleep_for(kStopCheck);
+  }
+  while (mRefusals.After(0, 1).mRefusals.size() > 0 && SteadyNow() < end) {
+    std::this_thread::sleep_for(kStopCheck);
+  }
+  mIsStopping = true;
+  mCallers->Stop();
+  mAnnounce->Stop();
+  mWatch->Stop();
+  mClient.Stop();
+}
+
+}
--- /dev/null
+++ b/main/entry_role.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "controllers/account_controller.h"
+#include "controllers/admission_controller.h"
+#include "controllers/announcement_controller.h"
+#include "controllers/backend_controller.h"
+#include "controllers/budget_controller.h"
+#include "controllers/catalog_controller.h"
+#include "controllers/fingerprint_controller.h"
+#include "controllers/lease_controller.h"
+#include "controllers/refusal_controller.h"
+#include "drivers/announce_front.h"
+#include "drivers/backend_client.h"
+#include "drivers/control_client.h"
+#include "drivers/http_server.h"
+#include "drivers/watch_client.h"
+#include "filters/claim.h"
+#include "filters/quarantine.h"
+#include "main/role_error.h"
+#include "settings/settings.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <memory>
+
+namespace hibiscusspool {
+
+/** An entry host: the filter chain, its controllers and the edges around. */
+class entry_role
+{
+  boost::asio::io_context& mContext;
+  settings mSettings;
+  host_id mSelf;
+  incarnation_number mIncarnation;
+  control_client mClient;
+  std::unique_ptr<backend_client> mBackendClient;
+  lease_controller mLease;
+  backend_controller mBackends;
+  catalog_controller mCatalog;
+  admission_controller mAdmission;
+  budget_controller mBudgets;
+  fingerprint_controller mFingerprints;
+  account_controller mAccounts;
+  refusal_controller mRefusals;
+  announcement_controller mAnnouncements;
+  std::shared_ptr<const filter_chain> mChain;
+  std::unique_ptr<http_server> mCallers;
+  std::unique_ptr<http_server> mAnnounce;
+  std::unique_ptr<watch_client> mWatch;
+  std::atomic<bool> mIsLeaving{ false };
+  std::atomic<bool> mIsStopping{ false };
+  std::atomic<std::uint64_t> mNextNumber{ 1 };
+  std::map<host_id, std::uint64_t> mRefusalsSynced;
+  std::atomic<steady_time::rep> mCrashReportDue{ 0 };
+
+  entry_role(boost::asio::io_context& aContext,
+             settings aSettings,
+             incarnation_number aIncarnation,
+             control_client aClient);
+
+  void SetUpBackendClient();
+  void SetUpChain();
+  result<void, role_error> SetUpFronts();
+  void SetUpWatch();
+  void StartLoops();
+
+  [[nodiscard]] claim_hooks ClaimHooks();
+  [[nodiscard]] quarantine_hooks QuarantineHooks();
+  [[nodiscard]] scatter_hooks ScatterHooks();
+  [[nodiscard]] entry_host_record OwnRecord() const;
+  [[nodiscard]] std::vector<entry_host_record> ListEntryHosts(
+    const failure_domain_id& aNearby) const;
+  request_id NewNumber(std::string_view aKind);
+  [[nodiscard]] bool IsReady() const;
+
+  boost::asio::awaitable<std::optional<change_outcome>> ProposeOne(
+    record_change aWish,
+    std::optional<log_index> aIfVersion,
+    steady_time aDeadline);
+  boost::asio::awaitable<announce_answer> TakeAnnouncement(
+    server_record aRecord);
+  boost::asio::awaitable<crash_verdict> ReportCrash(crash_report aReport);
+  boost::asio::awaitable<trial_verdict> AskTrial(request_context& aRequest);
+  boost::asio::awaitable<bool> WaitForIndex(log_index aIndex,
+                                            steady_time aDeadline);
+  void RecordLater(claim_record aClaim);
+  boost::asio::awaitable<void> RecordUntilDone(claim_record aClaim);
+  void LiftSuspicion(const fingerprint_id& aFingerprint);
+  void NoteColdServer(const server_id& aServer);
+
+  boost::asio::awaitable<void> TendAnnouncements();
+  boost::asio::awaitable<void> TendConnections();
+  boost::asio::awaitable<void> ShipRefusals();
+
+public:
+  entry_role(const entry_role&) = delete;
+  entry_role& operator=(const entry_role&) = delete;
+
+  static result<std::unique_ptr<entry_role>, role_error> create(
+    boost::asio::io_context& aContext,
+    const settings& aSettings);
+
+  /**
+   * Leaves the list of entry hosts, serves for as long as callers may keep
+   * it, finishes what is under way, and stops. Blocks until it has.
+   */
+  void Stop();
+};
+
+}
--- /dev/null
+++ b/main/periodic.cpp
@@ -0,0 +1,42 @@
+#include "main/periodic.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hibiscusspool {
+
+namespace asio = boost::asio;
+
+namespace {
+
+asio::awaitable<void>
+Loop(milliseconds aPause,
+     const std::atomic<bool>& aIsStopping,
+     std::function<asio::awaitable<void>()> aStep)
+{
+  asio::steady_timer pause(co_await asio::this_coro::executor);
+  while (!aIsStopping) {
+    co_await aStep();
+    pause.expires_after(aPause);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+}
+
+}
+
+void
+RunPeriodically(asio::io_context& aContext,
+                milliseconds aPause,
+                const std::atomic<bool>& aIsStopping,
+                std::function<asio::awaitable<void>()> aStep)
+{
+  asio::co_spawn(asio::make_strand(aContext),
+                 Loop(aPause, aIsStopping, std::move(aStep)),
+                 asio::detached);
+}
+
+}
--- /dev/null
+++ b/main/periodic.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <functional>
+
+namespace hibiscusspool {
+
+/** Runs a step again and again with a pause between, until told to stop. */
+void
+RunPeriodically(boost::asio::io_context& aContext,
+                milliseconds aPause,
+                const std::atomic<bool>& aIsStopping,
+                std::function<boost::asio::awaitable<void>()> aStep);
+
+}
--- /dev/null
+++ b/messages/account_json.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "controllers/account_controller.h"
+#include "controllers/catalog_controller.h"
+
+#include <string>
+
+namespace hibiscusspool {
+
+/** One host's counts for each team, for the reports to merge. */
+std::string
+EncodeAccount(const host_id& aHost,
+              const account_controller& aAccounts,
+              const catalog_controller& aCatalog);
+
+}
--- a/messages/control_codec.cpp
+++ b/messages/control_codec.cpp
@@ -57,6 +57,8 @@
     aOut.add_snapshots(snapshot);
   }
   aOut.set_sponsor(aRecord.mSponsor.mValue);
+  aOut.set_gone_at_ms(aRecord.mGoneAt);
+  aOut.set_cold_mark(aRecord.mColdMark);
 }
 
 result<record_change, codec_error>
@@ -80,6 +82,8 @@
   record.mState = state.value();
   record.mSnapshots.assign(aIn.snapshots().begin(), aIn.snapshots().end());
   record.mSponsor.mValue = aIn.sponsor();
+  record.mGoneAt = aIn.gone_at_ms();
+  record.mColdMark = aIn.cold_mark();
   return record;
 }
 
--- /dev/null
+++ b/messages/json_reader.cpp
@@ -0,0 +1,186 @@
+#include "messages/json_reader.h"
+
+namespace hibiscusspool {
+
+namespace json = boost::json;
+
+result<json_reader, json_error>
+json_reader::create(const std::string& aText)
+{
+  json::error_code error;
+  json::parse_options options;
+  options.max_depth = 8;
+  json::value value = json::parse(aText, error, {}, options);
+  if (error || !value.is_object()) {
+    return Fail(json_error::Malformed, "The body must be one JSON object.");
+  }
+  return json_reader(std::move(value.as_object()));
+}
+
+const json::value*
+json_reader::Find(const std::string& aKey, bool aIsNeeded)
+{
+  mAsked.insert(aKey);
+  const json::value* found = mObject.if_contains(aKey);
+  if (found == nullptr && aIsNeeded) {
+    FailAt(json_error::Missing, aKey, "is missing.");
+  }
+  return found;
+}
+
+void
+json_reader::FailAt(json_error aCode,
+                    const std::string& aKey,
+                    std::string aDetail)
+{
+  if (!mFailure) {
+    mFailure = Fail(aCode, "\"" + aKey + "\" " + aDetail);
+  }
+}
+
+std::string
+json_reader::Text(const std::string& aKey, bool aIsNeeded)
+{
+  const json::value* found = Find(aKey, aIsNeeded);
+  if (found == nullptr) {
+    return {};
+  }
+  if (!found->is_string()) {
+    FailAt(json_error::WrongType, aKey, "must be a string.");
+    return {};
+  }
+  return std::string(found->get_string());
+}
+
+std::uint64_t
+json_reader::Number(const std::string& aKey,
+                    std::uint64_t aHighest,
+                    bool aIsNeeded)
+{
+  const json::value* found = Find(aKey, aIsNeeded);
+  if (found == nullptr) {
+    return 0;
+  }
+  json::error_code error;
+  auto number = found->to_number<std::uint64_t>(error);
+  if (error || found->is_double() || number > aHighest) {
+    FailAt(json_error::OutOfRange,
+           aKey,
+           "must be a whole number from 0 to " + std::to_string(aHighest) +
+             ".");
+    return 0;
+  }
+  return number;
+}
+
+std::vector<std::uint64_t>
+json_reader::Numbers(const std::string& aKey)
+{
+  std::vector<std::uint64_t> numbers;
+  const json::value* found = Find(aKey, true);
+  if (found == nullptr) {
+    return numbers;
+  }
+  if (!found->is_array()) {
+    FailAt(json_error::WrongType, aKey, "must be a list of whole numbers.");
+    return numbers;
+  }
+  for (const json::value& item : found->get_array()) {
+    json::error_code error;
+    auto number = item.to_number<std::uint64_t>(error);
+    if (error || item.is_double()) {
+      FailAt(json_error::WrongType, aKey, "must be a list of whole numbers.");
+      return numbers;
+    }
+    numbers.push_back(number);
+  }
+  return numbers;
+}
+
+std::optional<std::string>
+ScalarText(const json::value& aValue)
+{
+  if (aValue.is_string()) {
+    return std::string(aValue.get_string());
+  }
+  if (aValue.is_int64() || aValue.is_uint64() || aValue.is_bool()) {
+    return json::serialize(aValue);
+  }
+  if (aValue.is_double()) {
+    // The shortest usual form, since 9.5E-1 reads badly in a report.
+    std::ostringstream text;
+    text << aValue.get_double();
+    return text.str();
+  }
+  if (!aValue.is_array()) {
+    return std::nullopt;
+  }
+  std::string joined;
+  for (const json::value& item : aValue.get_array()) {
+    if (!item.is_string()) {
+      return std::nullopt;
+    }
+    joined += (joined.empty() ? "" : ",") + std::string(item.get_string());
+  }
+  return joined;
+}
+
+std::map<std::string, std::string>
+json_reader::Texts(const std::string& aKey)
+{
+  std::map<std::string, std::string> texts;
+  const json::value* found = Find(aKey, false);
+  if (found == nullptr) {
+    return texts;
+  }
+  if (!found->is_object()) {
+    FailAt(json_error::WrongType, aKey, "must be an object.");
+    return texts;
+  }
+  for (const auto& [name, value] : found->get_object()) {
+    AddText(std::string(name), value, texts);
+  }
+  return texts;
+}
+
+void
+json_reader::AddText(const std::string& aKey,
+                     const json::value& aValue,
+                     std::map<std::string, std::string>& aTexts)
+{
+  auto text = ScalarText(aValue);
+  if (!text) {
+    FailAt(json_error::WrongType,
+           aKey,
+           "must be a string, a number or a list of strings.");
+    return;
+  }
+  aTexts[aKey] = *text;
+}
+
+std::map<std::string, std::string>
+json_reader::OtherTexts()
+{
+  std::map<std::string, std::string> texts;
+  for (const auto& [name, value] : mObject) {
+    std::string key(name);
+    if (mAsked.insert(key).second) {
+      AddText(key, value, texts);
+    }
+  }
+  return texts;
+}
+
+std::optional<failure<json_error>>
+json_reader::Finish()
+{
+  for (const auto& [name, value] : mObject) {
+    std::string key(name);
+    if (!mAsked.contains(key)) {
+      FailAt(json_error::Unknown, key, "is not a field here.");
+    }
+  }
+  return mFailure;
+}
+
+}
--- /dev/null
+++ b/messages/json_reader.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/failure.h"
+#include "core/name_table.h"
+
+#include <boost/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hibiscusspool {
+
+enum class json_error
+{
+  Malformed,
+  WrongType,
+  Missing,
+  Unknown,
+  OutOfRange,
+};
+
+template<>
+inline constexpr name_table<json_error, 5> kNames<json_error>{ {
+  { json_error::Malformed, "malformed" },
+  { json_error::WrongType, "wrong_type" },
+  { json_error::Missing, "missing" },
+  { json_error::Unknown, "unknown" },
+  { json_error::OutOfRange, "out_of_range" },
+} };
+
+/**
+ * Reads one JSON object key by key and keeps the first failure, which names
+ * the key. Keys that nobody asked for are a failure too.
+ */
+class json_reader
+{
+  boost::json::object mObject;
+  std::set<std::string> mAsked;
+  std::optional<failure<json_error>> mFailure;
+
+  explicit json_reader(boost::json::object aObject)
+    : mObject(std::move(aObject))
+  {
+  }
+
+  const boost::json::value* Find(const std::string& aKey, bool aIsNeeded);
+  void FailAt(json_error aCode, const std::string& aKey, std::string aDetail);
+  void AddText(const std::string& aKey,
+               const boost::json::value& aValue,
+               std::map<std::string, std::string>& aTexts);
+
+public:
+  /** Errors: `Malformed` when the text is not one JSON object. */
+  static result<json_reader, json_error> create(const std::string& aText);
+
+  std::string Text(const std::string& aKey, bool aIsNeeded = true);
+  std::uint64_t Number(const std::string& aKey,
+                       std::uint64_t aHighest,
+                       bool aIsNeeded = true);
+  std::vector<std::uint64_t> Numbers(const std::string& aKey);
+  /** An object of scalars, each as text; lists as text with commas. */
+  std::map<std::string, std::string> Texts(const std::string& aKey);
+
+  /** All keys that were not asked for yet, each as text. */
+  std::map<std::string, std::string> OtherTexts();
+
+  /** The first failure, with unknown keys last. */
+  std::optional<failure<json_error>> Finish();
+};
+
+/** A scalar, or a list of scalars, as text; nothing for other values. */
+std::optional<std::string>
+ScalarText(const boost::json::value& aValue);
+
+}
--- /dev/null
+++ b/messages/operator_json.cpp
@@ -0,0 +1,298 @@
+#include "messages/operator_json.h"
+
+#include "decisions/announcement.h"
+
+#include <limits>
+
+namespace hibiscusspool {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::uint64_t kAnyNumber = std::numeric_limits<std::uint64_t>::max();
+constexpr std::uint64_t kAnyUnits = std::numeric_limits<std::uint32_t>::max();
+
+result<void, json_error>
+CheckName(const std::string& aName)
+{
+  if (!IsName(aName)) {
+    return Fail(json_error::OutOfRange,
+                "A name must be 1 to 128 letters, digits and any of . _ - :");
+  }
+  return boost::outcome_v2::success();
+}
+
+json::object
+EncodeTexts(const std::map<std::string, std::string>& aTexts)
+{
+  json::object object;
+  for (const auto& [name, text] : aTexts) {
+    object[name] = text;
+  }
+  return object;
+}
+
+struct record_encoder
+{
+  json::object operator()(const template_record& aRecord) const
+  {
+    json::object object = EncodeTexts(aRecord.mFields);
+    object["name"] = aRecord.mTemplate.mValue;
+    object["version"] = aRecord.mVersion;
+    object["parameters"] = EncodeTexts(aRecord.mDefaults);
+    return object;
+  }
+  json::object operator()(const team_record& aRecord) const
+  {
+    return { { "name", aRecord.mTeam.mValue },
+             { "version", aRecord.mVersion },
+             { "template", aRecord.mTemplate.mValue },
+             { "parameters", EncodeTexts(aRecord.mParameters) } };
+  }
+  json::object operator()(const failure_domain_record& aRecord) const
+  {
+    return { { "name", aRecord.mFailureDomain.mValue },
+             { "version", aRecord.mVersion },
+             { "state", NameOf(aRecord.mState) } };
+  }
+  json::object operator()(const entry_host_record& aRecord) const
+  {
+    return { { "host", aRecord.mHost.mValue },
+             { "version", aRecord.mVersion },
+             { "incarnation", aRecord.mIncarnation },
+             { "failure_domain", aRecord.mFailureDomain.mValue },
+             { "callers_address", aRecord.mCallersAddress },
+             { "announce_address", aRecord.mAnnounceAddress },
+             { "state", NameOf(aRecord.mState) },
+             { "sponsor", aRecord.mSponsor.mValue } };
+  }
+  json::object operator()(const server_record& aRecord) const
+  {
+    json::array snapshots;
+    for (snapshot_number snapshot : aRecord.mSnapshots) {
+      snapshots.push_back(snapshot);
+    }
+    return { { "server", aRecord.mServer.mValue },
+             { "version", aRecord.mVersion },
+             { "incarnation", aRecord.mIncarnation },
+             { "service", aRecord.mService.mValue },
+             { "failure_domain", aRecord.mFailureDomain.mValue },
+             { "address", aRecord.mAddress },
+             { "slots", aRecord.mSlots },
+             { "connections", aRecord.mConnections },
+             { "cold_slots", aRecord.mColdSlots },
+             { "state", NameOf(aRecord.mState) },
+             { "snapshots", std::move(snapshots) },
+             { "sponsor", aRecord.mSponsor.mValue } };
+  }
+  json::object operator()(const quarantine_record& aRecord) const
+  {
+    json::array servers;
+    for (const server_id& server : aRecord.mCrashedServers) {
+      servers.push_back(json::value(server.mValue));
+    }
+    return { { "fingerprint", aRecord.mFingerprint.mValue },
+             { "version", aRecord.mVersion },
+             { "crashed_servers", std::move(servers) },
+             { "trials", aRecord.mTrials.size() },
+             { "until_ms", aRecord.mUntil } };
+  }
+  json::object operator()(const claim_record& aRecord) const
+  {
+    return { { "team", aRecord.mTeam.mValue },
+             { "key", aRecord.mKey.mValue },
+             { "state", NameOf(aRecord.mState) },
+             { "owner", aRecord.mOwner.mValue } };
+  }
+  json::object operator()(const record_removal& aRecord) const
+  {
+    return { { "removed", NameOf(aRecord.mKind) }, { "name", aRecord.mName } };
+  }
+};
+
+}
+
+result<template_record, json_error>
+ParseTemplate(const std::string& aName, const std::string& aBody)
+{
+  auto named = CheckName(aName);
+  if (!named) {
+    return named.error();
+  }
+  auto reader = json_reader::create(aBody);
+  if (!reader) {
+    return reader.error();
+  }
+  template_record record;
+  record.mTemplate.mValue = aName;
+  record.mDefaults = reader.value().Texts("parameters");
+  record.mFields = reader.value().OtherTexts();
+  if (auto failed = reader.value().Finish()) {
+    return *failed;
+  }
+  return record;
+}
+
+result<team_record, json_error>
+ParseTeam(const std::string& aName, const std::string& aBody)
+{
+  auto named = CheckName(aName);
+  if (!named) {
+    return named.error();
+  }
+  auto reader = json_reader::create(aBody);
+  if (!reader) {
+    return reader.error();
+  }
+  team_record record;
+  record.mTeam.mValue = aName;
+  record.mTemplate.mValue = reader.value().Text("template");
+  record.mParameters = reader.value().Texts("parameters");
+  if (auto failed = reader.value().Finish()) {
+    return *failed;
+  }
+  return record;
+}
+
+result<failure_domain_record, json_error>
+ParseFailureDomain(const std::string& aName, const std::string& aBody)
+{
+  auto named = CheckName(aName);
+  if (!named) {
+    return named.error();
+  }
+  auto reader = json_reader::create(aBody);
+  if (!reader) {
+    return reader.error();
+  }
+  std::string text = reader.value().Text("state");
+  if (auto failed = reader.value().Finish()) {
+    return *failed;
+  }
+  auto state = ValueOf<failure_domain_state>(text);
+  if (!state) {
+    return Fail(json_error::OutOfRange,
+                "\"state\" is \"" + text + "\"; allowed are in and out.");
+  }
+  return failure_domain_record{ failure_domain_id{ aName }, 0, *state };
+}
+
+result<server_record, json_error>
+ParseAnnouncement(const std::string& aBody)
+{
+  auto made = json_reader::create(aBody);
+  if (!made) {
+    return made.error();
+  }
+  json_reader& reader = made.value();
+  server_record record;
+  record.mServer.mValue = reader.Text("server");
+  record.mIncarnation = reader.Number("incarnation", kAnyNumber);
+  record.mService.mValue = reader.Text("service");
+  record.mFailureDomain.mValue = reader.Text("failure_domain");
+  record.mAddress = reader.Text("address");
+  record.mSlots = static_cast<std::uint32_t>(reader.Number("slots", kAnyUnits));
+  record.mConnections =
+    static_cast<std::uint32_t>(reader.Number("connections", kAnyUnits));
+  record.mColdSlots =
+    static_cast<std::uint32_t>(reader.Number("cold_slots", kAnyUnits));
+  std::string state = reader.Text("state");
+  record.mSnapshots = reader.Numbers("snapshots");
+  if (auto failed = reader.Finish()) {
+    return *failed;
+  }
+  auto named = ValueOf<server_state>(state);
+  if (!named) {
+    return Fail(json_error::OutOfRange,
+                "\"state\" is \"" + state +
+                  "\"; allowed are cold, ready, draining and gone.");
+  }
+  record.mState = *named;
+  return record;
+}
+
+json::object
+EncodeRecord(const record_change& aRecord)
+{
+  return std::visit(record_encoder{}, aRecord);
+}
+
+json::object
+EncodeOutcome(const change_outcome& aOutcome)
+{
+  return { { "verdict", NameOf(aOutcome.mVerdict) },
+           { "version", aOutcome.mVersion },
+           { "index", aOutcome.mIndex },
+           { "detail", aOutcome.mDetail } };
+}
+
+json::object
+EncodeStatus(const std::vector<wire::StatusReply>& aReplies)
+{
+  json::object status;
+  json::array hosts;
+  json::array daemons;
+  const wire::StatusReply* leading = nullptr;
+  for (const wire::StatusReply& reply : aReplies) {
+    hosts.push_back({ { "host", reply.host() },
+                      { "role", reply.role() },
+                      { "leader", reply.leader() },
+                      { "term", reply.term() },
+                      { "index", reply.commit_index() } });
+    bool isNewer = leading == nullptr || reply.term() > leading->term();
+    if (reply.role() == NameOf(raft_role::Leader) && isNewer) {
+      leading = &reply;
+    }
+    for (const wire::DaemonStatus& daemon : reply.daemons()) {
+      daemons.push_back({ { "host", daemon.host().name() },
+                          { "failure_domain", daemon.host().failure_domain() },
+                          { "address", daemon.host().callers_address() },
+                          { "control_host", reply.host() },
+                          { "confirmed_index", daemon.held_index() },
+                          { "confirmed_age_ms", daemon.confirmed_age_ms() },
+                          { "heard_ms_ago", daemon.heard_ms_ago() } });
+    }
+  }
+  status["leader"] = leading != nullptr ? leading->host() : "";
+  status["index"] = leading != nullptr ? leading->commit_index() : 0;
+  status["servers"] = leading != nullptr ? leading->servers() : 0;
+  status["claims"] = leading != nullptr ? leading->claims() : 0;
+  json::array members;
+  if (leading != nullptr) {
+    for (const wire::MemberStatus& member : leading->members()) {
+      members.push_back({ { "host", member.host() },
+                          { "disk", member.disk() },
+                          { "voter", member.voter() } });
+    }
+  }
+  status["members"] = std::move(members);
+  status["control_hosts"] = std::move(hosts);
+  status["daemons"] = std::move(daemons);
+  return status;
+}
+
+json::object
+EncodeRefusals(const refusal_account& aAccount)
+{
+  json::array refusals;
+  for (const refusal& kept : aAccount.mRefusals) {
+    refusals.push_back({ { "id", kept.mId },
+                         { "team", kept.mTeam.mValue },
+                         { "request_id", kept.mRequest.mValue },
+                         { "reason", NameOf(kept.mReason) },
+                         { "ran", NameOf(kept.mRan) },
+                         { "at_ms", kept.mAt },
+                         { "detail", kept.mDetail } });
+  }
+  json::array gaps;
+  for (const refusal_gap& gap : aAccount.mGaps) {
+    gaps.push_back({ { "host", gap.mHost.mValue },
+                     { "incarnation", gap.mIncarnation },
+                     { "first", gap.mFirst },
+                     { "last", gap.mLast } });
+  }
+  return { { "refusals", std::move(refusals) }, { "gaps", std::move(gaps) } };
+}
+
+}
--- /dev/null
+++ b/settings/setting_table.cpp
@@ -0,0 +1,330 @@
+#include "settings/settings.h"
+
+namespace hibiscusspool {
+
+namespace {
+
+constexpr std::int64_t kMebibyte = 1 << 20;
+constexpr std::int64_t kHourMs = 3'600'000;
+
+setting_row
+Text(std::string aSection,
+     std::string aKey,
+     setting_type aType,
+     std::string settings::*aMember,
+     bool aIsNeeded,
+     std::string aHelp)
+{
+  return { std::move(aSection), std::move(aKey), aType, aMember, 0, 0,
+           aIsNeeded,           std::move(aHelp) };
+}
+
+setting_row
+Addresses(std::string aSection,
+          std::string aKey,
+          address_list settings::*aMember,
+          std::string aHelp)
+{
+  return { std::move(aSection),
+           std::move(aKey),
+           setting_type::AddressList,
+           aMember,
+           0,
+           0,
+           true,
+           std::move(aHelp) };
+}
+
+setting_row
+Number(std::string aSection,
+       std::string aKey,
+       setting_type aType,
+       std::int64_t settings::*aMember,
+       std::int64_t aLowest,
+       std::int64_t aHighest,
+       std::string aHelp)
+{
+  return { std::move(aSection),
+           std::move(aKey),
+           aType,
+           aMember,
+           aLowest,
+           aHighest,
+           false,
+           std::move(aHelp) };
+}
+
+std::vector<setting_row>
+HostRows()
+{
+  return {
+    Text("host",
+         "id",
+         setting_type::Name,
+         &settings::mHostId,
+         true,
+         "Name of this host, which no other host has."),
+    Text("host",
+         "failure_domain",
+         setting_type::Name,
+         &settings::mHostFailureDomain,
+         true,
+         "Failure domain that this host stands in."),
+  };
+}
+
+std::vector<setting_row>
+EntryRows()
+{
+  using type = setting_type;
+  return {
+    Text("entry",
+         "callers_address",
+         type::Address,
+         &settings::mEntryCallersAddress,
+         true,
+         "Where callers connect; it is also what callers are told."),
+    Text("entry",
+         "announce_address",
+         type::Address,
+         &settings::mEntryAnnounceAddress,
+         true,
+         "Where backend servers announce themselves."),
+    Addresses("entry",
+              "control_hosts",
+              &settings::mEntryControlHosts,
+              "The control hosts and their addresses."),
+    Text("entry",
+         "announce_token",
+         type::Path,
+         &settings::mEntryAnnounceToken,
+         false,
+         "File with the bearer token that backend servers must send."),
+    Number("entry",
+           "threads",
+           type::Count,
+           &settings::mEntryThreads,
+           1,
+           64,
+           "Threads that serve callers."),
+    Number("entry",
+           "lease_ms",
+           type::Milliseconds,
+           &settings::mEntryLeaseMs,
+           1000,
+           8000,
+           "How old the newest confirmed mark may be for new work; the same "
+           "on all hosts."),
+    Number("entry",
+           "mark_ms",
+           type::Milliseconds,
+           &settings::mEntryMarkMs,
+           50,
+           2000,
+           "How often a mark is sent to be confirmed."),
+    Number("entry",
+           "keep_list_ms",
+           type::Milliseconds,
+           &settings::mEntryKeepListMs,
+           100,
+           60'000,
+           "How long callers may keep the list of entry hosts; the same on "
+           "all hosts."),
+    Number("entry",
+           "body_bytes",
+           type::Bytes,
+           &settings::mEntryBodyBytes,
+           1024,
+           64 * kMebibyte,
+           "Largest body of a caller's request."),
+    Number("entry",
+           "answer_bytes",
+           type::Bytes,
+           &settings::mEntryAnswerBytes,
+           1024,
+           256 * kMebibyte,
+           "Largest answer taken from a backend server."),
+    Number("entry",
+           "slow_sender_ms",
+           type::Milliseconds,
+           &settings::mEntrySlowSenderMs,
+           100,
+           60'000,
+           "Time in which a request must have arrived once it began."),
+    Number("entry",
+           "most_callers",
+           type::Count,
+           &settings::mEntryMostCallers,
+           1,
+           100'000,
+           "Connections from callers at a time."),
+    Number("entry",
+           "host_limit",
+           type::Count,
+           &settings::mEntryHostLimit,
+           1,
+           100'000,
+           "Requests that this host runs at a time."),
+    Number("entry",
+           "ramp_ms",
+           type::Milliseconds,
+           &settings::mEntryRampMs,
+           0,
+           10 * 60'000,
+           "Time from the end of a server's cold start to its full load."),
+    Number("entry",
+           "hedge_percent",
+           type::Count,
+           &settings::mEntryHedgePercent,
+           0,
+           100,
+           "Hedged attempts allowed for each 100 regular ones."),
+    Number("entry",
+           "retry_percent",
+           type::Count,
+           &settings::mEntryRetryPercent,
+           0,
+           100,
+           "Retried attempts allowed for each 100 regular ones."),
+    Number("entry",
+           "idle_probe_ms",
+           type::Milliseconds,
+           &settings::mEntryIdleProbeMs,
+           100,
+           kHourMs,
+           "A connection to a backend server that was unused for longer is "
+           "replaced before use."),
+    Number("entry",
+           "renew_ms",
+           type::Milliseconds,
+           &settings::mEntryRenewMs,
+           100,
+           60'000,
+           "How often backend servers must announce themselves."),
+    Number("entry",
+           "lapse_ms",
+           type::Milliseconds,
+           &settings::mEntryLapseMs,
+           200,
+           120'000,
+           "Time without an announcement after which a server is gone."),
+    Number("entry",
+           "refusals_kept",
+           type::Count,
+           &settings::mEntryRefusalsKept,
+           100,
+           10'000'000,
+           "Refusals kept in memory until two disk hosts have them."),
+  };
+}
+
+std::vector<setting_row>
+ControlRows()
+{
+  using type = setting_type;
+  return {
+    Text("control",
+         "address",
+         type::Address,
+         &settings::mControlAddress,
+         true,
+         "Where the system's other processes connect."),
+    Text("control",
+         "operators_address",
+         type::Address,
+         &settings::mControlOperatorsAddress,
+         true,
+         "Where operators connect."),
+    Addresses("control",
+              "members",
+              &settings::mControlMembers,
+              "All control hosts, with this one; the same on each of them."),
+    Text("control",
+         "data_folder",
+         type::Path,
+         &settings::mControlDataFolder,
+         true,
+         "Folder for the replicated log and the refusals."),
+    Text("control",
+         "operators_token",
+         type::Path,
+         &settings::mControlOperatorsToken,
+         false,
+         "File with the bearer token that operators must send."),
+    Number("control",
+           "heartbeat_ms",
+           type::Milliseconds,
+           &settings::mControlHeartbeatMs,
+           10,
+           1000,
+           "How often the leader sends to the other control hosts."),
+    Number("control",
+           "election_ms",
+           type::Milliseconds,
+           &settings::mControlElectionMs,
+           100,
+           10'000,
+           "Time without a leader after which an election starts; at least "
+           "three heartbeats."),
+    Number("control",
+           "silence_ms",
+           type::Milliseconds,
+           &settings::mControlSilenceMs,
+           500,
+           60'000,
+           "Time after which an entry host that is not heard is silent."),
+    Number("control",
+           "server_lapse_ms",
+           type::Milliseconds,
+           &settings::mControlServerLapseMs,
+           500,
+           120'000,
+           "Time after which a backend server whose sponsor was lost is "
+           "gone."),
+    Number("control",
+           "snapshot_every",
+           type::Count,
+           &settings::mControlSnapshotEvery,
+           16,
+           10'000'000,
+           "Log entries after which a snapshot takes their place."),
+    Number("control",
+           "most_claims",
+           type::Count,
+           &settings::mControlMostClaims,
+           10,
+           10'000'000,
+           "Claims of non-idempotent requests that are kept."),
+    Number("control",
+           "claim_hours",
+           type::Count,
+           &settings::mControlClaimHours,
+           1,
+           24 * 30,
+           "Hours for which a settled claim is kept."),
+    Number("control",
+           "refusal_days",
+           type::Count,
+           &settings::mControlRefusalDays,
+           1,
+           365,
+           "Days for which refusals are kept."),
+  };
+}
+
+}
+
+const std::vector<setting_row>&
+SettingTable()
+{
+  static const std::vector<setting_row> sTable = [] {
+    std::vector<setting_row> rows = HostRows();
+    for (auto section : { EntryRows(), ControlRows() }) {
+      rows.insert(rows.end(), section.begin(), section.end());
+    }
+    return rows;
+  }();
+  return sTable;
+}
+
+}
--- /dev/null
+++ b/settings/settings.cpp
@@ -0,0 +1,305 @@
+#include "settings/settings.h"
+
+#include "core/address.h"
+
+#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+
+#include <charconv>
+#include <fstream>
+#include <iomanip>
+#include <set>
+#include <sstream>
+
+namespace hibiscusspool {
+
+namespace {
+
+using tree = boost::property_tree::ptree;
+
+std::string
+PlaceOf(const setting_row& aRow)
+{
+  return "[" + aRow.mSection + "] " + aRow.mKey;
+}
+
+std::string
+RangeOf(const setting_row& aRow)
+{
+  std::string type(NameOf(aRow.mType));
+  if (!std::holds_alternative<std::int64_t settings::*>(aRow.mMember)) {
+    return type;
+  }
+  return std::to_string(aRow.mLowest) + " to " + std::to_string(aRow.mHighest) +
+         (aRow.mType == setting_type::Count ? "" : " " + type);
+}
+
+failure<settings_error>
+BadValue(const setting_row& aRow, const std::string& aText)
+{
+  return Fail(settings_error::BadValue,
+              PlaceOf(aRow) + " is \"" + aText + "\"; allowed is " +
+                RangeOf(aRow) + ".");
+}
+
+bool
+IsPlainName(const std::string& aText)
+{
+  return !aText.empty() &&
+         aText.find_first_of(" \t/\",=#;") == std::string::npos;
+}
+
+result<address_list, settings_error>
+ReadAddresses(const setting_row& aRow, const std::string& aText)
+{
+  address_list addresses;
+  std::istringstream parts(aText);
+  for (std::string part; std::getline(parts, part, ',');) {
+    std::erase(part, ' ');
+    std::size_t equals = part.find('=');
+    bool isPair = equals != std::string::npos &&
+                  IsPlainName(part.substr(0, equals)) &&
+                  ParseAddress(part.substr(equals + 1)).has_value();
+    if (!isPair) {
+      return BadValue(aRow, aText);
+    }
+    bool isNew =
+      addresses.emplace(part.substr(0, equals), part.substr(equals + 1)).second;
+    if (!isNew) {
+      return Fail(settings_error::BadValue,
+                  PlaceOf(aRow) + " names host \"" + part.substr(0, equals) +
+                    "\" twice.");
+    }
+  }
+  if (addresses.empty()) {
+    return BadValue(aRow, aText);
+  }
+  return addresses;
+}
+
+/** Sets the member that a row names. */
+struct value_setter
+{
+  settings& mSettings;
+  const setting_row& mRow;
+  const std::string& mText;
+
+  result<void, settings_error> operator()(std::string settings::*aMember) const
+  {
+    bool isGood = !mText.empty();
+    if (mRow.mType == setting_type::Name) {
+      isGood = IsPlainName(mText);
+    }
+    if (mRow.mType == setting_type::Address) {
+      isGood = ParseAddress(mText).has_value();
+    }
+    if (!isGood) {
+      return BadValue(mRow, mText);
+    }
+    mSettings.*aMember = mText;
+    return boost::outcome_v2::success();
+  }
+
+  result<void, settings_error> operator()(address_list settings::*aMember) const
+  {
+    auto addresses = ReadAddresses(mRow, mText);
+    if (!addresses) {
+      return addresses.error();
+    }
+    mSettings.*aMember = std::move(addresses.value());
+    return boost::outcome_v2::success();
+  }
+
+  result<void, settings_error> operator()(std::int64_t settings::*aMember) const
+  {
+    std::int64_t number = 0;
+    const char* end = mText.data() + mText.size();
+    auto [stop, problem] = std::from_chars(mText.data(), end, number);
+    bool isGood = problem == std::errc{} && stop == end &&
+                  number >= mRow.mLowest && number <= mRow.mHighest;
+    if (!isGood) {
+      return BadValue(mRow, mText);
+    }
+    mSettings.*aMember = number;
+    return boost::outcome_v2::success();
+  }
+};
+
+result<void, settings_error>
+CheckNames(const tree& aTree)
+{
+  std::set<std::string> sections;
+  std::set<std::string> places;
+  for (const setting_row& row : SettingTable()) {
+    sections.insert(row.mSection);
+    places.insert(PlaceOf(row));
+  }
+  for (const auto& [section, keys] : aTree) {
+    if (!sections.contains(section)) {
+      return Fail(settings_error::UnknownSection,
+                  "There is no section [" + section +
+                    "]; there are [host], [entry] and [control].");
+    }
+    for (const auto& [key, value] : keys) {
+      std::string place = "[" + section + "] " + key;
+      if (!places.contains(place)) {
+        return Fail(settings_error::UnknownKey,
+                    "There is no setting " + place + ".");
+      }
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void, settings_error>
+CheckTogether(const settings& aSettings)
+{
+  auto bad = [](std::string aDetail) {
+    return Fail(settings_error::BadValue, std::move(aDetail));
+  };
+  if (!aSettings.IsEntry() && !aSettings.IsControl()) {
+    return Fail(settings_error::MissingKey,
+                "The file needs a section [entry] or [control].");
+  }
+  if (aSettings.IsEntry() &&
+      aSettings.mEntryMarkMs * 3 > aSettings.mEntryLeaseMs) {
+    return bad("[entry] lease_ms must be at least three times mark_ms.");
+  }
+  if (aSettings.IsEntry() &&
+      aSettings.mEntryRenewMs * 2 > aSettings.mEntryLapseMs) {
+    return bad("[entry] lapse_ms must be at least twice renew_ms.");
+  }
+  if (!aSettings.IsControl()) {
+    return boost::outcome_v2::success();
+  }
+  if (aSettings.mControlElectionMs < 3 * aSettings.mControlHeartbeatMs) {
+    return bad("[control] election_ms must be at least three heartbeat_ms.");
+  }
+  if (!aSettings.mControlMembers.contains(aSettings.mHostId)) {
+    return bad("[control] members does not name this host, \"" +
+               aSettings.mHostId + "\".");
+  }
+  std::size_t members = aSettings.mControlMembers.size();
+  if (members > 9 || members % 2 == 0) {
+    return bad("[control] members names " + std::to_string(members) +
+               " hosts; allowed are 1, 3, 5, 7 or 9.");
+  }
+  return boost::outcome_v2::success();
+}
+
+}
+
+result<settings, settings_error>
+ParseSettings(const std::string& aText)
+{
+  tree parsed;
+  std::istringstream text(aText);
+  try {
+    boost::property_tree::read_ini(text, parsed);
+  } catch (const boost::property_tree::ini_parser_error& problem) {
+    return Fail(settings_error::Malformed,
+                "Line " + std::to_string(problem.line()) + ": " +
+                  problem.message() + ".");
+  }
+  auto checked = CheckNames(parsed);
+  if (!checked) {
+    return checked.error();
+  }
+  settings loaded;
+  for (const setting_row& row : SettingTable()) {
+    auto section = parsed.find(row.mSection);
+    if (section == parsed.not_found()) {
+      if (row.mSection == "host") {
+        return Fail(settings_error::MissingKey, "There is no section [host].");
+      }
+      continue;
+    }
+    auto value = section->second.find(row.mKey);
+    if (value == section->second.not_found()) {
+      if (row.mIsNeeded) {
+        return Fail(settings_error::MissingKey, PlaceOf(row) + " is missing.");
+      }
+      continue;
+    }
+    std::string valueText = value->second.data();
+    auto set = std::visit(value_setter{ loaded, row, valueText }, row.mMember);
+    if (!set) {
+      return set.error();
+    }
+  }
+  auto together = CheckTogether(loaded);
+  if (!together) {
+    return together.error();
+  }
+  return loaded;
+}
+
+result<settings, settings_error>
+LoadSettings(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    return Fail(settings_error::CannotRead, "Can't read " + aPath + ".");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  auto loaded = ParseSettings(text.str());
+  if (!loaded) {
+    return Fail(loaded.error().mCode, aPath + ": " + loaded.error().mDetail);
+  }
+  return loaded;
+}
+
+namespace {
+
+std::string
+DefaultOf(const setting_row& aRow)
+{
+  static const settings sDefaults;
+  if (aRow.mIsNeeded) {
+    return "needed";
+  }
+  const auto* number = std::get_if<std::int64_t settings::*>(&aRow.mMember);
+  return number != nullptr ? std::to_string(sDefaults.*(*number)) : "not set";
+}
+
+}
+
+std::string
+SettingsHelp()
+{
+  std::ostringstream help;
+  std::string section;
+  for (const setting_row& row : SettingTable()) {
+    if (row.mSection != section) {
+      section = row.mSection;
+      help << "\n[" << section << "]\n";
+    }
+    help << "  " << std::left << std::setw(20) << row.mKey << RangeOf(row)
+         << ", " << DefaultOf(row) << "\n      " << row.mHelp << "\n";
+  }
+  return help.str();
+}
+
+std::string
+SettingsPage()
+{
+  std::ostringstream page;
+  page << "# Settings\n\nMade from the table in "
+          "`settings/setting_table.cpp` by `hibiscusspool check "
+          "--page`.\n";
+  std::string section;
+  for (const setting_row& row : SettingTable()) {
+    if (row.mSection != section) {
+      section = row.mSection;
+      page << "\n## [" << section
+           << "]\n\n| key | allowed | default | meaning |\n"
+              "|---|---|---|---|\n";
+    }
+    page << "| `" << row.mKey << "` | " << RangeOf(row) << " | "
+         << DefaultOf(row) << " | " << row.mHelp << " |\n";
+  }
+  return page.str();
+}
+
+}
--- /dev/null
+++ b/settings/settings.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "core/failure.h"
+#include "core/name_table.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hibiscusspool {
+
+enum class settings_error
+{
+  CannotRead,
+  Malformed,
+  UnknownSection,
+  UnknownKey,
+  MissingKey,
+  BadValue,
+};
+
+template<>
+inline constexpr name_table<settings_error, 6> kNames<settings_error>{ {
+  { settings_error::CannotRead, "cannot_read" },
+  { settings_error::Malformed, "malformed" },
+  { settings_error::UnknownSection, "unknown_section" },
+  { settings_error::UnknownKey, "unknown_key" },
+  { settings_error::MissingKey, "missing_key" },
+  { settings_error::BadValue, "bad_value" },
+} };
+
+enum class setting_type
+{
+  Name,
+  Address,
+  /** `host=ip:port`, comma between them. */
+  AddressList,
+  Path,
+  Count,
+  Milliseconds,
+  Bytes,
+};
+
+template<>
+inline constexpr name_table<setting_type, 7> kNames<setting_type>{ {
+  { setting_type::Name, "name" },
+  { setting_type::Address, "ip:port" },
+  { setting_type::AddressList, "list of host=ip:port" },
+  { setting_type::Path, "path" },
+  { setting_type::Count, "count" },
+  { setting_type::Milliseconds, "ms" },
+  { setting_type::Bytes, "bytes" },
+} };
+
+using address_list = std::map<std::string, std::string>;
+
+/** All settings of one process, checked. Empty texts are not set. */
+struct settings
+{
+  std::string mHostId;
+  std::string mHostFailureDomain;
+
+  std::string mEntryCallersAddress;
+  std::string mEntryAnnounceAddress;
+  address_list mEntryControlHosts;
+  std::int64_t mEntryThreads = 4;
+  std::int64_t mEntryLeaseMs = 4000;
+  std::int64_t mEntryMarkMs = 500;
+  std::int64_t mEntryKeepListMs = 5000;
+  std::int64_t mEntryBodyBytes = 1 << 20;
+  std::int64_t mEntryAnswerBytes = 16 << 20;
+  std::int64_t mEntrySlowSenderMs = 5000;
+  std::int64_t mEntryMostCallers = 4096;
+  std::int64_t mEntryHostLimit = 512;
+  std::int64_t mEntryRampMs = 10'000;
+  std::int64_t mEntryHedgePercent = 5;
+  std::int64_t mEntryRetryPercent = 10;
+  std::int64_t mEntryIdleProbeMs = 5000;
+  std::int64_t mEntryRenewMs = 1000;
+  std::int64_t mEntryLapseMs = 4000;
+  std::int64_t mEntryRefusalsKept = 100'000;
+  std::string mEntryAnnounceToken;
+
+  std::string mControlAddress;
+  std::string mControlOperatorsAddress;
+  address_list mControlMembers;
+  std::string mControlDataFolder;
+  std::string mControlOperatorsToken;
+  std::int64_t mControlHeartbeatMs = 100;
+  std::int64_t mControlElectionMs = 1000;
+  std::int64_t mControlSilenceMs = 3000;
+  std::int64_t mControlServerLapseMs = 6000;
+  std::int64_t mControlSnapshotEvery = 4096;
+  std::int64_t mControlMostClaims = 200'000;
+  std::int64_t mControlClaimHours = 48;
+  std::int64_t mControlRefusalDays = 14;
+
+  [[nodiscard]] bool IsEntry() const { return !mEntryCallersAddress.empty(); }
+  [[nodiscard]] bool IsControl() const { return !mControlAddress.empty(); }
+};
+
+using setting_member = std::variant<std::string settings::*,
+                                    address_list settings::*,
+                                    std::int64_t settings::*>;
+
+/** One setting: its place, type, range, default and meaning. */
+struct setting_row
+{
+  std::string mSection;
+  std::string mKey;
+  setting_type mType = setting_type::Name;
+  setting_member mMember;
+  /** The lowest and highest allowed number. */
+  std::int64_t mLowest = 0;
+  std::int64_t mHighest = 0;
+  /** The section must have it. */
+  bool mIsNeeded = false;
+  std::string mHelp;
+};
+
+/** The one table of settings, from which checks, help and docs are made. */
+const std::vector<setting_row>&
+SettingTable();
+
+/**
+ * Reads and checks an INI file. Errors name the section and key, the value,
+ * and what is allowed.
+ */
+result<settings, settings_error>
+LoadSettings(const std::string& aPath);
+
+/** The same for a text. */
+result<settings, settings_error>
+ParseSettings(const std::string& aText);
+
+/** The table as text for a terminal. */
+std::string
+SettingsHelp();
+
+/** The table as `docs/SETTINGS.md`. */
+std::string
+SettingsPage();
+
+}
--- a/tests/decisions/raft_node_test.cpp
+++ b/tests/decisions/raft_node_test.cpp
@@ -175,17 +175,17 @@
   void Isolate(std::size_t aPlace)
   {
     for (const test_member& other : mMembers) {
-      mCut.insert({ mMembers[aPlace].mId.mHost.mValue,
-                    other.mId.mHost.mValue });
-      mCut.insert({ other.mId.mHost.mValue,
-                    mMembers[aPlace].mId.mHost.mValue });
+      mCut.insert(
+        { mMembers[aPlace].mId.mHost.mValue, other.mId.mHost.mValue });
+      mCut.insert(
+        { other.mId.mHost.mValue, mMembers[aPlace].mId.mHost.mValue });
     }
   }
 
   void CutOneWay(std::size_t aFrom, std::size_t aTo)
   {
-    mCut.insert({ mMembers[aFrom].mId.mHost.mValue,
-                  mMembers[aTo].mId.mHost.mValue });
+    mCut.insert(
+      { mMembers[aFrom].mId.mHost.mValue, mMembers[aTo].mId.mHost.mValue });
   }
 
   void Heal() { mCut.clear(); }
@@ -273,8 +273,7 @@
 
   void PassFor(milliseconds aTime)
   {
-    for (milliseconds passed{ 0 }; passed < aTime;
-         passed += milliseconds(10)) {
+    for (milliseconds passed{ 0 }; passed < aTime; passed += milliseconds(10)) {
       Pass();
     }
   }
@@ -364,8 +363,8 @@
       std::size_t place = index - aMember.mNode->Snapshot().mIndex - 1;
       if (place >= aMember.mNode->Log().size() ||
           aMember.mNode->Log()[place] != entry) {
-        mBroken = "A new leader lacks committed entry " +
-                  std::to_string(index) + ".";
+        mBroken =
+          "A new leader lacks committed entry " + std::to_string(index) + ".";
       }
     }
   }
@@ -376,8 +375,8 @@
     const auto& log = aMember.mNode->Log();
     const auto& disk = aMember.mDisk.mEntries;
     bool isSame = disk.size() == log.size() &&
-                  (log.empty() || (disk.back() == log.back() &&
-                                   disk.front() == log.front()));
+                  (log.empty() ||
+                   (disk.back() == log.back() && disk.front() == log.front()));
     if (!isSame) {
       mBroken = "The disk of " + PeerName(aMember.mId) +
                 " differs from the member's log.";
@@ -405,7 +404,8 @@
     case 3:
       if (aState.mDownUntil[place] == 0) {
         aGroup.Crash(place);
-        aState.mDownUntil[place] = aStep + 1 + static_cast<int>(aGroup.Pick(20));
+        aState.mDownUntil[place] =
+          aStep + 1 + static_cast<int>(aGroup.Pick(20));
       }
       break;
     case 4:
@@ -434,7 +434,8 @@
     case 17:
       if (aState.mDownUntil[place] == 0 && aGroup.IsWhole()) {
         aGroup.LoseDisk(place);
-        aState.mDownUntil[place] = aStep + 1 + static_cast<int>(aGroup.Pick(20));
+        aState.mDownUntil[place] =
+          aStep + 1 + static_cast<int>(aGroup.Pick(20));
       }
       break;
     default:
