--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -469,6 +469,20 @@
   mHooks.mClose(closed);
 }
 
+bool
+backend_controller::HasItsShares(steady_time aNow) const
+{
+  bool hasAll = true;
+  mServices.ForEach(
+    [&](const service_id& /*aName*/, const service_pool& aPool) {
+      for (const backend& entry : aPool.mBackends) {
+        bool waits = Share(entry, aNow) == 0 && entry.mShare.HasGain(aNow);
+        hasAll = hasAll && !waits;
+      }
+    });
+  return hasAll;
+}
+
 std::vector<service_snapshots>
 backend_controller::Snapshots(const std::vector<service_id>& aServices)
 {
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -217,6 +217,9 @@
   /** Closes what the shares no longer allow. */
   void CloseSurplus(steady_time aNow);
 
+  /** True when no server's share still waits to be handed over. */
+  [[nodiscard]] bool HasItsShares(steady_time aNow) const;
+
   /** Index versions that each service can answer from now. */
   std::vector<service_snapshots> Snapshots(
     const std::vector<service_id>& aServices);
--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -26,7 +26,7 @@
 }
 
 result<std::unique_ptr<control_group>, group_error>
-control_group::create(control_group_config aConfig,
+control_group::Create(control_group_config aConfig,
                       control_group_hooks aHooks,
                       raft_persisted aPersisted,
                       steady_time aNow)
@@ -39,7 +39,7 @@
     }
     state = std::move(*decoded);
   }
-  auto node = raft_node::create(aConfig.mRaft, std::move(aPersisted), aNow);
+  auto node = raft_node::Create(aConfig.mRaft, std::move(aPersisted), aNow);
   if (!node) {
     return Fail(group_error::BadStart, node.error().mDetail);
   }
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -198,7 +198,7 @@
   control_group(const control_group&) = delete;
   control_group& operator=(const control_group&) = delete;
 
-  static result<std::unique_ptr<control_group>, group_error> create(
+  static result<std::unique_ptr<control_group>, group_error> Create(
     control_group_config aConfig,
     control_group_hooks aHooks,
     raft_persisted aPersisted,
--- a/controllers/watch_hub.h
+++ b/controllers/watch_hub.h
@@ -24,6 +24,8 @@
   std::uint64_t mMark = 0;
   log_index mHeldIndex = 0;
   milliseconds mConfirmedAge{ 0 };
+  /** The daemon's shares of the backend servers are handed over. */
+  bool mIsUsable = false;
 };
 
 /** The next message to a daemon. */
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -1,9 +1,31 @@
 #include "core/log_event.h"
 
+#include "core/clock.h"
+
+#include <ctime>
+#include <iomanip>
+
 #include <glog/logging.h>
 
 namespace hibiscusspool {
 
+namespace {
+
+/** The time in UTC with milliseconds, as in 2026-12-04T07:09:35.123Z. */
+std::string
+TimeText(std::chrono::system_clock::time_point aTime)
+{
+  std::time_t seconds = std::chrono::system_clock::to_time_t(aTime);
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::ostringstream text;
+  text << std::put_time(&parts, "%Y-%m-%dT%H:%M:%S.") << std::setw(3)
+       << std::setfill('0') << ToWallMs(aTime) % 1000 << 'Z';
+  return text.str();
+}
+
+}
+
 std::string
 QuoteLogValue(std::string_view aValue)
 {
@@ -30,7 +52,8 @@
 log_event::log_event(std::string_view aName, severity aSeverity)
   : mSeverity(aSeverity)
 {
-  mLine << "event=" << aName;
+  mLine << "time=" << TimeText(std::chrono::system_clock::now())
+        << " level=" << NameOf(aSeverity) << " event=" << aName;
 }
 
 log_event::~log_event()
--- a/core/log_event.h
+++ b/core/log_event.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/name_table.h"
+
 #include <concepts>
 #include <sstream>
 #include <string>
@@ -7,19 +9,29 @@
 
 namespace hibiscusspool {
 
+enum class log_severity
+{
+  Info,
+  Warning,
+  Error,
+};
+
+template<>
+inline constexpr name_table<log_severity, 3> kNames<log_severity>{ {
+  { log_severity::Info, "info" },
+  { log_severity::Warning, "warning" },
+  { log_severity::Error, "error" },
+} };
+
 /**
- * One line of the log: `event=NAME key=value …`. Values with blanks, quotes or
- * equals signs are quoted. The line is written when the object goes.
+ * One line of the log: `time=… level=… event=NAME key=value …`. Values with
+ * blanks, quotes or equals signs are quoted. The line is written when the
+ * object goes.
  */
 class log_event
 {
 public:
-  enum class severity
-  {
-    Info,
-    Warning,
-    Error,
-  };
+  using severity = log_severity;
 
 private:
   severity mSeverity;
--- a/decisions/membership.cpp
+++ b/decisions/membership.cpp
@@ -6,6 +6,19 @@
 
 namespace {
 
+/** The state that a heard daemon of a known run should have. */
+entry_host_state
+NextState(const heard_daemon& aDaemon, const entry_host_record& aKnown)
+{
+  if (aKnown.mState == entry_host_state::Serving) {
+    return entry_host_state::Serving;
+  }
+  // Only a daemon that knows that it joined can say that it is done.
+  bool isDone = aKnown.mState == entry_host_state::Joining &&
+                aDaemon.mIsUsable && aDaemon.mHeldIndex >= aKnown.mVersion;
+  return isDone ? entry_host_state::Serving : entry_host_state::Joining;
+}
+
 /** True once something has been missed for longer than allowed. */
 template<typename id>
 bool
@@ -43,20 +56,21 @@
       continue;
     }
     auto found = aView.mEntryHosts.find(daemon.mHost.mHost);
-    bool isKnown = found != aView.mEntryHosts.end() &&
-                   found->second.mIncarnation >= daemon.mHost.mIncarnation;
-    if (isKnown) {
+    entry_host_state state = entry_host_state::Joining;
+    if (found != aView.mEntryHosts.end() &&
+        found->second.mIncarnation >= daemon.mHost.mIncarnation) {
       const entry_host_record& known = found->second;
-      bool isSettled = known.mIncarnation > daemon.mHost.mIncarnation ||
-                       known.mState == entry_host_state::Leaving ||
-                       (known.mState == entry_host_state::Serving &&
-                        known.mSponsor == mConfig.mSelf);
+      state = NextState(daemon, known);
+      bool isSettled =
+        known.mIncarnation > daemon.mHost.mIncarnation ||
+        known.mState == entry_host_state::Leaving ||
+        (known.mState == state && known.mSponsor == mConfig.mSelf);
       if (isSettled) {
         continue;
       }
     }
     entry_host_record arrival = daemon.mHost;
-    arrival.mState = entry_host_state::Serving;
+    arrival.mState = state;
     arrival.mSponsor = mConfig.mSelf;
     aWishes.emplace_back(std::move(arrival));
   }
--- a/decisions/membership.h
+++ b/decisions/membership.h
@@ -22,6 +22,9 @@
 {
   entry_host_record mHost;
   steady_time mHeardAt;
+  /** It says that its shares are handed over, as of `mHeldIndex`. */
+  bool mIsUsable = false;
+  log_index mHeldIndex = 0;
 };
 
 /** What a control host sees of the whole, besides its own streams. */
--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -16,7 +16,7 @@
 }
 
 result<raft_node, raft_error>
-raft_node::create(raft_config aConfig,
+raft_node::Create(raft_config aConfig,
                   raft_persisted aPersisted,
                   steady_time aNow)
 {
@@ -65,10 +65,10 @@
 }
 
 bool
-raft_node::IsVoter(const raft_peer_id& aPeer) const
+raft_node::IsVoter(const raft_peer_id& aId) const
 {
-  return std::any_of(mPeers.begin(), mPeers.end(), [&](const raft_peer& peer) {
-    return peer.mIsVoter && peer.mId == aPeer;
+  return std::any_of(mPeers.begin(), mPeers.end(), [&](const raft_peer& aPeer) {
+    return aPeer.mIsVoter && aPeer.mId == aId;
   });
 }
 
@@ -76,8 +76,8 @@
 raft_node::Quorum() const
 {
   auto voters =
-    std::count_if(mPeers.begin(), mPeers.end(), [](const raft_peer& peer) {
-      return peer.mIsVoter;
+    std::count_if(mPeers.begin(), mPeers.end(), [](const raft_peer& aPeer) {
+      return aPeer.mIsVoter;
     });
   return static_cast<std::size_t>(voters) / 2 + 1;
 }
@@ -526,8 +526,8 @@
 raft_node::TickOther(steady_time aNow)
 {
   bool isMember =
-    std::any_of(mPeers.begin(), mPeers.end(), [&](const raft_peer& peer) {
-      return peer.mId == mConfig.mSelf;
+    std::any_of(mPeers.begin(), mPeers.end(), [&](const raft_peer& aPeer) {
+      return aPeer.mId == mConfig.mSelf;
     });
   if (!isMember && aNow >= mJoinDue) {
     AskToJoin(aNow);
@@ -572,8 +572,8 @@
     }
   }
   // A learner that came back with yet another disk never held a vote.
-  std::erase_if(peers, [&](const raft_peer& peer) {
-    return !peer.mIsVoter && peer.mId.mHost == aMessage.mFrom.mHost;
+  std::erase_if(peers, [&](const raft_peer& aPeer) {
+    return !aPeer.mIsVoter && aPeer.mId.mHost == aMessage.mFrom.mHost;
   });
   peers.push_back({ aMessage.mFrom, false });
   ChangePeers(std::move(peers), aNow);
@@ -619,8 +619,8 @@
     auto later = std::find_if(
       peers.begin() + static_cast<std::ptrdiff_t>(place) + 1,
       peers.end(),
-      [&](const raft_peer& peer) {
-        return peer.mIsVoter && peer.mId.mHost == peers[place].mId.mHost;
+      [&](const raft_peer& aPeer) {
+        return aPeer.mIsVoter && aPeer.mId.mHost == peers[place].mId.mHost;
       });
     bool isSelf = peers[place].mId == mConfig.mSelf;
     if (later != peers.end() && !isSelf) {
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -107,7 +107,7 @@
     return mLog[aIndex - FirstIndex()];
   }
   [[nodiscard]] std::optional<raft_term> TermAt(log_index aIndex) const;
-  [[nodiscard]] bool IsVoter(const raft_peer_id& aPeer) const;
+  [[nodiscard]] bool IsVoter(const raft_peer_id& aId) const;
   [[nodiscard]] std::size_t Quorum() const;
   [[nodiscard]] bool IsUpToDate(const raft_message& aVote) const;
   [[nodiscard]] bool HearsLeader(steady_time aNow) const;
@@ -155,7 +155,7 @@
    * Makes a member from its settings and its disk.
    * Errors: `BadConfig` without a name, `BadLog` when entries have gaps.
    */
-  static result<raft_node, raft_error> create(raft_config aConfig,
+  static result<raft_node, raft_error> Create(raft_config aConfig,
                                               raft_persisted aPersisted,
                                               steady_time aNow);
 
--- a/decisions/records.h
+++ b/decisions/records.h
@@ -47,13 +47,16 @@
   Serving,
   Leaving,
   Silent,
+  /** It holds the facts, but waits for its shares to be handed over. */
+  Joining,
 };
 
 template<>
-inline constexpr name_table<entry_host_state, 3> kNames<entry_host_state>{ {
+inline constexpr name_table<entry_host_state, 4> kNames<entry_host_state>{ {
   { entry_host_state::Serving, "serving" },
   { entry_host_state::Leaving, "leaving" },
   { entry_host_state::Silent, "silent" },
+  { entry_host_state::Joining, "joining" },
 } };
 
 enum class claim_state
--- a/decisions/refusal.cpp
+++ b/decisions/refusal.cpp
@@ -26,10 +26,9 @@
   refusal_account account;
   for (const auto& [name, merged] : runs) {
     std::uint64_t expected = 1;
-    auto addGap = [&](std::uint64_t aNext) {
+    auto addGap = [&account, &expected, of = name](std::uint64_t aNext) {
       if (aNext > expected) {
-        account.mGaps.push_back(
-          { name.first, name.second, expected, aNext - 1 });
+        account.mGaps.push_back({ of.first, of.second, expected, aNext - 1 });
       }
       expected = aNext + 1;
     };
--- a/decisions/share.cpp
+++ b/decisions/share.cpp
@@ -70,6 +70,14 @@
   }
 }
 
+bool
+share_holder::HasGain(steady_time aNow) const
+{
+  return std::any_of(mGains.begin(), mGains.end(), [&](const gain& aGain) {
+    return aGain.mUsableAt > aNow;
+  });
+}
+
 std::uint32_t
 share_holder::Usable(steady_time aNow) const
 {
--- a/decisions/share.h
+++ b/decisions/share.h
@@ -43,6 +43,8 @@
   /** Sets what is granted of a server that no host has used before. */
   void SetFresh(std::uint32_t aUnits);
   [[nodiscard]] std::uint32_t Usable(steady_time aNow) const;
+  /** True while some gain waits for its hand-over. */
+  [[nodiscard]] bool HasGain(steady_time aNow) const;
 };
 
 }
--- a/drivers/access_token.cpp
+++ b/drivers/access_token.cpp
@@ -11,7 +11,7 @@
 }
 
 result<access_token, token_error>
-access_token::create(const std::string& aPath)
+access_token::Create(const std::string& aPath)
 {
   if (aPath.empty()) {
     return access_token("");
--- a/drivers/access_token.h
+++ b/drivers/access_token.h
@@ -31,7 +31,7 @@
 
 public:
   /** An empty path makes a token that lets everybody in. */
-  static result<access_token, token_error> create(const std::string& aPath);
+  static result<access_token, token_error> Create(const std::string& aPath);
 
   /** Compares a header `Authorization: Bearer …` in constant time. */
   [[nodiscard]] bool Admits(const std::string& aHeader) const;
--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -298,7 +298,7 @@
 }
 
 backend_client
-backend_client::create(asio::io_context& aContext,
+backend_client::Create(asio::io_context& aContext,
                        backend_client_config aConfig,
                        backend_client_hooks aHooks)
 {
--- a/drivers/backend_client.h
+++ b/drivers/backend_client.h
@@ -39,7 +39,7 @@
   explicit backend_client(std::shared_ptr<state> aState);
 
 public:
-  static backend_client create(boost::asio::io_context& aContext,
+  static backend_client Create(boost::asio::io_context& aContext,
                                backend_client_config aConfig,
                                backend_client_hooks aHooks);
 
--- a/drivers/callers_front.cpp
+++ b/drivers/callers_front.cpp
@@ -91,7 +91,7 @@
   std::int64_t wait = 0;
   const char* end = text->data() + text->size();
   auto [stop, problem] = std::from_chars(text->data(), end, wait);
-  constexpr std::int64_t kLongest = 24 * 3'600'000;
+  constexpr std::int64_t kLongest = 86'400'000;
   bool isGood =
     problem == std::errc{} && stop == end && wait > 0 && wait <= kLongest;
   if (!isGood) {
--- a/drivers/control_client.cpp
+++ b/drivers/control_client.cpp
@@ -124,13 +124,14 @@
     }
     auto initiate = [this, call, executor, number, &aStart](auto aHandler) {
       auto shared = std::make_shared<decltype(aHandler)>(std::move(aHandler));
-      aStart(*call,
-             [this, call, shared, executor, number](grpc::Status aStatus) {
-               asio::post(executor, [shared, aStatus] {
-                 (*shared)(static_cast<int>(aStatus.error_code()));
-               });
-               EndCall(*number);
-             });
+      aStart(
+        *call,
+        [this, call, shared, executor, number](const grpc::Status& aStatus) {
+          asio::post(executor, [shared, aStatus] {
+            (*shared)(static_cast<int>(aStatus.error_code()));
+          });
+          EndCall(*number);
+        });
     };
     int code =
       co_await asio::async_initiate<const asio::use_awaitable_t<>&, void(int)>(
@@ -151,7 +152,7 @@
 }
 
 result<control_client, client_error>
-control_client::create(asio::any_io_executor aExecutor,
+control_client::Create(asio::any_io_executor aExecutor,
                        std::map<host_id, std::string> aAddresses)
 {
   if (aAddresses.empty()) {
--- a/drivers/control_client.h
+++ b/drivers/control_client.h
@@ -44,7 +44,7 @@
 
 public:
   /** `aAddresses` gives the `ip:port` of each control host. */
-  static result<control_client, client_error> create(
+  static result<control_client, client_error> Create(
     boost::asio::any_io_executor aExecutor,
     std::map<host_id, std::string> aAddresses);
 
--- a/drivers/control_service.cpp
+++ b/drivers/control_service.cpp
@@ -118,9 +118,11 @@
                    "A stream starts with the daemon's own record." });
       return;
     }
-    mHooks.mReport(
-      mStream,
-      { mUp.mark(), mUp.held_index(), milliseconds(mUp.confirmed_age_ms()) });
+    mHooks.mReport(mStream,
+                   { mUp.mark(),
+                     mUp.held_index(),
+                     milliseconds(mUp.confirmed_age_ms()),
+                     mUp.usable() });
     Wake(mGate);
     StartRead(&mUp);
   }
@@ -248,7 +250,7 @@
                                           wire::RefusalAck* aReply) override
   {
     auto* reactor = aContext->DefaultReactor();
-    auto synced = mHooks.mStoreRefusals(ReadRefusals(*aRequest));
+    auto synced = mHooks.mStoreRefusals(hibiscusspool::ReadRefusals(*aRequest));
     if (!synced) {
       reactor->Finish({ grpc::StatusCode::UNAVAILABLE, "The disk failed." });
       return reactor;
@@ -272,11 +274,6 @@
   }
 
 private:
-  refusal_batch ReadRefusals(const wire::RefusalBatch& aBatch)
-  {
-    return hibiscusspool::ReadRefusals(aBatch);
-  }
-
   void WriteDaemons(wire::StatusReply& aReply)
   {
     steady_time now = mHooks.mSteadyNow();
@@ -317,7 +314,7 @@
 control_service::~control_service() = default;
 
 result<control_service, service_error>
-control_service::create(const std::string& aAddress,
+control_service::Create(const std::string& aAddress,
                         control_service_hooks aHooks)
 {
   auto made = std::make_unique<edge>(std::move(aHooks));
--- a/drivers/control_service.h
+++ b/drivers/control_service.h
@@ -62,7 +62,7 @@
   control_service& operator=(control_service&&) noexcept;
   ~control_service();
 
-  static result<control_service, service_error> create(
+  static result<control_service, service_error> Create(
     const std::string& aAddress,
     control_service_hooks aHooks);
 
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -248,7 +248,7 @@
 }
 
 result<http_server, http_error>
-http_server::create(asio::io_context& aContext,
+http_server::Create(asio::io_context& aContext,
                     http_server_config aConfig,
                     http_handler aHandler)
 {
@@ -310,7 +310,7 @@
     ++aState->mCount;
     asio::co_spawn(connection->mStream.get_executor(),
                    aState->Serve(connection),
-                   [aState, number](std::exception_ptr) {
+                   [aState, number](const std::exception_ptr&) {
                      aState->mConnections.Take(number);
                      --aState->mCount;
                      asio::post(aState->mAcceptor.get_executor(),
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -96,7 +96,7 @@
   static boost::asio::awaitable<void> Accept(std::shared_ptr<state> aState);
 
 public:
-  static result<http_server, http_error> create(
+  static result<http_server, http_error> Create(
     boost::asio::io_context& aContext,
     http_server_config aConfig,
     http_handler aHandler);
--- a/drivers/raft_disk.cpp
+++ b/drivers/raft_disk.cpp
@@ -99,7 +99,7 @@
 }
 
 result<raft_disk, disk_error>
-raft_disk::create(const std::filesystem::path& aFolder,
+raft_disk::Create(const std::filesystem::path& aFolder,
                   const std::string& aNewDiskId)
 {
   std::error_code problem;
--- a/drivers/raft_disk.h
+++ b/drivers/raft_disk.h
@@ -69,7 +69,7 @@
    * Opens the folder, makes it with a random disk id when it is new.
    * Errors: `Locked` by another process, `Damaged` with file and offset.
    */
-  static result<raft_disk, disk_error> create(
+  static result<raft_disk, disk_error> Create(
     const std::filesystem::path& aFolder,
     const std::string& aNewDiskId);
 
--- a/drivers/raft_transport.cpp
+++ b/drivers/raft_transport.cpp
@@ -47,7 +47,7 @@
 }
 
 raft_transport
-raft_transport::create(std::map<host_id, std::string> aAddresses)
+raft_transport::Create(std::map<host_id, std::string> aAddresses)
 {
   auto made = std::make_shared<state>();
   made->mAddresses = std::move(aAddresses);
@@ -72,8 +72,8 @@
     if (!mState->mAddresses.contains(host)) {
       continue;
     }
-    mState->mLinks.Update(host, [&](peer_link& aLink) {
-      for (raft_message& message : messages) {
+    mState->mLinks.Update(host, [&queued = messages](peer_link& aLink) {
+      for (raft_message& message : queued) {
         aLink.mQueue.push_back(std::move(message));
       }
       while (aLink.mQueue.size() > kMostQueued) {
--- a/drivers/raft_transport.h
+++ b/drivers/raft_transport.h
@@ -28,7 +28,7 @@
 
 public:
   /** `aAddresses` gives the `ip:port` of each control host. */
-  static raft_transport create(std::map<host_id, std::string> aAddresses);
+  static raft_transport Create(std::map<host_id, std::string> aAddresses);
 
   void Send(std::vector<raft_message> aMessages);
   /** Starts no more calls. */
--- a/drivers/refusal_store.cpp
+++ b/drivers/refusal_store.cpp
@@ -26,7 +26,7 @@
 }
 
 result<refusal_store, file_error>
-refusal_store::create(const std::filesystem::path& aFolder,
+refusal_store::Create(const std::filesystem::path& aFolder,
                       std::int64_t aDaysKept)
 {
   std::error_code problem;
--- a/drivers/refusal_store.h
+++ b/drivers/refusal_store.h
@@ -45,7 +45,7 @@
   refusal_store& operator=(refusal_store&&) = delete;
   ~refusal_store();
 
-  static result<refusal_store, file_error> create(
+  static result<refusal_store, file_error> Create(
     const std::filesystem::path& aFolder,
     std::int64_t aDaysKept);
 
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -81,6 +81,7 @@
     mUp.set_held_index(report.mHeldIndex);
     mUp.set_confirmed_age_ms(
       static_cast<std::uint64_t>(report.mConfirmedAge.count()));
+    mUp.set_usable(report.mIsUsable);
     // The mark's time is taken before it leaves, never after.
     mMarks[mNextMark++] = aNow;
     mIsWriting = true;
@@ -175,7 +176,7 @@
 }
 
 watch_client
-watch_client::create(watch_client_config aConfig, watch_client_hooks aHooks)
+watch_client::Create(watch_client_config aConfig, watch_client_hooks aHooks)
 {
   auto made = std::make_shared<state>();
   made->mConfig = std::move(aConfig);
--- a/drivers/watch_client.h
+++ b/drivers/watch_client.h
@@ -54,7 +54,7 @@
   watch_client& operator=(watch_client&&) = delete;
   ~watch_client();
 
-  static watch_client create(watch_client_config aConfig,
+  static watch_client Create(watch_client_config aConfig,
                              watch_client_hooks aHooks);
   void Stop();
 };
--- a/filters/scatter.cpp
+++ b/filters/scatter.cpp
@@ -106,7 +106,7 @@
               budget_controller& aBudgets,
               fingerprint_controller& aFingerprints,
               const scatter_hooks& aHooks,
-              asio::any_io_executor aExecutor,
+              const asio::any_io_executor& aExecutor,
               const request_context& aRequest)
     : mBackends(aBackends)
     , mBudgets(aBudgets)
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -72,7 +72,7 @@
   , mSettings(std::move(aSettings))
   , mDisk(std::move(aDisk))
   , mRefusals(std::move(aRefusals))
-  , mTransport(raft_transport::create(ToHosts(mSettings.mControlMembers)))
+  , mTransport(raft_transport::Create(ToHosts(mSettings.mControlMembers)))
   , mClient(std::move(aClient))
   , mMembership({ host_id{ mSettings.mHostId },
                   milliseconds(mSettings.mControlSilenceMs),
@@ -82,21 +82,21 @@
 }
 
 result<std::unique_ptr<control_role>, role_error>
-control_role::create(asio::io_context& aContext,
+control_role::Create(asio::io_context& aContext,
                      const settings& aSettings,
                      std::function<void()> aOnFailure)
 {
   std::filesystem::path folder(aSettings.mControlDataFolder);
-  auto disk = raft_disk::create(folder / "log", RandomHex(4));
+  auto disk = raft_disk::Create(folder / "log", RandomHex(4));
   if (!disk) {
     return Fail(role_error::DiskFailed, disk.error().mDetail);
   }
   auto refusals =
-    refusal_store::create(folder / "refusals", aSettings.mControlRefusalDays);
+    refusal_store::Create(folder / "refusals", aSettings.mControlRefusalDays);
   if (!refusals) {
     return Fail(role_error::DiskFailed, refusals.error().mDetail);
   }
-  auto client = control_client::create(aContext.get_executor(),
+  auto client = control_client::Create(aContext.get_executor(),
                                        ToHosts(aSettings.mControlMembers));
   if (!client) {
     return Fail(role_error::BadSettings, client.error().mDetail);
@@ -191,7 +191,7 @@
   config.mFailureDomain.mValue = mSettings.mHostFailureDomain;
   config.mSnapshotEvery =
     static_cast<log_index>(mSettings.mControlSnapshotEvery);
-  auto group = control_group::create(
+  auto group = control_group::Create(
     std::move(config), GroupHooks(), mDisk.TakePersisted(), SteadyNow());
   if (!group) {
     return Fail(role_error::CannotStart, group.error().mDetail);
@@ -254,7 +254,7 @@
   };
   hooks.mReadRefusals = [this](wall_ms aFrom) { return mRefusals.Read(aFrom); };
   auto service =
-    control_service::create(mSettings.mControlAddress, std::move(hooks));
+    control_service::Create(mSettings.mControlAddress, std::move(hooks));
   if (!service) {
     return Fail(role_error::CannotListen, service.error().mDetail);
   }
@@ -265,7 +265,7 @@
 result<void, role_error>
 control_role::SetUpOperators()
 {
-  auto token = access_token::create(mSettings.mControlOperatorsToken);
+  auto token = access_token::Create(mSettings.mControlOperatorsToken);
   if (!token) {
     return Fail(role_error::BadSettings, token.error().mDetail);
   }
@@ -287,7 +287,7 @@
   };
   http_server_config config;
   config.mAddress = mSettings.mControlOperatorsAddress;
-  auto server = http_server::create(
+  auto server = http_server::Create(
     mContext,
     config,
     MakeOperatorsFront(std::move(token.value()), std::move(hooks)));
@@ -358,7 +358,10 @@
   control_group_status status = mGroup->Status();
   std::vector<heard_daemon> heard;
   for (const daemon_status& daemon : mHub->Daemons()) {
-    heard.push_back({ daemon.mHost, daemon.mHeardAt });
+    heard.push_back({ daemon.mHost,
+                      daemon.mHeardAt,
+                      daemon.mReport.mIsUsable,
+                      daemon.mReport.mHeldIndex });
   }
   std::vector<record_change> wishes =
     mGroup->Look([&](const control_state& aState) {
@@ -383,8 +386,13 @@
       log_event("server_orphaned").Add("server", server->mServer.mValue);
     }
   }
-  co_await mClient.Propose(std::move(command),
-                           SteadyNow() + kSystemChangeTimeout);
+  // What is still due is proposed again at the next turn.
+  auto outcomes = co_await mClient.Propose(std::move(command),
+                                           SteadyNow() + kSystemChangeTimeout);
+  if (!outcomes) {
+    log_event("membership_unrecorded", log_event::severity::Warning)
+      .Add("cause", outcomes.error().mDetail);
+  }
 }
 
 asio::awaitable<std::optional<std::vector<record_change>>>
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -62,7 +62,7 @@
   control_role& operator=(const control_role&) = delete;
 
   /** Sets the role up and starts it; `aOnFailure` is called if it dies. */
-  static result<std::unique_ptr<control_role>, role_error> create(
+  static result<std::unique_ptr<control_role>, role_error> Create(
     boost::asio::io_context& aContext,
     const settings& aSettings,
     std::function<void()> aOnFailure);
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -119,9 +119,9 @@
 }
 
 result<std::unique_ptr<entry_role>, role_error>
-entry_role::create(asio::io_context& aContext, const settings& aSettings)
+entry_role::Create(asio::io_context& aContext, const settings& aSettings)
 {
-  auto client = control_client::create(aContext.get_executor(),
+  auto client = control_client::Create(aContext.get_executor(),
                                        ToHosts(aSettings.mEntryControlHosts));
   if (!client) {
     return Fail(role_error::BadSettings, client.error().mDetail);
@@ -157,7 +157,7 @@
     mBackends.LoseBorrowed(aServer);
   };
   mBackendClient = std::make_unique<backend_client>(
-    backend_client::create(mContext, config, std::move(hooks)));
+    backend_client::Create(mContext, config, std::move(hooks)));
 }
 
 request_id
@@ -483,7 +483,7 @@
 result<void, role_error>
 entry_role::SetUpFronts()
 {
-  auto token = access_token::create(mSettings.mEntryAnnounceToken);
+  auto token = access_token::Create(mSettings.mEntryAnnounceToken);
   if (!token) {
     return Fail(role_error::BadSettings, token.error().mDetail);
   }
@@ -509,7 +509,7 @@
                              mAdmission.HostLimit(),
                              mRefusals.LastNumber() });
   };
-  auto front = http_server::create(
+  auto front = http_server::Create(
     mContext,
     callers,
     MakeCallersFront(
@@ -527,7 +527,7 @@
   announceHooks.mAccount = [this] {
     return EncodeAccount(mSelf, mAccounts, mCatalog);
   };
-  auto second = http_server::create(
+  auto second = http_server::Create(
     mContext,
     announce,
     MakeAnnounceFront({ milliseconds(mSettings.mEntryRenewMs) },
@@ -550,14 +550,15 @@
   watch_client_hooks hooks;
   hooks.mHello = [this] { return OwnRecord(); };
   hooks.mReport = [this](steady_time aNow) {
-    return watch_report{ 0, mCatalog.Index(), mLease.Age(aNow) };
+    bool isUsable = mCatalog.Index() > 0 && mBackends.HasItsShares(aNow);
+    return watch_report{ 0, mCatalog.Index(), mLease.Age(aNow), isUsable };
   };
   hooks.mApply = [this](const watch_update& aUpdate, steady_time aNow) {
     mCatalog.Apply(aUpdate, aNow);
   };
   hooks.mConfirmed = [this](steady_time aSentAt) { mLease.Confirm(aSentAt); };
   mWatch = std::make_unique<watch_client>(
-    watch_client::create(std::move(config), std::move(hooks)));
+    watch_client::Create(std::move(config), std::move(hooks)));
 }
 
 void
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -97,7 +97,7 @@
   entry_role(const entry_role&) = delete;
   entry_role& operator=(const entry_role&) = delete;
 
-  static result<std::unique_ptr<entry_role>, role_error> create(
+  static result<std::unique_ptr<entry_role>, role_error> Create(
     boost::asio::io_context& aContext,
     const settings& aSettings);
 
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -109,6 +109,8 @@
 main(int aCount, char** aArguments)
 {
   FLAGS_logtostderr = true;
+  // Each line carries its own time and level as key=value pairs.
+  FLAGS_log_prefix = false;
   google::InitGoogleLogging(aArguments[0]);
   try {
     return Run({ aArguments + 1, aArguments + aCount });
--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -79,14 +79,14 @@
   };
   if (aSettings.IsControl()) {
     auto control =
-      control_role::create(aContext, aSettings, [&aEnd] { aEnd.Set(true); });
+      control_role::Create(aContext, aSettings, [&aEnd] { aEnd.Set(true); });
     if (!control) {
       return report(control.error());
     }
     aRoles.mControl = std::move(control.value());
   }
   if (aSettings.IsEntry()) {
-    auto entry = entry_role::create(aContext, aSettings);
+    auto entry = entry_role::Create(aContext, aSettings);
     if (!entry) {
       return report(entry.error());
     }
--- a/messages/caller_json.cpp
+++ b/messages/caller_json.cpp
@@ -53,7 +53,9 @@
   json::object reply;
   reply["request_id"] = aRequest.mRequest.mValue;
   reply["snapshot"] = aRequest.mSnapshot;
-  reply["coverage"] = aRequest.mCoverage;
+  // Whole coverage reads as 1, which the library would write as 1E0.
+  bool isFull = aRequest.mMissing.empty();
+  reply["coverage"] = isFull ? json::value(1) : json::value(aRequest.mCoverage);
   reply["services_asked"] = aRequest.mServices.size();
   reply["services_answered"] = aRequest.mAnswers.size();
   json::array missing;
--- a/messages/json_reader.cpp
+++ b/messages/json_reader.cpp
@@ -5,7 +5,7 @@
 namespace json = boost::json;
 
 result<json_reader, json_error>
-json_reader::create(const std::string& aText)
+json_reader::Create(const std::string& aText)
 {
   json::error_code error;
   json::parse_options options;
@@ -31,7 +31,7 @@
 void
 json_reader::FailAt(json_error aCode,
                     const std::string& aKey,
-                    std::string aDetail)
+                    const std::string& aDetail)
 {
   if (!mFailure) {
     mFailure = Fail(aCode, "\"" + aKey + "\" " + aDetail);
--- a/messages/json_reader.h
+++ b/messages/json_reader.h
@@ -48,14 +48,16 @@
   }
 
   const boost::json::value* Find(const std::string& aKey, bool aIsNeeded);
-  void FailAt(json_error aCode, const std::string& aKey, std::string aDetail);
+  void FailAt(json_error aCode,
+              const std::string& aKey,
+              const std::string& aDetail);
   void AddText(const std::string& aKey,
                const boost::json::value& aValue,
                std::map<std::string, std::string>& aTexts);
 
 public:
   /** Errors: `Malformed` when the text is not one JSON object. */
-  static result<json_reader, json_error> create(const std::string& aText);
+  static result<json_reader, json_error> Create(const std::string& aText);
 
   std::string Text(const std::string& aKey, bool aIsNeeded = true);
   std::uint64_t Number(const std::string& aKey,
--- a/messages/operator_json.cpp
+++ b/messages/operator_json.cpp
@@ -120,7 +120,7 @@
   if (!named) {
     return named.error();
   }
-  auto reader = json_reader::create(aBody);
+  auto reader = json_reader::Create(aBody);
   if (!reader) {
     return reader.error();
   }
@@ -141,7 +141,7 @@
   if (!named) {
     return named.error();
   }
-  auto reader = json_reader::create(aBody);
+  auto reader = json_reader::Create(aBody);
   if (!reader) {
     return reader.error();
   }
@@ -162,7 +162,7 @@
   if (!named) {
     return named.error();
   }
-  auto reader = json_reader::create(aBody);
+  auto reader = json_reader::Create(aBody);
   if (!reader) {
     return reader.error();
   }
@@ -181,7 +181,7 @@
 result<server_record, json_error>
 ParseAnnouncement(const std::string& aBody)
 {
-  auto made = json_reader::create(aBody);
+  auto made = json_reader::Create(aBody);
   if (!made) {
     return made.error();
   }
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -5,7 +5,9 @@
 namespace {
 
 constexpr std::int64_t kMebibyte = 1 << 20;
-constexpr std::int64_t kHourMs = 3'600'000;
+constexpr std::int64_t kMinuteMs = 60'000;
+constexpr std::int64_t kHourMs = 60 * kMinuteMs;
+constexpr std::int64_t kMonthHours = 720;
 
 setting_row
 Text(std::string aSection,
@@ -170,7 +172,7 @@
            type::Milliseconds,
            &settings::mEntryRampMs,
            0,
-           10 * 60'000,
+           10 * kMinuteMs,
            "Time from the end of a server's cold start to its full load."),
     Number("entry",
            "hedge_percent",
@@ -300,7 +302,7 @@
            type::Count,
            &settings::mControlClaimHours,
            1,
-           24 * 30,
+           kMonthHours,
            "Hours for which a settled claim is kept."),
     Number("control",
            "refusal_days",
--- a/settings/settings.cpp
+++ b/settings/settings.cpp
@@ -17,10 +17,18 @@
 
 using tree = boost::property_tree::ptree;
 
+std::string
+PlaceOf(const std::string& aSection, const std::string& aKey)
+{
+  std::ostringstream place;
+  place << '[' << aSection << "] " << aKey;
+  return place.str();
+}
+
 std::string
 PlaceOf(const setting_row& aRow)
 {
-  return "[" + aRow.mSection + "] " + aRow.mKey;
+  return PlaceOf(aRow.mSection, aRow.mKey);
 }
 
 std::string
@@ -141,7 +149,7 @@
                     "]; there are [host], [entry] and [control].");
     }
     for (const auto& [key, value] : keys) {
-      std::string place = "[" + section + "] " + key;
+      std::string place = PlaceOf(section, key);
       if (!places.contains(place)) {
         return Fail(settings_error::UnknownKey,
                     "There is no setting " + place + ".");
--- a/tests/decisions/raft_node_test.cpp
+++ b/tests/decisions/raft_node_test.cpp
@@ -133,7 +133,7 @@
     for (const test_member& other : mMembers) {
       config.mKnownHosts.insert(other.mId.mHost);
     }
-    auto node = raft_node::create(config,
+    auto node = raft_node::Create(config,
                                   { member.mDisk.mHardState,
                                     member.mDisk.mSnapshot,
                                     member.mDisk.mEntries },
@@ -642,7 +642,7 @@
     config.mSelf = mVoters[0].mId;
     config.mKnownHosts = { host_id{ "a" }, host_id{ "b" }, host_id{ "c" } };
     mNode = std::make_unique<raft_node>(
-      std::move(raft_node::create(config, std::move(aDisk), mNow).value()));
+      std::move(raft_node::Create(config, std::move(aDisk), mNow).value()));
   }
 
   raft_actions Take(raft_message aMessage, int aFrom)
--- /dev/null
+++ b/tests/integration/control_side_test.cpp
@@ -0,0 +1,299 @@
+#include "tests/integration/test_system.h"
+
+#include <atomic>
+#include <csignal>
+#include <mutex>
+#include <set>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace test;
+
+TEST_GROUP(control_side){};
+
+TEST(control_side, OfTwoOperatorsWithEqualVersionsOneWinsAndResendsAgree)
+{
+  test_system system({});
+  system.StartAll();
+  std::vector<std::string> controls = system.ControlHosts();
+  auto first = system.Put("/v1/templates/race", R"({"services":"rack0"})");
+  double version = first.Number("version");
+  constexpr int kRounds = 30;
+  for (int round = 0; round < kRounds; ++round) {
+    std::mutex lock;
+    std::multiset<unsigned> statuses;
+    double accepted = -1;
+    std::vector<std::thread> operators;
+    for (int number = 0; number < 2; ++number) {
+      operators.emplace_back([&, number] {
+        std::string change =
+          "r" + std::to_string(round) + "-" + std::to_string(number);
+        headers sent{ { "Change-Id", change },
+                      { "If-Version",
+                        std::to_string(static_cast<long>(version)) } };
+        std::string body = R"({"services":"rack0","wait_ms":)" +
+                           std::to_string(100 + round * 2 + number) + "}";
+        auto one = Call("PUT",
+                        system.Operators(controls[number]),
+                        "/v1/templates/race",
+                        body,
+                        sent);
+        // The answer counts as lost: the operator sends it again elsewhere.
+        auto again = Call("PUT",
+                          system.Operators(controls[2 - number]),
+                          "/v1/templates/race",
+                          body,
+                          sent);
+        std::lock_guard guard(lock);
+        if (one.mStatus != again.mStatus ||
+            one.Number("version") != again.Number("version")) {
+          statuses.insert(999);
+        }
+        statuses.insert(one.mStatus);
+        if (one.mStatus == 200) {
+          accepted = one.Number("version");
+        }
+      });
+    }
+    for (std::thread& one : operators) {
+      one.join();
+    }
+    LONGS_EQUAL(1, statuses.count(200));
+    LONGS_EQUAL(1, statuses.count(409));
+    CHECK(accepted > version);
+    version = accepted;
+  }
+}
+
+TEST(control_side, AChangeIdGetsItsFirstResultAfterRestartOfAllHosts)
+{
+  test_system system({});
+  system.StartAll();
+  headers sent{ { "Change-Id", "once" }, { "If-Version", "0" } };
+  auto first =
+    system.Put("/v1/templates/kept", R"({"services":"rack1"})", sent);
+  LONGS_EQUAL(200, first.mStatus);
+  for (const std::string& host : system.ControlHosts()) {
+    system.End(host, SIGKILL);
+  }
+  for (const std::string& host : system.ControlHosts()) {
+    system.Start(host);
+  }
+  CHECK(WaitFor([&] { return !system.Leader().empty(); }));
+  auto again =
+    system.Put("/v1/templates/kept", R"({"services":"rack1"})", sent);
+  LONGS_EQUAL(200, again.mStatus);
+  CHECK(first.Number("version") == again.Number("version"));
+  // The same id with another change is a mistake, and is told so.
+  auto other =
+    system.Put("/v1/templates/kept", R"({"services":"rack2"})", sent);
+  LONGS_EQUAL(409, other.mStatus);
+  STRCMP_EQUAL("key_reused", other.Text("verdict").c_str());
+}
+
+TEST(control_side, AnIsolatedControlHostConfirmsNothing)
+{
+  system_shape shape;
+  shape.mProxiesControl = true;
+  shape.mEntryLines = "lease_ms=2000\n";
+  test_system system(shape);
+  system.StartAll();
+  std::string leader = system.Leader();
+  // The network goes silent: connections stay open and nothing passes.
+  system.TellLink(leader + "-*", R"({"silence_open":true,"cut":true})");
+  for (const std::string& other : system.ControlHosts()) {
+    system.TellLink(other + "-" + leader,
+                    R"({"silence_open":true,"cut":true})");
+  }
+  CHECK(WaitFor([&] {
+    for (const std::string& host : system.ControlHosts()) {
+      auto status = Call("GET", system.Operators(host), "/v1/status");
+      std::string now = status.Text("leader");
+      if (host != leader && !now.empty() && now != leader) {
+        return true;
+      }
+    }
+    return false;
+  }));
+  std::string other = leader == "c1" ? "c2" : "c1";
+  auto change = Call("PUT",
+                     system.Operators(other),
+                     "/v1/teams/after",
+                     R"({"template":"basic"})");
+  LONGS_EQUAL(200, change.mStatus);
+  // The old leader neither shows records as confirmed nor takes a change.
+  auto read = Call("GET", system.Operators(leader), "/v1/teams/team");
+  LONGS_EQUAL(503, read.mStatus);
+  // Entry hosts that held on to it have gone elsewhere and know the change.
+  for (const std::string& host : system.EntryHosts()) {
+    CHECK(WaitFor([&] { return system.Query(host, "after").mStatus == 200; }));
+  }
+}
+
+TEST(control_side, AnEntryHostWithoutConfirmationTakesNoWork)
+{
+  system_shape shape;
+  shape.mProxiesControl = true;
+  shape.mEntryLines = "lease_ms=2000\n";
+  test_system system(shape);
+  system.StartAll();
+  LONGS_EQUAL(200, system.Query("e2").mStatus);
+  system.TellLink("e2-*", R"({"silence_open":true,"cut":true})");
+  CHECK(WaitFor([&] { return system.Query("e2").mStatus == 503; }));
+  auto refused = system.Query("e2");
+  STRCMP_EQUAL("not_confirmed", refused.Text("refusal.reason").c_str());
+  STRCMP_EQUAL("no", refused.Text("refusal.ran").c_str());
+  LONGS_EQUAL(503, Call("GET", system.Callers("e2"), "/readyz").mStatus);
+  // The others drop it from their list, and it comes back with its links.
+  CHECK(WaitFor([&] {
+    auto list = Call("GET", system.Callers("e1"), "/v1/entry-hosts");
+    return list.mBody.find("\"e2\"") == std::string::npos;
+  }));
+  system.TellLink("e2-*", R"({"cut":false})");
+  CHECK(WaitFor([&] { return system.Query("e2").mStatus == 200; }));
+  CHECK(WaitFor([&] {
+    auto list = Call("GET", system.Callers("e1"), "/v1/entry-hosts");
+    return list.mBody.find("\"e2\"") != std::string::npos;
+  }));
+}
+
+TEST(control_side, ALostDiskIsReplacedAndASecondLossIsBorne)
+{
+  test_system system({});
+  system.StartAll();
+  std::string leader = system.Leader();
+  std::string lost = leader == "c1" ? "c2" : "c1";
+  auto diskOf = [&]() -> std::string {
+    auto status = Call("GET", system.Operators(leader), "/v1/status");
+    std::string disk;
+    for (const auto& one : status.mJson.as_object().at("members").as_array()) {
+      if (one.as_object().at("host").as_string() == lost.c_str()) {
+        disk = one.as_object().at("disk").as_string().c_str();
+      }
+    }
+    return disk;
+  };
+  std::string before = diskOf();
+  system.End(lost, SIGKILL);
+  system.LoseDisk(lost);
+  CHECK(WaitFor([&] {
+    return system.Put("/v1/teams/t1", R"({"template":"basic"})").mStatus == 200;
+  }));
+  system.Start(lost);
+  auto isRepaired = [&] {
+    auto status = Call("GET", system.Operators(leader), "/v1/status");
+    if (!status.mJson.is_object()) {
+      return false;
+    }
+    const auto& members = status.mJson.as_object().at("members").as_array();
+    return members.size() == 3 &&
+           std::all_of(members.begin(), members.end(), [](const auto& aOne) {
+             return aOne.as_object().at("voter").as_bool();
+           });
+  };
+  // The new disk votes in the old one's place after it has caught up.
+  CHECK(WaitFor([&] { return isRepaired() && diskOf() != before; }));
+  system.End(leader, SIGKILL);
+  CHECK(WaitFor([&] {
+    return system.Put("/v1/teams/t2", R"({"template":"basic"})").mStatus == 200;
+  }));
+  CHECK(WaitFor([&] {
+    return Call("GET", system.Operators(lost), "/v1/teams/t1").mStatus == 200;
+  }));
+}
+
+TEST(control_side, RestartsWithAThousandChangesPiledUp)
+{
+  system_shape shape;
+  shape.mEntries = 1;
+  test_system system(shape);
+  system.StartAll();
+  for (int number = 0; number < 1000; ++number) {
+    auto change = system.Put("/v1/templates/t" + std::to_string(number % 50),
+                             R"({"services":"rack0","wait_ms":)" +
+                               std::to_string(100 + number) + "}");
+    LONGS_EQUAL(200, change.mStatus);
+  }
+  for (const std::string& host : system.ControlHosts()) {
+    system.End(host, SIGKILL);
+  }
+  for (const std::string& host : system.ControlHosts()) {
+    system.Start(host);
+  }
+  CHECK(WaitFor([&] {
+    auto read = Call("GET", system.Operators("c2"), "/v1/templates/t49");
+    return read.mStatus == 200 && read.Text("wait_ms") == "1099";
+  }));
+  CHECK(WaitFor([&] { return system.Query("e1").mStatus == 200; }));
+}
+
+TEST(control_side, ATornTailIsCutAndADamagedMiddleRefusesToStart)
+{
+  system_shape shape;
+  shape.mControls = 1;
+  shape.mEntries = 1;
+  test_system system(shape);
+  system.Start("c1");
+  CHECK(WaitFor([&] {
+    return system.Put("/v1/templates/one", R"({"services":"a"})").mStatus ==
+           200;
+  }));
+  for (int number = 0; number < 20; ++number) {
+    system.Put("/v1/templates/more" + std::to_string(number),
+               R"({"services":"a"})");
+  }
+  system.End("c1", SIGKILL);
+  auto folder = system.Folder() / "data-c1" / "log";
+  std::filesystem::path segment = folder / "log-1";
+  {
+    std::FILE* file = std::fopen(segment.c_str(), "ab");
+    std::fputs("half a frame", file);
+    std::fclose(file);
+  }
+  system.Start("c1");
+  CHECK(WaitFor([&] {
+    return Call("GET", system.Operators("c1"), "/v1/templates/more19")
+             .mStatus == 200;
+  }));
+  system.End("c1", SIGKILL);
+  {
+    std::FILE* file = std::fopen(segment.c_str(), "r+b");
+    std::fseek(file, 100, SEEK_SET);
+    std::fputs("XXXXXXXX", file);
+    std::fclose(file);
+  }
+  system.Start("c1");
+  LONGS_EQUAL(1, system.End("c1", 0));
+}
+
+TEST(control_side, AnnouncementsThatAreAbsurdOrTakenAreRefused)
+{
+  system_shape shape;
+  test_system system(shape);
+  system.StartAll();
+  std::string address = system.Announce("e1");
+  auto announce = [&](const std::string& aName, const std::string& aRest) {
+    return Call("POST",
+                address,
+                "/v1/announce",
+                R"({"server":")" + aName +
+                  R"(","incarnation":5,"service":"s","failure_domain":"a",)" +
+                  aRest + "}");
+  };
+  std::string good =
+    R"("address":"127.0.0.1:9","slots":2,"connections":9,"cold_slots":1,)"
+    R"("state":"ready","snapshots":[1])";
+  LONGS_EQUAL(200, announce("x1", good).mStatus);
+  auto taken = announce("x2", good);
+  LONGS_EQUAL(409, taken.mStatus);
+  CHECK(taken.mBody.find("x1") != std::string::npos);
+  auto absurd =
+    announce("x3",
+             R"("address":"127.0.0.1:8","slots":99999999,"connections":9,)"
+             R"("cold_slots":1,"state":"ready","snapshots":[1])");
+  LONGS_EQUAL(400, absurd.mStatus);
+  CHECK(absurd.mBody.find("slots") != std::string::npos);
+  LONGS_EQUAL(400, announce("x4", R"("address":"name:80")").mStatus);
+  LONGS_EQUAL(400, Call("POST", address, "/v1/announce", "{not json").mStatus);
+}
--- /dev/null
+++ b/tests/integration/request_side_test.cpp
@@ -0,0 +1,346 @@
+#include "tests/integration/caller_load.h"
+
+#include <csignal>
+#include <mutex>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace test;
+
+namespace {
+
+void
+Sleep(int aMilliseconds)
+{
+  std::this_thread::sleep_for(milliseconds(aMilliseconds));
+}
+
+/** All that must hold of any history of queries. */
+void
+CheckTrue(const history_summary& aSummary)
+{
+  LONGS_EQUAL(0, aSummary.mMixed);
+  LONGS_EQUAL(0, aSummary.mUntrue);
+}
+
+/** Also, that nothing failed or was partial. */
+void
+CheckFull(const history_summary& aSummary)
+{
+  CheckTrue(aSummary);
+  STRCMP_EQUAL("", aSummary.mReasons.c_str());
+  LONGS_EQUAL(0, aSummary.mLost);
+  LONGS_EQUAL(0, aSummary.mPartial);
+  CHECK(aSummary.mAnswered > 100);
+}
+
+}
+
+TEST_GROUP(request_side){};
+
+TEST(request_side, AServerThatIsKilledCostsNoCoverage)
+{
+  test_system system({});
+  system.StartAll();
+  caller_load load(system, 4);
+  Sleep(500);
+  for (int round = 0; round < 3; ++round) {
+    system.Tell("rack1-0", R"({"crash":true})");
+    Sleep(800);
+    system.Tell("rack1-0", R"({"restart":false})");
+    Sleep(800);
+  }
+  CheckFull(Summarise(load.Stop()));
+}
+
+TEST(request_side, AnswersThatAreCrossedTruncatedOrOfAnotherVersionAreNotUsed)
+{
+  test_system system({});
+  system.StartAll();
+  caller_load load(system, 4);
+  system.Tell("rack0-0", R"({"wrong_id":true})");
+  system.Tell("rack1-1", R"({"truncates":true})");
+  system.Tell("rack2-2", R"({"wrong_snapshot":true})");
+  Sleep(2000);
+  auto summary = Summarise(load.Stop());
+  CheckTrue(summary);
+  LONGS_EQUAL(0, summary.mLost);
+  CHECK(summary.mAnswered > 100);
+}
+
+TEST(request_side, ConnectionsThatWentSilentAreLeftBehind)
+{
+  test_system system({});
+  system.StartAll();
+  caller_load load(system, 4);
+  Sleep(1500);
+  system.Tell("*", R"({"silence_open":true})");
+  Sleep(6000);
+  auto history = load.Stop();
+  auto summary = Summarise(history);
+  CheckTrue(summary);
+  // After the silent ones were found out, all is well again.
+  std::vector<call_record> last(history.end() - 50, history.end());
+  CheckFull([&] {
+    auto end = Summarise(last);
+    end.mAnswered += 100;
+    return end;
+  }());
+}
+
+TEST(request_side, EachAnswerIsOfOneIndexVersionWhileVersionsChange)
+{
+  test_system system({});
+  system.StartAll();
+  caller_load load(system, 4);
+  Sleep(300);
+  for (int version = 2; version <= 5; ++version) {
+    std::string both = R"({"snapshots":[)" + std::to_string(version - 1) + "," +
+                       std::to_string(version) + "]}";
+    std::string fresh = R"({"snapshots":[)" + std::to_string(version) + "]}";
+    for (int replica = 0; replica < 3; ++replica) {
+      for (int service = 0; service < 4; ++service) {
+        system.Tell("rack" + std::to_string(service) + "-" +
+                      std::to_string(replica),
+                    both);
+      }
+      Sleep(150);
+    }
+    system.Tell("rack*", fresh);
+    Sleep(500);
+  }
+  auto summary = Summarise(load.Stop());
+  CheckTrue(summary);
+  LONGS_EQUAL(0, summary.mLost);
+  CHECK(summary.mAnswered > 100);
+}
+
+TEST(request_side, AFailureDomainTakenOutAndBackFailsNoRequest)
+{
+  test_system system({});
+  system.StartAll();
+  caller_load load(system, 4);
+  Sleep(500);
+  LONGS_EQUAL(
+    200, system.Put("/v1/failure-domains/a", R"({"state":"out"})").mStatus);
+  Sleep(3000);
+  double before = 0;
+  for (const auto& server : system.Servers()) {
+    const auto& one = server.as_object();
+    if (one.at("failure_domain").as_string() == "a") {
+      before += one.at("searches").to_number<double>();
+    }
+  }
+  Sleep(2000);
+  double after = 0;
+  for (const auto& server : system.Servers()) {
+    const auto& one = server.as_object();
+    if (one.at("failure_domain").as_string() == "a") {
+      after += one.at("searches").to_number<double>();
+    }
+  }
+  // It gets no new work after a few seconds.
+  DOUBLES_EQUAL(before, after, 0);
+  LONGS_EQUAL(200,
+              system.Put("/v1/failure-domains/a", R"({"state":"in"})").mStatus);
+  Sleep(2000);
+  CheckFull(Summarise(load.Stop()));
+}
+
+TEST(request_side, AnEntryHostThatStopsCutsNoRequest)
+{
+  test_system system({});
+  system.StartAll();
+  caller_load load(system, 4);
+  Sleep(500);
+  std::thread second([&] {
+    Sleep(1000);
+    system.Signal("e2", SIGTERM);
+  });
+  int code = system.End("e2", SIGTERM);
+  second.join();
+  LONGS_EQUAL(0, code);
+  Sleep(500);
+  CheckFull(Summarise(load.Stop()));
+}
+
+TEST(request_side, ADrainingServerGetsNoNewWork)
+{
+  test_system system({});
+  system.StartAll();
+  caller_load load(system, 4);
+  Sleep(500);
+  system.Tell("rack2-1", R"({"state":"draining"})");
+  Sleep(3000);
+  double before = system.Sum("rack2-1", "searches");
+  Sleep(1500);
+  DOUBLES_EQUAL(before, system.Sum("rack2-1", "searches"), 0);
+  CheckFull(Summarise(load.Stop()));
+}
+
+TEST(request_side, ColdServersGetNoMoreThanTheyBear)
+{
+  system_shape shape;
+  shape.mFirstState = "cold";
+  shape.mGroups = { "rack:4:3:4:60:2:3:0", "log:1:3:4:60:2:3:0" };
+  test_system system(shape);
+  system.StartAll();
+  caller_load load(system, 12);
+  Sleep(3000);
+  auto summary = Summarise(load.Stop());
+  CheckTrue(summary);
+  CHECK(summary.mAnswered > 10);
+  DOUBLES_EQUAL(0, system.Sum("", "over_cold"), 0);
+  DOUBLES_EQUAL(0, system.Sum("", "over_connections"), 0);
+}
+
+TEST(request_side, ARunSentEverywhereAtOnceRunsOnce)
+{
+  test_system system({});
+  system.StartAll();
+  constexpr int kOrders = 20;
+  for (int order = 0; order < kOrders; ++order) {
+    std::string key = "order-" + std::to_string(order);
+    std::vector<std::thread> callers;
+    std::mutex lock;
+    std::vector<call_result> results;
+    for (int copy = 0; copy < 6; ++copy) {
+      callers.emplace_back([&, copy] {
+        std::string host = "e" + std::to_string(copy % 3 + 1);
+        auto result = system.Run(host, key);
+        std::lock_guard guard(lock);
+        results.push_back(std::move(result));
+      });
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    for (const call_result& result : results) {
+      LONGS_EQUAL(200, result.mStatus);
+      STRCMP_EQUAL(results.front().Text("answer").c_str(),
+                   result.Text("answer").c_str());
+    }
+  }
+  for (const auto& [key, count] : system.Runs()) {
+    LONGS_EQUAL(1, count);
+  }
+  LONGS_EQUAL(kOrders, system.Runs().size());
+  // The same key with another body is a mistake.
+  auto other = system.Run("e1", "order-0", "another order");
+  LONGS_EQUAL(409, other.mStatus);
+  STRCMP_EQUAL("key_reused", other.Text("refusal.reason").c_str());
+}
+
+TEST(request_side, ARunWhoseOwnerIsKilledIsNeverRunAgain)
+{
+  test_system system({});
+  system.StartAll();
+  for (int round = 0; round < 4; ++round) {
+    std::string key = "lost-" + std::to_string(round);
+    // The server takes its time, so that the owner dies in between.
+    system.Tell("log0-*", R"({"service_ms":600})");
+    std::thread caller([&] { system.Run("e1", key); });
+    Sleep(100 + round * 100);
+    system.End("e1", SIGKILL);
+    caller.join();
+    auto second = system.Run("e2", key);
+    auto third = system.Run("e3", key);
+    for (const call_result& resent : { second, third }) {
+      bool isTold =
+        resent.mStatus == 200 || resent.Text("refusal.ran") == "unknown";
+      CHECK(isTold);
+    }
+    system.Start("e1");
+    CHECK(WaitFor([&] { return system.Query("e1").mStatus == 200; }));
+  }
+  for (const auto& [key, count] : system.Runs()) {
+    CHECK(count <= 1);
+  }
+}
+
+TEST(request_side, ARunThatNoServerTookIsReleasedAndMayRunLater)
+{
+  test_system system({});
+  system.StartAll();
+  system.Tell("log0-*", R"({"sheds":true})");
+  auto refused = system.Run("e1", "later");
+  LONGS_EQUAL(503, refused.mStatus);
+  STRCMP_EQUAL("no", refused.Text("refusal.ran").c_str());
+  CHECK(system.Runs().empty());
+  system.Tell("log0-*", R"({"sheds":false})");
+  CHECK(WaitFor([&] { return system.Run("e2", "later").mStatus == 200; }));
+  LONGS_EQUAL(1, system.Runs().at("later"));
+}
+
+TEST(request_side, ARequestThatCrashesServersIsStoppedEverywhere)
+{
+  test_system system({});
+  system.StartAll();
+  for (int resend = 0; resend < 10; ++resend) {
+    std::string host = "e" + std::to_string(resend % 3 + 1);
+    auto result = system.Query(host, "team", "CRASH whoever runs this");
+    CHECK(result.mStatus != 200);
+  }
+  CHECK(system.Sum("", "crashes") <= 2);
+  auto list = Call("GET", system.Operators("c1"), "/v1/quarantine");
+  CHECK(list.mBody.find("fingerprint") != std::string::npos);
+  // Other requests go on, once the servers are back.
+  CHECK(WaitFor([&] { return system.Query("e1").mStatus == 200; }));
+}
+
+TEST(request_side, BadInputIsRefusedWithAReasonAndCounted)
+{
+  system_shape shape;
+  shape.mEntryLines = "body_bytes=2048\nslow_sender_ms=500\n";
+  test_system system(shape);
+  system.StartAll();
+  auto reason = [](const call_result& aResult) {
+    return aResult.Text("refusal.reason");
+  };
+  auto unknown = system.Query("e1", "nobody");
+  LONGS_EQUAL(404, unknown.mStatus);
+  STRCMP_EQUAL("unknown_team", reason(unknown).c_str());
+  auto large = system.Query("e1", "team", std::string(5000, 'x'));
+  LONGS_EQUAL(400, large.mStatus);
+  STRCMP_EQUAL("body_too_large", reason(large).c_str());
+  auto keyless = Call("POST", system.Callers("e1"), "/v1/teams/team/run", "x");
+  LONGS_EQUAL(400, keyless.mStatus);
+  STRCMP_EQUAL("missing_key", reason(keyless).c_str());
+  auto deadline =
+    system.Query("e1", "team", "q", { { "Deadline-Ms", "soon" } });
+  LONGS_EQUAL(400, deadline.mStatus);
+  STRCMP_EQUAL("bad_request", reason(deadline).c_str());
+  LONGS_EQUAL(404, Call("GET", system.Callers("e1"), "/nothing").mStatus);
+  std::string garbage =
+    CallRaw(system.Callers("e1"), "NOT HTTP AT ALL\r\n\r\n");
+  CHECK(garbage.find("400") != std::string::npos);
+  std::string slow = CallRaw(
+    system.Callers("e1"), "POST /v1/teams/team/query HTTP/1.1\r\nContent-Le");
+  CHECK(slow.find("400") != std::string::npos);
+  LONGS_EQUAL(200, system.Query("e1").mStatus);
+  // Each of them is in the account, with nothing missing.
+  CHECK(WaitFor([&] {
+    auto account = Call("GET", system.Operators("c1"), "/v1/refusals");
+    if (account.mStatus != 200) {
+      return false;
+    }
+    const auto& object = account.mJson.as_object();
+    return object.at("refusals").as_array().size() == 6 &&
+           object.at("gaps").as_array().empty();
+  }));
+}
+
+TEST(request_side, AControlHostKilledUnderLoadFailsNoRequest)
+{
+  test_system system({});
+  system.StartAll();
+  caller_load load(system, 4);
+  Sleep(500);
+  std::string leader = system.Leader();
+  system.End(leader, SIGKILL);
+  Sleep(3500);
+  system.Start(leader);
+  Sleep(1500);
+  CheckFull(Summarise(load.Stop()));
+}
--- /dev/null
+++ b/tests/integration/test_system.cpp
@@ -0,0 +1,416 @@
+#include "tests/integration/test_system.h"
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace test {
+
+namespace {
+
+const std::vector<std::string> kDomains{ "a", "b", "c" };
+
+/** The folder of the programs: the tests' own. */
+std::filesystem::path
+ProgramFolder()
+{
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path();
+}
+
+std::string
+Local(int aPort)
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+std::vector<std::string>
+Names(const std::string& aPrefix, int aCount)
+{
+  std::vector<std::string> names;
+  for (int number = 1; number <= aCount; ++number) {
+    names.push_back(aPrefix + std::to_string(number));
+  }
+  return names;
+}
+
+}
+
+bool
+WaitFor(const std::function<bool()>& aCondition, milliseconds aTimeout)
+{
+  auto end = std::chrono::steady_clock::now() + aTimeout;
+  while (std::chrono::steady_clock::now() < end) {
+    if (aCondition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  return aCondition();
+}
+
+test_system::test_system(system_shape aShape)
+  : mShape(std::move(aShape))
+{
+  std::string pattern =
+    (std::filesystem::temp_directory_path() / "hibiscusspool-XXXXXX").string();
+  mFolder = mkdtemp(pattern.data());
+  for (const std::string& host : ControlHosts()) {
+    mControlPorts[host] = FreePort();
+    mOperatorPorts[host] = FreePort();
+  }
+  for (const std::string& host : EntryHosts()) {
+    mCallerPorts[host] = FreePort();
+    mAnnouncePorts[host] = FreePort();
+  }
+  if (mShape.mProxiesControl) {
+    StartProxy();
+  }
+  WriteSettings();
+}
+
+test_system::~test_system()
+{
+  std::map<std::string, pid_t> left = mProcesses;
+  for (const auto& [name, process] : left) {
+    End(name, SIGKILL);
+  }
+  if (std::getenv("KEEP_LOGS") == nullptr) {
+    std::error_code ignored;
+    std::filesystem::remove_all(mFolder, ignored);
+  } else {
+    std::cout << "logs: " << mFolder << "\n";
+  }
+}
+
+std::vector<std::string>
+test_system::EntryHosts() const
+{
+  return Names("e", mShape.mEntries);
+}
+
+std::vector<std::string>
+test_system::ControlHosts() const
+{
+  return Names("c", mShape.mControls);
+}
+
+std::string
+test_system::Operators(const std::string& aHost) const
+{
+  return Local(mOperatorPorts.at(aHost));
+}
+
+std::string
+test_system::Callers(const std::string& aHost) const
+{
+  return Local(mCallerPorts.at(aHost));
+}
+
+std::string
+test_system::Announce(const std::string& aHost) const
+{
+  return Local(mAnnouncePorts.at(aHost));
+}
+
+void
+test_system::StartProxy()
+{
+  mProxyPort = FreePort();
+  std::vector<std::string> arguments{ "proxy", "--admin", Local(mProxyPort) };
+  std::vector<std::string> hosts = ControlHosts();
+  for (const std::string& host : EntryHosts()) {
+    hosts.push_back(host);
+  }
+  for (const std::string& from : hosts) {
+    for (const std::string& to : ControlHosts()) {
+      std::string name = from + "-" + to;
+      mLinkPorts[name] = FreePort();
+      arguments.push_back("--link");
+      arguments.push_back(name + "=" + Local(mLinkPorts[name]) + "=" +
+                          Local(mControlPorts[to]));
+    }
+  }
+  Spawn("proxy", arguments);
+  WaitFor([&] { return Call("GET", Local(mProxyPort), "/").mStatus == 200; });
+}
+
+std::string
+test_system::ControlList(const std::string& aFrom) const
+{
+  std::string list;
+  for (const std::string& to : ControlHosts()) {
+    auto link = mLinkPorts.find(aFrom + "-" + to);
+    bool isDirect = link == mLinkPorts.end() || to == aFrom;
+    int port = isDirect ? mControlPorts.at(to) : link->second;
+    list += (list.empty() ? "" : ",") + to + "=" + Local(port);
+  }
+  return list;
+}
+
+void
+test_system::WriteSettings()
+{
+  int place = 0;
+  for (const std::string& host : ControlHosts()) {
+    std::ofstream file(mFolder / (host + ".ini"));
+    file << "[host]\nid=" << host
+         << "\nfailure_domain=" << kDomains[place++ % kDomains.size()]
+         << "\n[control]\naddress=" << Local(mControlPorts[host])
+         << "\noperators_address=" << Local(mOperatorPorts[host])
+         << "\nmembers=" << ControlList(host)
+         << "\ndata_folder=" << (mFolder / ("data-" + host)).string() << "\n"
+         << mShape.mControlLines;
+  }
+  place = 0;
+  for (const std::string& host : EntryHosts()) {
+    std::ofstream file(mFolder / (host + ".ini"));
+    file << "[host]\nid=" << host
+         << "\nfailure_domain=" << kDomains[place++ % kDomains.size()]
+         << "\n[entry]\ncallers_address=" << Local(mCallerPorts[host])
+         << "\nannounce_address=" << Local(mAnnouncePorts[host])
+         << "\ncontrol_hosts=" << ControlList(host)
+         << "\nthreads=2\nkeep_list_ms=500\n"
+         << mShape.mEntryLines;
+  }
+}
+
+void
+test_system::Spawn(const std::string& aName,
+                   std::vector<std::string> aArguments)
+{
+  bool isProduct = aArguments.front() == "serve";
+  std::string program =
+    (ProgramFolder() / (isProduct ? "hibiscusspool" : "hibiscusspool-standin"))
+      .string();
+  std::string log = (mFolder / (aName + ".log")).string();
+  std::vector<char*> raw{ program.data() };
+  for (std::string& argument : aArguments) {
+    raw.push_back(argument.data());
+  }
+  raw.push_back(nullptr);
+  pid_t process = fork();
+  if (process == 0) {
+    int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(file, STDOUT_FILENO);
+    dup2(file, STDERR_FILENO);
+    execv(program.c_str(), raw.data());
+    _exit(127);
+  }
+  mProcesses[aName] = process;
+}
+
+void
+test_system::Start(const std::string& aHost)
+{
+  Spawn(aHost,
+        { "serve", "--settings", (mFolder / (aHost + ".ini")).string() });
+}
+
+void
+test_system::StartStandin()
+{
+  mStandinPort = FreePort();
+  std::string announce;
+  for (const std::string& host : EntryHosts()) {
+    announce += (announce.empty() ? "" : ",") + Announce(host);
+  }
+  std::vector<std::string> arguments{
+    "backends", "--admin", Local(mStandinPort), "--announce",
+    announce,   "--state", mShape.mFirstState
+  };
+  for (const std::string& group : mShape.mGroups) {
+    arguments.emplace_back("--group");
+    arguments.push_back(group);
+  }
+  Spawn("standin", arguments);
+  WaitFor([&] { return Call("GET", Local(mStandinPort), "/").mStatus == 200; });
+}
+
+void
+test_system::StartAll()
+{
+  for (const std::string& host : ControlHosts()) {
+    Start(host);
+  }
+  for (const std::string& host : EntryHosts()) {
+    Start(host);
+  }
+  WaitFor([&] {
+    std::string list =
+      Call("GET", Callers(EntryHosts().front()), "/v1/entry-hosts").mBody;
+    std::size_t hosts = 0;
+    for (const std::string& host : EntryHosts()) {
+      hosts += list.find("\"" + host + "\"") != std::string::npos ? 1 : 0;
+    }
+    return hosts == EntryHosts().size();
+  });
+  StartStandin();
+  std::string services;
+  for (const std::string& group : mShape.mGroups) {
+    std::istringstream parts(group);
+    std::string name;
+    std::string count;
+    std::getline(parts, name, ':');
+    std::getline(parts, count, ':');
+    for (int number = 0; name != "log" && number < std::stoi(count); ++number) {
+      services += (services.empty() ? "" : ",") + name + std::to_string(number);
+    }
+  }
+  WaitFor([&] {
+    return Put("/v1/templates/basic",
+               R"({"services":")" + services +
+                 R"(","run_service":"log0","minimum_coverage":"${cover}",)"
+                 R"("wait_ms":"${wait}","parameters":{"cover":1,)"
+                 R"("wait":3000}})")
+             .mStatus == 200;
+  });
+  WaitFor([&] {
+    return Put("/v1/teams/team", R"({"template":"basic"})").mStatus == 200;
+  });
+  WaitFor([&] {
+    for (const std::string& host : EntryHosts()) {
+      if (Query(host).mStatus != 200) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
+void
+test_system::Signal(const std::string& aName, int aSignal)
+{
+  kill(mProcesses.at(aName), aSignal);
+}
+
+int
+test_system::End(const std::string& aName, int aSignal)
+{
+  pid_t process = mProcesses.at(aName);
+  mProcesses.erase(aName);
+  kill(process, aSignal);
+  // A process that was stopped by a signal takes no other until it goes on.
+  kill(process, SIGCONT);
+  int status = 0;
+  waitpid(process, &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+void
+test_system::LoseDisk(const std::string& aHost) const
+{
+  std::filesystem::remove_all(mFolder / ("data-" + aHost));
+}
+
+void
+test_system::Tell(const std::string& aServers, const std::string& aWishes) const
+{
+  Call("PUT", Local(mStandinPort), "/" + aServers, aWishes);
+}
+
+void
+test_system::TellLink(const std::string& aLink,
+                      const std::string& aWishes) const
+{
+  Call("PUT", Local(mProxyPort), "/" + aLink, aWishes);
+}
+
+boost::json::array
+test_system::Servers() const
+{
+  auto all = Call("GET", Local(mStandinPort), "/");
+  return all.mJson.is_array() ? all.mJson.as_array() : boost::json::array();
+}
+
+std::map<std::string, int>
+test_system::Runs() const
+{
+  std::map<std::string, int> runs;
+  auto all = Call("GET", Local(mStandinPort), "/runs");
+  if (all.mJson.is_object()) {
+    for (const auto& [key, count] : all.mJson.as_object()) {
+      runs[std::string(key)] = count.to_number<int>();
+    }
+  }
+  return runs;
+}
+
+double
+test_system::Sum(const std::string& aPrefix, const std::string& aCount) const
+{
+  double sum = 0;
+  for (const auto& server : Servers()) {
+    const auto& object = server.as_object();
+    std::string name(object.at("server").as_string());
+    if (name.starts_with(aPrefix)) {
+      sum += object.at(aCount).to_number<double>();
+    }
+  }
+  return sum;
+}
+
+std::string
+test_system::Leader() const
+{
+  for (const std::string& host : ControlHosts()) {
+    if (!IsRunning(host)) {
+      continue;
+    }
+    std::string leader =
+      Call("GET", Operators(host), "/v1/status").Text("leader");
+    if (!leader.empty()) {
+      return leader;
+    }
+  }
+  return {};
+}
+
+call_result
+test_system::Put(const std::string& aPath,
+                 const std::string& aBody,
+                 const headers& aHeaders) const
+{
+  call_result answer;
+  for (const std::string& host : ControlHosts()) {
+    if (!IsRunning(host)) {
+      continue;
+    }
+    answer = Call("PUT", Operators(host), aPath, aBody, aHeaders);
+    if (answer.mStatus != 0 && answer.mStatus != 503) {
+      return answer;
+    }
+  }
+  return answer;
+}
+
+call_result
+test_system::Query(const std::string& aHost,
+                   const std::string& aTeam,
+                   const std::string& aBody,
+                   const headers& aHeaders) const
+{
+  return Call(
+    "POST", Callers(aHost), "/v1/teams/" + aTeam + "/query", aBody, aHeaders);
+}
+
+call_result
+test_system::Run(const std::string& aHost,
+                 const std::string& aKey,
+                 const std::string& aBody) const
+{
+  return Call("POST",
+              Callers(aHost),
+              "/v1/teams/team/run",
+              aBody,
+              { { "Idempotency-Key", aKey } });
+}
+
+}
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -40,7 +40,7 @@
 http_handler
 MakeAdmin(std::vector<std::shared_ptr<thing>>& aThings,
           name_of aNameOf,
-          std::function<json::value()> aRuns)
+          const std::function<json::value()>& aRuns)
 {
   return [&aThings, aNameOf, aRuns](
            http_request aRequest) -> asio::awaitable<http_reply> {
@@ -158,7 +158,7 @@
     }
     return json::value_from(keys);
   };
-  auto admin = http_server::create(
+  auto admin = http_server::Create(
     context,
     config,
     MakeAdmin(
@@ -197,7 +197,7 @@
   }
   http_server_config config;
   config.mAddress = aGiven["admin"].as<std::string>();
-  auto admin = http_server::create(
+  auto admin = http_server::Create(
     context,
     config,
     MakeAdmin(
--- a/tests/standin/proxy.cpp
+++ b/tests/standin/proxy.cpp
@@ -98,7 +98,7 @@
   asio::co_spawn(
     mContext,
     [self = shared_from_this(), aOpen]() { return self->Pump(aOpen, false); },
-    [self = shared_from_this(), aNumber](std::exception_ptr) {
+    [self = shared_from_this(), aNumber](const std::exception_ptr&) {
       self->Close(aNumber);
     });
   co_await Pump(aOpen, true);
