--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -56,9 +56,7 @@
 {
   std::uint32_t share = Share(aBackend, aNow);
   std::uint32_t cold = aBackend.mColdShare.Usable(aNow);
-  bool isCold =
-    aBackend.mRecord.mState == server_state::Cold || aBackend.mLooksCold;
-  if (isCold) {
+  if (IsCold(aBackend)) {
     return std::min(share, cold);
   }
   std::uint32_t allowed = std::min(share, aBackend.mLimit.Allowed());
@@ -74,23 +72,41 @@
 }
 
 void
-backend_controller::SetShares(backend& aBackend,
-                              const std::vector<host_id>& aHosts,
-                              bool aIsFresh,
-                              steady_time aNow) const
+backend_controller::DealPool(service_pool& aPool,
+                             const std::vector<host_id>& aHosts,
+                             const server_id& aFresh,
+                             steady_time aNow) const
 {
-  const server_record& record = aBackend.mRecord;
-  std::uint32_t share =
-    ShareOf(record.mServer, record.mConnections, aHosts, mConfig.mSelf);
-  std::uint32_t cold =
-    ShareOf(record.mServer, record.mColdSlots, aHosts, mConfig.mSelf);
-  if (aIsFresh) {
-    aBackend.mShare.SetFresh(share);
-    aBackend.mColdShare.SetFresh(cold);
-    return;
+  std::vector<server_units> connections;
+  std::vector<server_units> coldSlots;
+  for (const backend& entry : aPool.mBackends) {
+    const server_record& record = entry.mRecord;
+    connections.push_back({ record.mServer, record.mConnections });
+    coldSlots.push_back({ record.mServer, record.mColdSlots });
+  }
+  auto shares = DealShares(connections, aHosts, mConfig.mSelf);
+  auto coldShares = DealShares(coldSlots, aHosts, mConfig.mSelf);
+  for (std::size_t place = 0; place < aPool.mBackends.size(); ++place) {
+    backend& entry = aPool.mBackends[place];
+    if (entry.mRecord.mServer == aFresh) {
+      entry.mShare.SetFresh(shares[place]);
+      entry.mColdShare.SetFresh(coldShares[place]);
+      continue;
+    }
+    entry.mShare.SetTarget(shares[place], aNow, mConfig.mHandOver);
+    entry.mColdShare.SetTarget(coldShares[place], aNow, mConfig.mHandOver);
   }
-  aBackend.mShare.SetTarget(share, aNow, mConfig.mHandOver);
-  aBackend.mColdShare.SetTarget(cold, aNow, mConfig.mHandOver);
+}
+
+std::vector<connection_id>
+backend_controller::TakeSurplus(service_pool& aPool, steady_time aNow) const
+{
+  std::vector<connection_id> surplus;
+  for (backend& entry : aPool.mBackends) {
+    std::vector<connection_id> taken = TakeSurplus(entry, aNow);
+    surplus.insert(surplus.end(), taken.begin(), taken.end());
+  }
+  return surplus;
 }
 
 std::vector<connection_id>
@@ -118,11 +134,9 @@
   }
   std::vector<connection_id> surplus;
   mServices.ForEach([&](const service_id& /*aName*/, service_pool& aPool) {
-    for (backend& entry : aPool.mBackends) {
-      SetShares(entry, aHosts, false, aNow);
-      std::vector<connection_id> taken = TakeSurplus(entry, aNow);
-      surplus.insert(surplus.end(), taken.begin(), taken.end());
-    }
+    DealPool(aPool, aHosts, {}, aNow);
+    std::vector<connection_id> taken = TakeSurplus(aPool, aNow);
+    surplus.insert(surplus.end(), taken.begin(), taken.end());
   });
   mHooks.mClose(surplus);
 }
@@ -136,14 +150,19 @@
 
 void
 backend_controller::DropFromService(const service_id& aService,
-                                    const server_id& aServer)
+                                    const server_id& aServer,
+                                    steady_time aNow)
 {
+  std::vector<host_id> hosts = Hosts();
   std::vector<connection_id> idle;
   mServices.UpdateIfPresent(aService, [&](service_pool& aPool) {
     auto found = FindBackend(aPool, aServer);
     if (found != aPool.mBackends.end()) {
       idle = std::move(found->mIdle);
       aPool.mBackends.erase(found);
+      DealPool(aPool, hosts, {}, aNow);
+      std::vector<connection_id> surplus = TakeSurplus(aPool, aNow);
+      idle.insert(idle.end(), surplus.begin(), surplus.end());
     }
   });
   mHooks.mClose(idle);
@@ -156,7 +175,7 @@
 {
   auto known = mServiceOf.Get(aRecord.mServer);
   if (known && *known != aRecord.mService) {
-    DropFromService(*known, aRecord.mServer);
+    DropFromService(*known, aRecord.mServer, aNow);
   }
   mServiceOf.Set(aRecord.mServer, aRecord.mService);
   std::vector<host_id> hosts = Hosts();
@@ -176,6 +195,13 @@
       found = aPool.mBackends.end();
     }
     if (found == aPool.mBackends.end()) {
+      found =
+        std::upper_bound(aPool.mBackends.begin(),
+                         aPool.mBackends.end(),
+                         aRecord.mServer,
+                         [](const server_id& aServer, const backend& aBackend) {
+                           return aServer < aBackend.mRecord.mServer;
+                         });
       found = aPool.mBackends.insert(found, backend{});
       // A server that was ready before this host came needs no ramp here.
       found->mReadySince = aNow - mConfig.mRamp;
@@ -198,7 +224,8 @@
     }
     found->mRecord = aRecord;
     if (isNewRun || unitsChange) {
-      SetShares(*found, hosts, isNewRun && aIsFresh, aNow);
+      bool isFresh = isNewRun && aIsFresh;
+      DealPool(aPool, hosts, isFresh ? aRecord.mServer : server_id{}, aNow);
     }
     if (!CanAnswer(*found, {})) {
       // A server that leaves is not kept from it by unused connections.
@@ -206,7 +233,7 @@
       std::vector<connection_id> unused = std::exchange(found->mIdle, {});
       closed.insert(closed.end(), unused.begin(), unused.end());
     }
-    std::vector<connection_id> surplus = TakeSurplus(*found, aNow);
+    std::vector<connection_id> surplus = TakeSurplus(aPool, aNow);
     closed.insert(closed.end(), surplus.begin(), surplus.end());
     waiters = std::exchange(aPool.mWaiters, {});
   });
@@ -217,14 +244,20 @@
 }
 
 void
-backend_controller::Remove(const server_id& aServer)
+backend_controller::Remove(const server_id& aServer, steady_time aNow)
 {
   auto service = mServiceOf.Take(aServer);
   if (service) {
-    DropFromService(*service, aServer);
+    DropFromService(*service, aServer, aNow);
   }
 }
 
+bool
+backend_controller::IsCold(const backend& aBackend)
+{
+  return aBackend.mRecord.mState == server_state::Cold || aBackend.mLooksCold;
+}
+
 bool
 backend_controller::CanAnswer(const backend& aBackend,
                               const std::set<failure_domain_id>& aDomainsOut)
@@ -284,13 +317,14 @@
       return;
     }
     backend& chosen = aPool.mBackends[*place];
-    permit = attempt_permit{ aRequest.mService,
-                             chosen.mRecord.mServer,
-                             chosen.mRecord.mIncarnation,
-                             chosen.mRecord.mAddress,
-                             chosen.mRecord.mFailureDomain,
-                             0,
-                             aNow };
+    permit.emplace();
+    permit->mService = aRequest.mService;
+    permit->mServer = chosen.mRecord.mServer;
+    permit->mIncarnation = chosen.mRecord.mIncarnation;
+    permit->mAddress = chosen.mRecord.mAddress;
+    permit->mFailureDomain = chosen.mRecord.mFailureDomain;
+    permit->mIsCold = IsCold(chosen);
+    permit->mStartedAt = aNow;
     ++chosen.mOutstanding;
     if (chosen.mIdle.empty()) {
       ++chosen.mOpen;
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -60,6 +60,8 @@
   failure_domain_id mFailureDomain;
   /** An open connection to use, or 0 to open one. */
   connection_id mConnection = 0;
+  /** The place is one of the server's cold slots. */
+  bool mIsCold = false;
   steady_time mStartedAt;
 };
 
@@ -139,6 +141,7 @@
 
   struct service_pool
   {
+    /** In the order of their ids, on which shares depend. */
     std::vector<backend> mBackends;
     quantile_tracker mTail{ 0.95 };
     std::mt19937_64 mRandom;
@@ -160,12 +163,16 @@
                                       steady_time aNow) const;
   [[nodiscard]] std::uint32_t Share(const backend& aBackend,
                                     steady_time aNow) const;
-  void SetShares(backend& aBackend,
-                 const std::vector<host_id>& aHosts,
-                 bool aIsFresh,
-                 steady_time aNow) const;
+  /** Deals the service's units anew; `aFresh` names a server new to all. */
+  void DealPool(service_pool& aPool,
+                const std::vector<host_id>& aHosts,
+                const server_id& aFresh,
+                steady_time aNow) const;
   [[nodiscard]] std::vector<connection_id> TakeSurplus(backend& aBackend,
                                                        steady_time aNow) const;
+  [[nodiscard]] std::vector<connection_id> TakeSurplus(service_pool& aPool,
+                                                       steady_time aNow) const;
+  [[nodiscard]] static bool IsCold(const backend& aBackend);
   [[nodiscard]] static bool CanAnswer(
     const backend& aBackend,
     const std::set<failure_domain_id>& aDomainsOut);
@@ -178,7 +185,9 @@
              service_pool& aPool,
              const attempt_report& aReport,
              steady_time aNow) const;
-  void DropFromService(const service_id& aService, const server_id& aServer);
+  void DropFromService(const service_id& aService,
+                       const server_id& aServer,
+                       steady_time aNow);
 
 public:
   backend_controller(backend_config aConfig, backend_hooks aHooks)
@@ -195,7 +204,7 @@
    * no host can have used this run of the server before.
    */
   void Put(const server_record& aRecord, bool aIsFresh, steady_time aNow);
-  void Remove(const server_id& aServer);
+  void Remove(const server_id& aServer, steady_time aNow);
 
   /** Picks a server and takes a place at it, or nothing. */
   std::optional<attempt_permit> Choose(const choice_request& aRequest,
--- a/controllers/catalog_controller.cpp
+++ b/controllers/catalog_controller.cpp
@@ -147,7 +147,7 @@
       RefreshHosts(aNow);
       return;
     case record_kind::Server:
-      mBackends.Remove(server_id{ aRemoval.mName });
+      mBackends.Remove(server_id{ aRemoval.mName }, aNow);
       return;
     case record_kind::Quarantine:
       mQuarantine.Take(fingerprint_id{ aRemoval.mName });
--- a/decisions/share.cpp
+++ b/decisions/share.cpp
@@ -1,6 +1,7 @@
 #include "decisions/share.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include <xxhash.h>
 
@@ -18,31 +19,69 @@
 
 }
 
-std::uint32_t
-ShareOf(const server_id& aServer,
-        std::uint32_t aUnits,
-        const std::vector<host_id>& aHosts,
-        const host_id& aSelf)
+namespace {
+
+/** Gives each of a server's left-over units to one host. */
+void
+DealLeftOver(const server_id& aServer,
+             std::uint32_t aLeftOver,
+             const std::vector<host_id>& aHosts,
+             std::vector<std::uint32_t>& aDealt,
+             std::vector<std::size_t>& aChosen)
 {
-  bool isInView =
-    std::find(aHosts.begin(), aHosts.end(), aSelf) != aHosts.end();
-  if (!isInView) {
-    return 0;
+  struct rank
+  {
+    std::uint32_t mDealt = 0;
+    std::uint64_t mWeight = 0;
+    std::size_t mPlace = 0;
+  };
+  std::vector<rank> ranks;
+  ranks.reserve(aHosts.size());
+  for (std::size_t place = 0; place < aHosts.size(); ++place) {
+    ranks.push_back({ aDealt[place], Weight(aServer, aHosts[place]), place });
   }
-  auto hosts = static_cast<std::uint32_t>(aHosts.size());
-  std::uint32_t each = aUnits / hosts;
-  std::uint32_t leftOver = aUnits % hosts;
-  if (leftOver == 0) {
-    return each;
+  auto last = ranks.begin() + static_cast<std::ptrdiff_t>(aLeftOver);
+  std::partial_sort(
+    ranks.begin(), last, ranks.end(), [](const rank& aOne, const rank& aTwo) {
+      return std::tuple(aOne.mDealt, ~aOne.mWeight, aOne.mPlace) <
+             std::tuple(aTwo.mDealt, ~aTwo.mWeight, aTwo.mPlace);
+    });
+  aChosen.clear();
+  for (auto chosen = ranks.begin(); chosen != last; ++chosen) {
+    ++aDealt[chosen->mPlace];
+    aChosen.push_back(chosen->mPlace);
   }
-  std::uint64_t own = Weight(aServer, aSelf);
-  std::uint32_t rank = 0;
-  for (const host_id& host : aHosts) {
-    std::uint64_t weight = Weight(aServer, host);
-    bool isBefore = weight > own || (weight == own && host < aSelf);
-    rank += isBefore ? 1 : 0;
+}
+
+}
+
+std::vector<std::uint32_t>
+DealShares(const std::vector<server_units>& aServers,
+           const std::vector<host_id>& aHosts,
+           const host_id& aSelf)
+{
+  std::vector<std::uint32_t> shares(aServers.size(), 0);
+  auto self = std::find(aHosts.begin(), aHosts.end(), aSelf);
+  if (self == aHosts.end()) {
+    return shares;
+  }
+  auto ownPlace = static_cast<std::size_t>(self - aHosts.begin());
+  auto hosts = static_cast<std::uint32_t>(aHosts.size());
+  std::vector<std::uint32_t> dealt(aHosts.size(), 0);
+  std::vector<std::size_t> chosen;
+  for (std::size_t place = 0; place < aServers.size(); ++place) {
+    const server_units& server = aServers[place];
+    shares[place] = server.mUnits / hosts;
+    std::uint32_t leftOver = server.mUnits % hosts;
+    if (leftOver == 0) {
+      continue;
+    }
+    DealLeftOver(server.mServer, leftOver, aHosts, dealt, chosen);
+    bool isOwn =
+      std::find(chosen.begin(), chosen.end(), ownPlace) != chosen.end();
+    shares[place] += isOwn ? 1 : 0;
   }
-  return each + (rank < leftOver ? 1 : 0);
+  return shares;
 }
 
 void
--- a/decisions/share.h
+++ b/decisions/share.h
@@ -8,16 +8,26 @@
 
 namespace hibiscusspool {
 
+/** A server and how many units of something it has for all hosts. */
+struct server_units
+{
+  server_id mServer;
+  std::uint32_t mUnits = 0;
+};
+
 /**
- * How many of a server's units this host may use. The units are divided
- * evenly, and what is left over goes by rank in a rendezvous hash, so that
- * the sum over all hosts is just `aUnits` and a change of hosts moves little.
+ * How many units of each server of one service this host may use. Each
+ * server's units are divided evenly; what is left over goes to the hosts that
+ * have the fewest left-over units of this service so far, by rank in a
+ * rendezvous hash among equals. So the sum over all hosts is just the
+ * server's units, no host of a service has over one unit more than another,
+ * and a change of hosts or servers moves little.
+ * `aServers` and `aHosts` must be in the same order everywhere.
  */
-std::uint32_t
-ShareOf(const server_id& aServer,
-        std::uint32_t aUnits,
-        const std::vector<host_id>& aHosts,
-        const host_id& aSelf);
+std::vector<std::uint32_t>
+DealShares(const std::vector<server_units>& aServers,
+           const std::vector<host_id>& aHosts,
+           const host_id& aSelf);
 
 /**
  * One host's share of one server. A share that shrinks does so at once. One
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -209,11 +209,27 @@
       }
       aBuffer.commit(count);
     }
-    aConnection.mStream.expires_after(mConfig.mSlowSender);
+    // The stream's own timer would close it, and no answer could be sent.
+    aConnection.mStream.expires_never();
+    struct reading
+    {
+      bool mIsDone = false;
+      bool mIsSlow = false;
+    };
+    auto progress = std::make_shared<reading>();
+    asio::steady_timer limit(aConnection.mStream.get_executor(),
+                             mConfig.mSlowSender);
+    limit.async_wait([progress, &aConnection](beast::error_code aError) {
+      if (!aError && !progress->mIsDone) {
+        progress->mIsSlow = true;
+        aConnection.mStream.cancel();
+      }
+    });
     auto [error, count] = co_await http::async_read(
       aConnection.mStream, aBuffer, aParser, kNoThrow);
-    aConnection.mStream.expires_never();
-    co_return error;
+    progress->mIsDone = true;
+    limit.cancel();
+    co_return progress->mIsSlow ? beast::error::timeout : error;
   }
 
   asio::awaitable<bool> Answer(http_connection& aConnection,
--- a/filters/identify.cpp
+++ b/filters/identify.cpp
@@ -32,7 +32,8 @@
   if (aRequest.mRequest.IsEmpty()) {
     aRequest.mRequest = aHooks.mNewRequest();
   }
-  aRequest.mDeadline = aRequest.mReceivedAt + kLongestWait;
+  aRequest.mGiveUpAt = aRequest.mReceivedAt + aHooks.mLongestWait;
+  aRequest.mDeadline = aRequest.mGiveUpAt;
   // Whoever sends a key may have sent it before, so that until the claims
   // table is asked nobody can say that the request never ran.
   bool mayHaveRun =
@@ -50,7 +51,7 @@
   }
   aRequest.mPolicy = std::move(team->mPolicy);
   aRequest.mHasPolicy = true;
-  milliseconds wait = aRequest.mPolicy.mWait;
+  milliseconds wait = std::min(aRequest.mPolicy.mWait, aHooks.mLongestWait);
   if (aRequest.mCallerWait) {
     wait = std::min(wait, *aRequest.mCallerWait);
   }
--- a/filters/identify.h
+++ b/filters/identify.h
@@ -10,6 +10,8 @@
   std::function<std::optional<team_view>(const team_id&)> mTeam;
   /** A request id for a caller that gave none. */
   std::function<request_id()> mNewRequest;
+  /** The longest time that any request may run. */
+  milliseconds mLongestWait{ kLongestWait };
 };
 
 /** Finds the team and its policy, and sets the deadline. */
--- a/filters/request_context.h
+++ b/filters/request_context.h
@@ -80,6 +80,8 @@
   team_policy mPolicy;
   bool mHasPolicy = false;
   steady_time mDeadline;
+  /** When this host stops waiting even for what the caller gave up. */
+  steady_time mGiveUpAt;
   fingerprint_id mFingerprint;
   bool mIsAdmitted = false;
   steady_time mAdmittedAt;
--- a/filters/scatter.cpp
+++ b/filters/scatter.cpp
@@ -78,6 +78,7 @@
   fingerprint_id mFingerprint;
   std::shared_ptr<const std::string> mBody;
   steady_time mDeadline;
+  steady_time mGiveUpAt;
   snapshot_number mSnapshot;
 
   std::vector<service_progress> mServices;
@@ -120,6 +121,7 @@
     , mFingerprint(aRequest.mFingerprint)
     , mBody(aRequest.mBody)
     , mDeadline(aRequest.mDeadline)
+    , mGiveUpAt(aRequest.mGiveUpAt)
     , mSnapshot(aRequest.mSnapshot)
     , mIsSuspect(aRequest.mIsTrial)
     , mLateAnswer(aRequest.mLateAnswer)
@@ -363,9 +365,10 @@
     order.mKey = mKey;
     order.mSnapshot = mSnapshot;
     order.mDeadline = mDeadline;
-    // The outcome of a run is worth knowing even after its caller was told.
-    order.mGiveUpAt =
-      mKind == request_kind::Run ? mDeadline + kLongestWait : mDeadline;
+    // The outcome of a run is worth knowing even after its caller was told,
+    // and a cold server's slot is taken until the server says otherwise.
+    bool isKept = mKind == request_kind::Run || order.mPermit.mIsCold;
+    order.mGiveUpAt = isKept ? mGiveUpAt : mDeadline;
     order.mBody = mBody;
     asio::co_spawn(
       mExecutor,
@@ -455,8 +458,16 @@
       mIsCanary = false;
       mFingerprints.SetHarmless(mFingerprint);
     }
-    for (auto& [number, loser] : aService.mFlying) {
-      loser.mCancel->emit(asio::cancellation_type::terminal);
+    Cancel(aService);
+  }
+
+  /** Gives a service's attempts up, but for those in a cold server's slot. */
+  static void Cancel(service_progress& aService)
+  {
+    for (auto& [number, flying] : aService.mFlying) {
+      if (!flying.mPermit.mIsCold) {
+        flying.mCancel->emit(asio::cancellation_type::terminal);
+      }
     }
   }
 
@@ -549,9 +560,7 @@
   void CancelAll()
   {
     for (service_progress& service : mServices) {
-      for (auto& [number, flying] : service.mFlying) {
-        flying.mCancel->emit(asio::cancellation_type::terminal);
-      }
+      Cancel(service);
     }
   }
 
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -67,12 +67,14 @@
   return hosts;
 }
 
-/** Time until a gained share may be used: a lease, the longest wait, and one
- * part in a hundred for clocks that run apart. */
+/**
+ * Time until a gained share may be used: a lease, the longest wait, and one
+ * part in a hundred for clocks that run apart.
+ */
 milliseconds
-HandOverTime(milliseconds aLease)
+HandOverTime(const settings& aSettings)
 {
-  milliseconds sum = aLease + kLongestWait;
+  milliseconds sum(aSettings.mEntryLeaseMs + aSettings.mEntryLongestWaitMs);
   return sum + sum / 100;
 }
 
@@ -82,7 +84,7 @@
   backend_config config;
   config.mSelf.mValue = aSettings.mHostId;
   config.mFailureDomain.mValue = aSettings.mHostFailureDomain;
-  config.mHandOver = HandOverTime(milliseconds(aSettings.mEntryLeaseMs));
+  config.mHandOver = HandOverTime(aSettings);
   config.mRamp = milliseconds(aSettings.mEntryRampMs);
   config.mSeed = std::random_device{}();
   return config;
@@ -666,7 +668,7 @@
   // kept, given out at the latest by a host that had a lease to learn it.
   std::this_thread::sleep_for(milliseconds(mSettings.mEntryKeepListMs) +
                               mLease.Lease());
-  steady_time end = SteadyNow() + kLongestWait;
+  steady_time end = SteadyNow() + milliseconds(mSettings.mEntryLongestWaitMs);
   while (mCallers->Active() > 0 && SteadyNow() < end) {
     std::this_thread::sleep_for(kStopCheck);
   }
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,6 +1,9 @@
 #include "main/serve.h"
 
 #include "settings/settings.h"
+#include "tools/admin.h"
+#include "tools/load.h"
+#include "tools/report.h"
 
 #include <boost/program_options.hpp>
 
@@ -25,6 +28,9 @@
   "  serve --settings FILE   run the roles that the file names\n"
   "  check --settings FILE   check a settings file and exit\n"
   "  check --page            print the settings as a page\n"
+  "  admin …                 show and change what is in force\n"
+  "  report KIND             burn, tail, coverage or refusals\n"
+  "  load …                  send an open load, or compare two\n"
   "  --help                  this text\n"
   "  --version               the version\n"
   "\n"
@@ -99,6 +105,15 @@
   if (command == "serve" || command == "check") {
     return RunWithSettings(command, rest);
   }
+  if (command == "admin") {
+    return RunAdmin(rest);
+  }
+  if (command == "report") {
+    return RunReport(rest);
+  }
+  if (command == "load") {
+    return RunLoad(rest);
+  }
   return FailUsage("there is no command \"" + command +
                    "\"; --help lists them.");
 }
--- a/messages/operator_json.cpp
+++ b/messages/operator_json.cpp
@@ -245,13 +245,15 @@
       leading = &reply;
     }
     for (const wire::DaemonStatus& daemon : reply.daemons()) {
-      daemons.push_back({ { "host", daemon.host().name() },
-                          { "failure_domain", daemon.host().failure_domain() },
-                          { "address", daemon.host().callers_address() },
-                          { "control_host", reply.host() },
-                          { "confirmed_index", daemon.held_index() },
-                          { "confirmed_age_ms", daemon.confirmed_age_ms() },
-                          { "heard_ms_ago", daemon.heard_ms_ago() } });
+      daemons.push_back(
+        { { "host", daemon.host().name() },
+          { "failure_domain", daemon.host().failure_domain() },
+          { "address", daemon.host().callers_address() },
+          { "announce_address", daemon.host().announce_address() },
+          { "control_host", reply.host() },
+          { "confirmed_index", daemon.held_index() },
+          { "confirmed_age_ms", daemon.confirmed_age_ms() },
+          { "heard_ms_ago", daemon.heard_ms_ago() } });
     }
   }
   status["leader"] = leading != nullptr ? leading->host() : "";
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -68,6 +68,7 @@
   std::int64_t mEntryThreads = 4;
   std::int64_t mEntryLeaseMs = 4000;
   std::int64_t mEntryMarkMs = 500;
+  std::int64_t mEntryLongestWaitMs = 10'000;
   std::int64_t mEntryKeepListMs = 5000;
   std::int64_t mEntryBodyBytes = 1 << 20;
   std::int64_t mEntryAnswerBytes = 16 << 20;
--- /dev/null
+++ b/tests/controllers/backend_controller_test.cpp
@@ -0,0 +1,166 @@
+#include "controllers/backend_controller.h"
+#include "controllers/lease_controller.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace hibiscusspool;
+
+const steady_time kNow{ std::chrono::hours(1) };
+constexpr milliseconds kHandOver{ 14'000 };
+
+server_record
+Server(const std::string& aName, server_state aState = server_state::Ready)
+{
+  server_record record;
+  record.mServer.mValue = aName;
+  record.mIncarnation = 1;
+  record.mService.mValue = "s";
+  record.mFailureDomain.mValue = aName.substr(0, 1);
+  record.mAddress = "127.0.0.1:1";
+  record.mSlots = 4;
+  record.mConnections = 6;
+  record.mColdSlots = 2;
+  record.mState = aState;
+  record.mSnapshots = { 1 };
+  return record;
+}
+
+}
+
+TEST_GROUP(backend_controller)
+{
+  std::vector<connection_id> mClosed;
+  std::vector<server_id> mCold;
+  backend_controller mBackends{
+    { host_id{ "e1" }, failure_domain_id{ "a" }, kHandOver },
+    { [this](const std::vector<connection_id>& aConnections) {
+       mClosed.insert(mClosed.end(), aConnections.begin(), aConnections.end());
+     },
+      [this](const server_id& aServer) { mCold.push_back(aServer); } }
+  };
+  choice_request mChoice{ service_id{ "s" }, 1, {}, {}, false };
+
+  void setup() override
+  {
+    mBackends.SetHosts({ host_id{ "e1" }, host_id{ "e2" } }, kNow);
+  }
+
+  void Finish(const attempt_permit& aPermit,
+              attempt_status aStatus,
+              connection_id aConnection = 0,
+              steady_time aNow = kNow)
+  {
+    mBackends.Finish(
+      aPermit, { aStatus, microseconds(1000), aConnection }, aNow);
+  }
+};
+
+TEST(backend_controller, KeepsToItsShareOfConnections)
+{
+  mBackends.Put(Server("a"), true, kNow);
+  std::vector<attempt_permit> permits;
+  while (auto permit = mBackends.Choose(mChoice, kNow)) {
+    permits.push_back(*permit);
+  }
+  LONGS_EQUAL(3, permits.size());
+  connection_id number = 1;
+  for (const attempt_permit& permit : permits) {
+    Finish(permit, attempt_status::Answered, number++);
+  }
+  // A third host comes: the share is two from now on, and one is closed.
+  mBackends.SetHosts({ host_id{ "e1" }, host_id{ "e2" }, host_id{ "e3" } },
+                     kNow);
+  LONGS_EQUAL(1, mClosed.size());
+  // It goes: the share grows back only after the hand-over.
+  mBackends.SetHosts({ host_id{ "e1" }, host_id{ "e2" } }, kNow);
+  LONGS_EQUAL(2, mBackends.Views(kNow)[0].mShare);
+  LONGS_EQUAL(3, mBackends.Views(kNow + kHandOver)[0].mShare);
+}
+
+TEST(backend_controller, AServerThatWasInUseBeforeWaitsForTheHandOver)
+{
+  mBackends.Put(Server("a"), false, kNow);
+  CHECK(!mBackends.Choose(mChoice, kNow));
+  CHECK(!mBackends.HasItsShares(kNow));
+  CHECK(mBackends.Choose(mChoice, kNow + kHandOver).has_value());
+  CHECK(mBackends.HasItsShares(kNow + kHandOver));
+}
+
+TEST(backend_controller, AServerThatComesBackInTheSameRunIsNotFresh)
+{
+  mBackends.Put(Server("a"), true, kNow);
+  mBackends.Put(Server("a", server_state::Gone), true, kNow);
+  CHECK(!mBackends.Choose(mChoice, kNow));
+  mBackends.SetHosts({ host_id{ "e1" } }, kNow);
+  mBackends.Put(Server("a"), true, kNow);
+  LONGS_EQUAL(3, mBackends.Views(kNow)[0].mShare);
+}
+
+TEST(backend_controller, AColdServerGetsItsColdShareAndThenARamp)
+{
+  mBackends.Put(Server("a", server_state::Cold), true, kNow);
+  auto one = mBackends.Choose(mChoice, kNow);
+  CHECK(one.has_value());
+  CHECK(!mBackends.Choose(mChoice, kNow));
+  Finish(*one, attempt_status::Answered);
+  mBackends.Put(Server("a"), true, kNow);
+  LONGS_EQUAL(1, mBackends.Views(kNow)[0].mAllowed);
+  steady_time later = kNow + milliseconds(10'000);
+  for (int count = 0; count < 30; ++count) {
+    auto permit = mBackends.Choose(mChoice, later);
+    Finish(*permit, attempt_status::Answered, 0, later);
+  }
+  CHECK(mBackends.Views(later)[0].mAllowed > 1);
+}
+
+TEST(backend_controller, ServersThatShedInARowAreTakenForColdOnes)
+{
+  mBackends.Put(Server("a"), true, kNow);
+  steady_time now = kNow;
+  for (int count = 0; count < 8; ++count) {
+    now += milliseconds(50);
+    auto permit = mBackends.Choose(mChoice, now);
+    Finish(*permit, attempt_status::Shed, 0, now);
+  }
+  LONGS_EQUAL(1, mCold.size());
+  LONGS_EQUAL(1, mBackends.Views(now)[0].mAllowed);
+}
+
+TEST(backend_controller, StaysOutOfDrainingServersAndDomainsThatAreOut)
+{
+  mBackends.Put(Server("a"), true, kNow);
+  mBackends.Put(Server("b"), true, kNow);
+  mBackends.SetDomainsOut({ failure_domain_id{ "a" } });
+  for (int count = 0; count < 3; ++count) {
+    auto permit = mBackends.Choose(mChoice, kNow);
+    STRCMP_EQUAL("b", permit->mServer.mValue.c_str());
+  }
+  mBackends.Put(Server("b", server_state::Draining), true, kNow);
+  CHECK(!mBackends.Choose(mChoice, kNow));
+  CHECK(mBackends.Snapshots({ service_id{ "s" } })[0].mSnapshots.empty());
+}
+
+TEST(backend_controller, WakesWhoWaitsForAPlace)
+{
+  mBackends.Put(Server("a", server_state::Cold), true, kNow);
+  auto permit = mBackends.Choose(mChoice, kNow);
+  int woken = 0;
+  mBackends.WaitForPlace(service_id{ "s" }, [&] { ++woken; });
+  Finish(*permit, attempt_status::Answered);
+  LONGS_EQUAL(1, woken);
+}
+
+TEST_GROUP(lease_controller){};
+
+TEST(lease_controller, ConfirmsOnlyWhileTheNewestMarkIsYoung)
+{
+  lease_controller lease(milliseconds(4000));
+  CHECK(!lease.IsConfirmed(kNow));
+  lease.Confirm(kNow);
+  // An older mark that is confirmed late changes nothing.
+  lease.Confirm(kNow - milliseconds(1000));
+  CHECK(lease.IsConfirmed(kNow + milliseconds(3999)));
+  CHECK(!lease.IsConfirmed(kNow + milliseconds(4000)));
+}
--- /dev/null
+++ b/tests/controllers/watch_hub_test.cpp
@@ -0,0 +1,103 @@
+#include "controllers/watch_hub.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace hibiscusspool;
+
+const steady_time kNow{ std::chrono::hours(1) };
+
+record_change
+Fact(const std::string& aName)
+{
+  return record_removal{ record_kind::Team, aName };
+}
+
+}
+
+TEST_GROUP(watch_hub)
+{
+  std::vector<std::function<void(log_index)>> mAsked;
+  watch_hub mHub{ { [] {
+                     return std::pair(
+                       log_index(10),
+                       std::vector<record_change>{ Fact("whole") });
+                   },
+                    [this](std::function<void(log_index)> aReply) {
+                      mAsked.push_back(std::move(aReply));
+                    } } };
+
+  stream_id Open()
+  {
+    return mHub.Open(
+      {}, [] {}, kNow);
+  }
+};
+
+TEST(watch_hub, AStreamStartsWithAllFactsAndGoesOnInOrder)
+{
+  mHub.Replaced(10);
+  stream_id stream = Open();
+  auto first = mHub.Next(stream);
+  CHECK(first->mReplaces);
+  LONGS_EQUAL(10, first->mIndex);
+  CHECK(!mHub.Next(stream));
+  mHub.Publish(11, { Fact("a") });
+  mHub.Publish(12, {});
+  mHub.Publish(13, { Fact("b") });
+  auto next = mHub.Next(stream);
+  CHECK(!next->mReplaces);
+  LONGS_EQUAL(2, next->mFacts.size());
+  LONGS_EQUAL(13, next->mIndex);
+}
+
+TEST(watch_hub, AStreamThatLagsTooFarStartsAnew)
+{
+  mHub.Replaced(10);
+  stream_id stream = Open();
+  mHub.Next(stream);
+  for (log_index index = 11; index < 5000; ++index) {
+    mHub.Publish(index, { Fact("x") });
+  }
+  CHECK(mHub.Next(stream)->mReplaces);
+}
+
+TEST(watch_hub, AMarkIsConfirmedByARoundThatBeganAfterIt)
+{
+  mHub.Replaced(10);
+  stream_id early = Open();
+  stream_id late = Open();
+  mHub.Next(early);
+  mHub.Next(late);
+  mHub.Report(early, { 1, 10, {}, true }, kNow);
+  LONGS_EQUAL(1, mAsked.size());
+  // This mark comes while the first round may have read already.
+  mHub.Report(late, { 7, 10, {}, true }, kNow);
+  LONGS_EQUAL(1, mAsked.size());
+  mAsked[0](10);
+  LONGS_EQUAL(1, mHub.Next(early)->mConfirmedMark);
+  CHECK(!mHub.Next(late));
+  LONGS_EQUAL(2, mAsked.size());
+  mAsked[1](10);
+  LONGS_EQUAL(7, mHub.Next(late)->mConfirmedMark);
+}
+
+TEST(watch_hub, OneRoundServesAllMarksThatWait)
+{
+  mHub.Replaced(10);
+  std::vector<stream_id> streams;
+  stream_id first = Open();
+  mHub.Report(first, { 1, 10, {}, true }, kNow);
+  for (int count = 0; count < 50; ++count) {
+    streams.push_back(Open());
+    mHub.Report(streams.back(), { 2, 10, {}, true }, kNow);
+  }
+  mAsked[0](10);
+  LONGS_EQUAL(2, mAsked.size());
+  mAsked[1](10);
+  LONGS_EQUAL(2, mAsked.size());
+  for (stream_id stream : streams) {
+    LONGS_EQUAL(2, mHub.Next(stream)->mConfirmedMark);
+  }
+}
--- /dev/null
+++ b/tests/decisions/records_test.cpp
@@ -0,0 +1,195 @@
+#include "decisions/announcement.h"
+#include "decisions/burn.h"
+#include "decisions/membership.h"
+#include "decisions/refusal.h"
+#include "decisions/team_policy.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace hibiscusspool;
+
+const steady_time kNow{ std::chrono::hours(1) };
+
+refusal
+Kept(std::uint64_t aNumber)
+{
+  refusal kept;
+  kept.mNumber = aNumber;
+  kept.mId = "e1-5-" + std::to_string(aNumber);
+  kept.mAt = static_cast<wall_ms>(aNumber);
+  return kept;
+}
+
+}
+
+TEST_GROUP(refusal_account){};
+
+TEST(refusal_account, MergesWhatDiskHostsKeptAndNamesTheGaps)
+{
+  refusal_batch one{ host_id{ "e1" }, 5, { Kept(1), Kept(2), Kept(5) }, 5 };
+  refusal_batch other{ host_id{ "e1" }, 5, { Kept(2), Kept(3) }, 7 };
+  auto account = MergeRefusals({ one, other });
+  LONGS_EQUAL(4, account.mRefusals.size());
+  LONGS_EQUAL(2, account.mGaps.size());
+  LONGS_EQUAL(4, account.mGaps[0].mFirst);
+  LONGS_EQUAL(4, account.mGaps[0].mLast);
+  LONGS_EQUAL(6, account.mGaps[1].mFirst);
+  LONGS_EQUAL(7, account.mGaps[1].mLast);
+}
+
+TEST_GROUP(burn){};
+
+TEST(burn, CountsEachWindowAndForgetsWhatIsOlderThanThreeDays)
+{
+  burn_history history;
+  wall_ms now = 100LL * 24 * 3'600'000;
+  history.Add(objective::Latency, true, now - 2LL * 24 * 3'600'000);
+  history.Add(objective::Latency, true, now - 30 * 60'000);
+  history.Add(objective::Latency, false, now);
+  auto count = [&](burn_window aWindow) {
+    return history.Count(objective::Latency, aWindow, now);
+  };
+  LONGS_EQUAL(1, count(burn_window::FiveMinutes).mAll);
+  LONGS_EQUAL(2, count(burn_window::OneHour).mAll);
+  LONGS_EQUAL(3, count(burn_window::ThreeDays).mAll);
+  LONGS_EQUAL(2, count(burn_window::ThreeDays).mBad);
+  history.Add(objective::Latency, false, now + 2LL * 24 * 3'600'000);
+  LONGS_EQUAL(now / 60'000 - 30, history.Minutes().front().mMinute);
+}
+
+TEST(burn, ARateOfOneSpendsTheBudgetJustInTime)
+{
+  DOUBLES_EQUAL(1.0, BurnRate({ 1000, 10 }, 0.99), 1e-9);
+  DOUBLES_EQUAL(0.0, BudgetLeft({ 1000, 10 }, 0.99), 1e-9);
+  DOUBLES_EQUAL(0.0, BurnRate({ 0, 0 }, 0.99), 1e-9);
+}
+
+TEST_GROUP(team_policy){};
+
+TEST(team_policy, FillsParametersInAndNamesWhatIsWrong)
+{
+  template_record basis;
+  basis.mFields = { { "services", "b, a,a" },
+                    { "wait_ms", "${wait}" },
+                    { "minimum_coverage", "0.${cover}" } };
+  basis.mDefaults = { { "cover", "9" } };
+  team_record team;
+  team.mParameters = { { "wait", "250" } };
+  auto policy = FillTemplate(basis, team);
+  CHECK(policy.has_value());
+  LONGS_EQUAL(2, policy.value().mServices.size());
+  LONGS_EQUAL(250, policy.value().mWait.count());
+  DOUBLES_EQUAL(0.9, policy.value().mMinimumCoverage, 1e-9);
+  team.mParameters = {};
+  CHECK(FillTemplate(basis, team).error().mCode ==
+        policy_error::MissingParameter);
+  team.mParameters = { { "wait", "250" }, { "odd", "1" } };
+  CHECK(FillTemplate(basis, team).error().mCode ==
+        policy_error::UnknownParameter);
+  team.mParameters = { { "wait", "nan" } };
+  CHECK(FillTemplate(basis, team).error().mCode == policy_error::BadValue);
+  basis.mFields["colour"] = "red";
+  CHECK(CheckTemplate(basis).error().mCode == policy_error::UnknownField);
+}
+
+TEST_GROUP(announcement){};
+
+TEST(announcement, NamesTheFieldThatIsOutOfRange)
+{
+  server_record record;
+  record.mServer.mValue = "s";
+  record.mService.mValue = "service";
+  record.mFailureDomain.mValue = "a";
+  record.mAddress = "10.0.0.1:80";
+  record.mIncarnation = 1;
+  record.mSlots = 2;
+  record.mConnections = 10;
+  record.mColdSlots = 1;
+  CHECK(CheckAnnouncement(record).has_value());
+  record.mColdSlots = 3;
+  CHECK(CheckAnnouncement(record).error().mDetail.find("cold_slots") !=
+        std::string::npos);
+  record.mColdSlots = 1;
+  record.mAddress = "server.example:80";
+  CHECK(CheckAnnouncement(record).error().mCode ==
+        announcement_error::BadAddress);
+  record.mServer.mValue = "a b";
+  CHECK(CheckAnnouncement(record).error().mCode ==
+        announcement_error::MissingName);
+}
+
+TEST_GROUP(membership)
+{
+  std::map<host_id, entry_host_record> mHosts;
+  std::map<server_id, server_record> mServers;
+  membership mMembership{ { host_id{ "c1" } }, kNow };
+
+  heard_daemon Heard(steady_time aAt) const
+  {
+    heard_daemon daemon;
+    daemon.mHost.mHost.mValue = "e1";
+    daemon.mHost.mIncarnation = 3;
+    daemon.mHeardAt = aAt;
+    daemon.mIsUsable = true;
+    return daemon;
+  }
+
+  std::vector<record_change> Wishes(
+    std::vector<heard_daemon> aHeard, steady_time aAt, bool aLeads = false)
+  {
+    return mMembership.Wishes(
+      aHeard,
+      membership_view{ mHosts, mServers, aLeads, { host_id{ "c1" } } },
+      aAt);
+  }
+};
+
+TEST(membership, ADaemonJoinsAndServesOnlyOnceItHasItsShares)
+{
+  auto wishes = Wishes({ Heard(kNow) }, kNow);
+  auto joining = std::get<entry_host_record>(wishes.at(0));
+  CHECK(joining.mState == entry_host_state::Joining);
+  joining.mVersion = 9;
+  mHosts[joining.mHost] = joining;
+  auto early = Heard(kNow);
+  early.mHeldIndex = 8;
+  CHECK(Wishes({ early }, kNow).empty());
+  early.mHeldIndex = 9;
+  wishes = Wishes({ early }, kNow);
+  CHECK(std::get<entry_host_record>(wishes.at(0)).mState ==
+        entry_host_state::Serving);
+}
+
+TEST(membership, ADaemonThatIsNotHeardIsSilentAndItsServersGoLater)
+{
+  entry_host_record host = Heard(kNow).mHost;
+  host.mSponsor.mValue = "c1";
+  mHosts[host.mHost] = host;
+  server_record server;
+  server.mServer.mValue = "s";
+  server.mSponsor = host.mHost;
+  server.mState = server_state::Ready;
+  mServers[server.mServer] = server;
+  CHECK(Wishes({ Heard(kNow) }, kNow + milliseconds(2900), true).empty());
+  auto wishes = Wishes({ Heard(kNow) }, kNow + milliseconds(3100), true);
+  CHECK(std::get<entry_host_record>(wishes.at(0)).mState ==
+        entry_host_state::Silent);
+  mHosts[host.mHost].mState = entry_host_state::Silent;
+  CHECK(Wishes({}, kNow + milliseconds(4000), true).empty());
+  CHECK(Wishes({}, kNow + milliseconds(9000), true).empty());
+  wishes = Wishes({}, kNow + milliseconds(10'100), true);
+  CHECK(std::get<server_record>(wishes.at(0)).mState == server_state::Gone);
+}
+
+TEST(membership, TheLeaderSpeaksForALostControlHost)
+{
+  entry_host_record host = Heard(kNow).mHost;
+  host.mSponsor.mValue = "c2";
+  mHosts[host.mHost] = host;
+  CHECK(Wishes({}, kNow, true).empty());
+  CHECK(Wishes({}, kNow + milliseconds(3100), false).empty());
+  CHECK(Wishes({}, kNow + milliseconds(3200), true).empty());
+  LONGS_EQUAL(1, Wishes({}, kNow + milliseconds(6300), true).size());
+}
--- /dev/null
+++ b/tests/decisions/share_test.cpp
@@ -0,0 +1,212 @@
+#include "decisions/share.h"
+
+#include <random>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace hibiscusspool;
+
+std::vector<host_id>
+Hosts(int aCount)
+{
+  std::vector<host_id> hosts;
+  for (int number = 0; number < aCount; ++number) {
+    hosts.push_back(host_id{ "e" + std::to_string(100 + number) });
+  }
+  return hosts;
+}
+
+constexpr milliseconds kLease{ 4000 };
+constexpr milliseconds kLongestRun{ 3000 };
+constexpr milliseconds kHandOver{ 7070 };
+
+/**
+ * An entry host as the share rule sees it: it learns each view some time after
+ * it was committed, but no later than its lease, and whatever it began it
+ * ends within the longest run.
+ */
+struct share_user
+{
+  share_holder mShare;
+  std::size_t mKnownView = 0;
+  steady_time mConfirmedAt;
+  bool mIsAlive = true;
+  /** When each connection that it uses is given back. */
+  std::multiset<steady_time> mInUse;
+};
+
+struct committed_view
+{
+  steady_time mAt;
+  std::set<int> mHosts;
+};
+
+}
+
+TEST_GROUP(share){};
+
+TEST(share, SharesOfAServerAddUpToItsUnits)
+{
+  for (int hosts : { 1, 2, 3, 16, 17, 61 }) {
+    std::vector<server_units> servers;
+    for (int number = 0; number < 12; ++number) {
+      servers.push_back({ server_id{ "s" + std::to_string(number) },
+                          static_cast<std::uint32_t>(number * 7 + 1) });
+    }
+    std::vector<std::uint32_t> sums(servers.size(), 0);
+    for (const host_id& host : Hosts(hosts)) {
+      auto shares = DealShares(servers, Hosts(hosts), host);
+      for (std::size_t place = 0; place < shares.size(); ++place) {
+        sums[place] += shares[place];
+      }
+    }
+    for (std::size_t place = 0; place < servers.size(); ++place) {
+      LONGS_EQUAL(servers[place].mUnits, sums[place]);
+    }
+  }
+}
+
+TEST(share, EachHostGetsAUnitOfAServiceWhenThereAreEnough)
+{
+  // 33 servers with 55 connections each among 810 hosts: 2 or 3 for each.
+  std::vector<server_units> servers;
+  for (int number = 0; number < 33; ++number) {
+    servers.push_back({ server_id{ "s" + std::to_string(100 + number) }, 55 });
+  }
+  auto hosts = Hosts(810);
+  for (int number = 0; number < 810; number += 9) {
+    auto shares =
+      DealShares(servers, hosts, hosts[static_cast<std::size_t>(number)]);
+    std::uint32_t sum = 0;
+    for (std::uint32_t share : shares) {
+      sum += share;
+    }
+    CHECK(sum >= 2);
+    CHECK(sum <= 3);
+  }
+}
+
+TEST(share, AHostOutsideTheViewHasNone)
+{
+  auto shares =
+    DealShares({ { server_id{ "s" }, 10 } }, Hosts(3), host_id{ "other" });
+  LONGS_EQUAL(0, shares[0]);
+}
+
+TEST(share, AChangeOfHostsMovesLittle)
+{
+  std::vector<server_units> servers;
+  for (int number = 0; number < 30; ++number) {
+    servers.push_back({ server_id{ "s" + std::to_string(100 + number) }, 8 });
+  }
+  auto before = Hosts(17);
+  auto after = before;
+  after.erase(after.begin() + 5);
+  int moved = 0;
+  for (const host_id& host : after) {
+    auto one = DealShares(servers, before, host);
+    auto other = DealShares(servers, after, host);
+    for (std::size_t place = 0; place < one.size(); ++place) {
+      moved += one[place] != other[place] ? 1 : 0;
+    }
+  }
+  // 240 units over 480 pairs; dealing all anew would move about half.
+  CHECK(moved < 150);
+}
+
+TEST(share, AGainWaitsForItsHandOverAndALossDoesNot)
+{
+  share_holder share;
+  steady_time now{ std::chrono::hours(1) };
+  share.SetFresh(4);
+  LONGS_EQUAL(4, share.Usable(now));
+  share.SetTarget(6, now, kHandOver);
+  LONGS_EQUAL(4, share.Usable(now + kHandOver - milliseconds(1)));
+  LONGS_EQUAL(6, share.Usable(now + kHandOver));
+  share.SetTarget(1, now + milliseconds(10), kHandOver);
+  LONGS_EQUAL(1, share.Usable(now + kHandOver));
+}
+
+TEST(share, AGainThatIsTakenBackMeanwhileIsNeverUsed)
+{
+  share_holder share;
+  steady_time now{ std::chrono::hours(1) };
+  share.SetTarget(5, now, kHandOver);
+  share.SetTarget(2, now + milliseconds(1000), kHandOver);
+  share.SetTarget(5, now + milliseconds(2000), kHandOver);
+  LONGS_EQUAL(2, share.Usable(now + kHandOver));
+  LONGS_EQUAL(5, share.Usable(now + milliseconds(2000) + kHandOver));
+}
+
+TEST(share, TheSumStaysWithinTheLimitInAnyInterleaving)
+{
+  constexpr int kHosts = 7;
+  constexpr std::uint32_t kUnits = 10;
+  constexpr milliseconds kStep{ 100 };
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    std::mt19937_64 random(seed);
+    auto pick = [&](int aMost) {
+      return std::uniform_int_distribution<int>(0, aMost - 1)(random);
+    };
+    auto names = Hosts(kHosts);
+    std::vector<server_units> servers{ { server_id{ "s" }, kUnits } };
+    steady_time now{ std::chrono::hours(1) };
+    std::vector<committed_view> views{ { now, { 0, 1, 2 } } };
+    std::vector<share_user> users(kHosts);
+    auto apply = [&](int aUser, bool aIsFresh) {
+      std::vector<host_id> hosts;
+      for (int host : views[users[aUser].mKnownView].mHosts) {
+        hosts.push_back(names[static_cast<std::size_t>(host)]);
+      }
+      auto shares =
+        DealShares(servers, hosts, names[static_cast<std::size_t>(aUser)]);
+      if (aIsFresh) {
+        users[aUser].mShare.SetFresh(shares[0]);
+      } else {
+        users[aUser].mShare.SetTarget(shares[0], now, kHandOver);
+      }
+    };
+    for (int user = 0; user < kHosts; ++user) {
+      users[user].mConfirmedAt = now;
+      apply(user, true);
+    }
+    for (int step = 0; step < 5000; ++step) {
+      now += kStep;
+      if (pick(20) == 0) {
+        committed_view next = views.back();
+        next.mAt = now;
+        int host = pick(kHosts);
+        if (!next.mHosts.erase(host)) {
+          next.mHosts.insert(host);
+        }
+        views.push_back(std::move(next));
+      }
+      std::size_t inUse = 0;
+      for (int user = 0; user < kHosts; ++user) {
+        share_user& one = users[user];
+        // Some learn at once, some late, and some not for a long time.
+        bool hears = pick(10) < (user % 3 == 0 ? 1 : 6);
+        if (hears) {
+          while (one.mKnownView + 1 < views.size()) {
+            ++one.mKnownView;
+            apply(user, false);
+          }
+          one.mConfirmedAt = now;
+        }
+        one.mInUse.erase(one.mInUse.begin(), one.mInUse.upper_bound(now));
+        bool mayBegin = now - one.mConfirmedAt < kLease;
+        while (mayBegin && one.mInUse.size() < one.mShare.Usable(now)) {
+          one.mInUse.insert(now + milliseconds(pick(30) * 100 + 1));
+        }
+        inUse += one.mInUse.size();
+      }
+      if (inUse > kUnits) {
+        std::printf("seed %d step %d\n", static_cast<int>(seed), step);
+      }
+      CHECK(inUse <= kUnits);
+    }
+  }
+}
--- /dev/null
+++ b/tests/drivers/raft_disk_test.cpp
@@ -0,0 +1,179 @@
+#include "drivers/access_token.h"
+#include "drivers/raft_disk.h"
+#include "drivers/refusal_store.h"
+#include "drivers/synced_file.h"
+
+#include <fstream>
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace hibiscusspool;
+
+raft_actions
+Entries(log_index aFirst, log_index aLast, raft_term aTerm)
+{
+  raft_actions actions;
+  actions.mHardState = raft_hard_state{ aTerm, {} };
+  for (log_index index = aFirst; index <= aLast; ++index) {
+    actions.mAppend.push_back(
+      { aTerm, index, "entry " + std::to_string(index), std::nullopt });
+  }
+  return actions;
+}
+
+}
+
+TEST_GROUP(raft_disk)
+{
+  std::filesystem::path mFolder;
+
+  void setup() override
+  {
+    std::string pattern =
+      (std::filesystem::temp_directory_path() / "raft-disk-XXXXXX").string();
+    mFolder = mkdtemp(pattern.data());
+  }
+  void teardown() override
+  {
+    std::filesystem::remove_all(mFolder);
+  }
+
+  void Damage(const std::string& aName, std::size_t aOffset) const
+  {
+    std::fstream file(mFolder / aName,
+                      std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(static_cast<std::streamoff>(aOffset));
+    file.put('\x7f');
+  }
+};
+
+TEST(raft_disk, GivesBackWhatWasSyncedThroughRestarts)
+{
+  {
+    auto disk = raft_disk::Create(mFolder, "first");
+    CHECK(disk.value().Persist(Entries(1, 5, 1)).has_value());
+    // A later term replaces the tail.
+    CHECK(disk.value().Persist(Entries(4, 6, 2)).has_value());
+  }
+  auto disk = raft_disk::Create(mFolder, "second");
+  STRCMP_EQUAL("first", disk.value().Disk().mValue.c_str());
+  raft_persisted kept = disk.value().TakePersisted();
+  LONGS_EQUAL(2, kept.mHardState.mTerm);
+  LONGS_EQUAL(6, kept.mEntries.size());
+  LONGS_EQUAL(1, kept.mEntries[2].mTerm);
+  LONGS_EQUAL(2, kept.mEntries[3].mTerm);
+}
+
+TEST(raft_disk, ASecondProcessIsKeptOut)
+{
+  auto first = raft_disk::Create(mFolder, "a");
+  auto second = raft_disk::Create(mFolder, "a");
+  CHECK(second.error().mCode == disk_error::Locked);
+}
+
+TEST(raft_disk, ASnapshotTakesThePlaceOfTheLogUpToIt)
+{
+  {
+    auto disk = raft_disk::Create(mFolder, "a");
+    disk.value().Persist(Entries(1, 10, 1)).value();
+    raft_snapshot snapshot;
+    snapshot.mIndex = 8;
+    snapshot.mTerm = 1;
+    snapshot.mState = "state";
+    std::deque<raft_entry> tail{ { 1, 9, "nine", std::nullopt },
+                                 { 1, 10, "ten", std::nullopt } };
+    disk.value().StoreSnapshot(snapshot, { 1, {} }, tail).value();
+    disk.value().Persist(Entries(11, 11, 1)).value();
+  }
+  auto disk = raft_disk::Create(mFolder, "a");
+  raft_persisted kept = disk.value().TakePersisted();
+  LONGS_EQUAL(8, kept.mSnapshot.mIndex);
+  STRCMP_EQUAL("state", kept.mSnapshot.mState.c_str());
+  LONGS_EQUAL(3, kept.mEntries.size());
+  LONGS_EQUAL(9, kept.mEntries.front().mIndex);
+}
+
+TEST(raft_disk, AnyCutOfTheLastBatchIsDroppedWholeAndNoOther)
+{
+  {
+    auto disk = raft_disk::Create(mFolder, "a");
+    disk.value().Persist(Entries(1, 1, 1)).value();
+    disk.value().Persist(Entries(2, 2, 1)).value();
+  }
+  auto path = mFolder / "log-1";
+  std::string whole = ReadWholeFile(path).value();
+  std::size_t first = ParseFrame(whole, 0).mEnd;
+  for (std::size_t cut = first; cut < whole.size(); ++cut) {
+    std::ofstream(path, std::ios::binary) << whole.substr(0, cut);
+    auto disk = raft_disk::Create(mFolder, "a");
+    CHECK(disk.has_value());
+    LONGS_EQUAL(1, disk.value().TakePersisted().mEntries.size());
+    std::filesystem::remove(mFolder / "log-2");
+  }
+}
+
+TEST(raft_disk, DamageInTheMiddleNamesFileAndOffset)
+{
+  {
+    auto disk = raft_disk::Create(mFolder, "a");
+    disk.value().Persist(Entries(1, 1, 1)).value();
+    disk.value().Persist(Entries(2, 2, 1)).value();
+  }
+  Damage("log-1", 30);
+  auto disk = raft_disk::Create(mFolder, "a");
+  CHECK(disk.error().mCode == disk_error::Damaged);
+  STRCMP_CONTAINS("log-1 at offset 0", disk.error().mDetail.c_str());
+}
+
+TEST(raft_disk, ADamagedSnapshotRefusesToOpen)
+{
+  {
+    auto disk = raft_disk::Create(mFolder, "a");
+    raft_snapshot snapshot;
+    snapshot.mIndex = 8;
+    snapshot.mState = "state";
+    disk.value().StoreSnapshot(snapshot, { 1, {} }, {}).value();
+  }
+  Damage("snapshot-8", 27);
+  auto disk = raft_disk::Create(mFolder, "a");
+  CHECK(disk.error().mCode == disk_error::Damaged);
+  STRCMP_CONTAINS("snapshot-8", disk.error().mDetail.c_str());
+}
+
+TEST(raft_disk, RefusalsLastThroughACutBatch)
+{
+  refusal_batch batch;
+  batch.mHost.mValue = "e1";
+  refusal kept;
+  kept.mNumber = 1;
+  batch.mRefusals = { kept };
+  constexpr wall_ms kDay = 86'400'000;
+  {
+    auto store = refusal_store::Create(mFolder, 14);
+    store.value().Store(batch, kDay).value();
+  }
+  std::ofstream(mFolder / "refusals-1", std::ios::app) << "half";
+  auto store = refusal_store::Create(mFolder, 14);
+  store.value().Store(batch, kDay).value();
+  LONGS_EQUAL(2, store.value().Read(0).size());
+  // Days past their time go.
+  store.value().Store(batch, 20 * kDay).value();
+  LONGS_EQUAL(1, store.value().Read(0).size());
+}
+
+TEST(raft_disk, AnAccessTokenAdmitsItselfAlone)
+{
+  auto path = mFolder / "token";
+  std::ofstream(path) << "0123456789abcdef\n";
+  auto token = access_token::Create(path.string());
+  CHECK(token.value().Admits("Bearer 0123456789abcdef"));
+  CHECK(!token.value().Admits("Bearer 0123456789abcdeg"));
+  CHECK(!token.value().Admits("Bearer 0123456789abcdef0"));
+  CHECK(!token.value().Admits(""));
+  std::ofstream(path) << "short\n";
+  CHECK(access_token::Create(path.string()).error().mCode ==
+        token_error::TooShort);
+  CHECK(access_token::Create("").value().Admits(""));
+}
--- a/tests/integration/test_system.cpp
+++ b/tests/integration/test_system.cpp
@@ -178,6 +178,7 @@
          << "\nannounce_address=" << Local(mAnnouncePorts[host])
          << "\ncontrol_hosts=" << ControlList(host)
          << "\nthreads=2\nkeep_list_ms=500\n"
+         << "longest_wait_ms=3000\n"
          << mShape.mEntryLines;
   }
 }
--- a/tests/integration/test_system.h
+++ b/tests/integration/test_system.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tests/integration/http_call.h"
+#include "tests/integration/call.h"
 
 #include <filesystem>
 #include <functional>
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,9 +1,13 @@
+// CppUTest redefines `new`, so that other headers must come before its own.
+#include <glog/logging.h>
+
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
 
 int
 main(int aCount, char** aArguments)
 {
+  FLAGS_minloglevel = google::GLOG_FATAL;
   // The libraries keep objects for the life of the process.
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
   return CommandLineTestRunner::RunAllTests(aCount, aArguments);
--- /dev/null
+++ b/tests/settings/settings_test.cpp
@@ -0,0 +1,97 @@
+#include "settings/settings.h"
+
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace hibiscusspool;
+
+const std::string kHost = "[host]\nid=e1\nfailure_domain=a\n";
+const std::string kEntry = "[entry]\ncallers_address=127.0.0.1:1\n"
+                           "announce_address=127.0.0.1:2\n"
+                           "control_hosts=c1=127.0.0.1:3\n";
+
+void
+CheckFails(const std::string& aText,
+           settings_error aCode,
+           const std::string& aDetail)
+{
+  auto loaded = ParseSettings(aText);
+  CHECK(!loaded.has_value());
+  STRCMP_EQUAL(std::string(NameOf(aCode)).c_str(),
+               std::string(NameOf(loaded.error().mCode)).c_str());
+  STRCMP_CONTAINS(aDetail.c_str(), loaded.error().mDetail.c_str());
+}
+
+}
+
+TEST_GROUP(settings){};
+
+TEST(settings, TakesAGoodFileWithDefaults)
+{
+  auto loaded = ParseSettings(kHost + kEntry + "lease_ms=3000\n");
+  CHECK(loaded.has_value());
+  LONGS_EQUAL(3000, loaded.value().mEntryLeaseMs);
+  LONGS_EQUAL(500, loaded.value().mEntryMarkMs);
+  CHECK(loaded.value().IsEntry());
+  CHECK(!loaded.value().IsControl());
+}
+
+TEST(settings, NamesKeyValueAndRange)
+{
+  CheckFails(kHost + kEntry + "lease_ms=9000\n",
+             settings_error::BadValue,
+             "[entry] lease_ms is \"9000\"; allowed is 1000 to 8000 ms.");
+  CheckFails(
+    kHost + kEntry + "lease_ms=4s\n", settings_error::BadValue, "\"4s\"");
+  CheckFails(kHost + kEntry + "leese_ms=9000\n",
+             settings_error::UnknownKey,
+             "[entry] leese_ms");
+  CheckFails(
+    kHost + "[entri]\nx=1\n", settings_error::UnknownSection, "[entri]");
+  CheckFails(kHost + kEntry + "lease_ms=3000\nlease_ms=3000\n",
+             settings_error::Malformed,
+             "Line 9");
+  CheckFails("[host]\nid=e1\n" + kEntry,
+             settings_error::MissingKey,
+             "[host] failure_domain");
+  CheckFails(kHost, settings_error::MissingKey, "[entry] or [control]");
+  CheckFails(kHost + "[entry]\ncallers_address=host.example:1\n",
+             settings_error::BadValue,
+             "callers_address");
+}
+
+TEST(settings, ChecksWhatMustFitTogether)
+{
+  CheckFails(kHost + kEntry + "lease_ms=1000\nmark_ms=900\n",
+             settings_error::BadValue,
+             "three times mark_ms");
+  std::string control = "[host]\nid=c1\nfailure_domain=a\n[control]\n"
+                        "address=127.0.0.1:3\n"
+                        "operators_address=127.0.0.1:4\ndata_folder=/d\n";
+  CheckFails(control + "members=c1=127.0.0.1:3,c2=127.0.0.1:5\n",
+             settings_error::BadValue,
+             "allowed are 1, 3, 5, 7 or 9");
+  CheckFails(control + "members=c2=127.0.0.1:3\n",
+             settings_error::BadValue,
+             "does not name this host");
+  CheckFails(control + "members=c1=127.0.0.1:3,c1=127.0.0.1:4,c2=1.1.1.1:1\n",
+             settings_error::BadValue,
+             "names host \"c1\" twice");
+}
+
+TEST(settings, TheTableHasEachPlaceOnceAndDefaultsWithinRange)
+{
+  settings defaults;
+  std::set<std::string> places;
+  for (const setting_row& row : SettingTable()) {
+    CHECK(places.insert(row.mSection + "." + row.mKey).second);
+    const auto* number = std::get_if<std::int64_t settings::*>(&row.mMember);
+    if (number != nullptr) {
+      CHECK(defaults.*(*number) >= row.mLowest);
+      CHECK(defaults.*(*number) <= row.mHighest);
+    }
+  }
+}
--- /dev/null
+++ b/tools/report_data.cpp
@@ -0,0 +1,110 @@
+#include "tools/report_data.h"
+
+#include "drivers/synced_file.h"
+
+namespace hibiscusspool {
+
+namespace json = boost::json;
+
+namespace {
+
+std::uint64_t
+Number(const json::object& aObject, const std::string& aKey)
+{
+  return aObject.at(aKey).to_number<std::uint64_t>();
+}
+
+void
+MergeTeam(const json::object& aTeam, team_report& aReport)
+{
+  team_account& account = aReport.mAccount;
+  account.mAnswered += Number(aTeam, "answered");
+  account.mPartial += Number(aTeam, "partial");
+  account.mCoverageSum += aTeam.at("coverage_sum").to_number<double>();
+  account.mAttempts += Number(aTeam, "attempts");
+  account.mHedges += Number(aTeam, "hedges");
+  account.mRetries += Number(aTeam, "retries");
+  for (const auto& [name, count] : aTeam.at("refused").as_object()) {
+    auto reason = ValueOf<refusal_reason>(std::string_view(name));
+    if (reason) {
+      account.mRefused[static_cast<std::size_t>(*reason)] +=
+        count.to_number<std::uint64_t>();
+    }
+  }
+  for (const json::value& bin : aTeam.at("latency").as_array()) {
+    int index = bin.as_array().at(0).to_number<int>();
+    account.mLatency.at(index) += bin.as_array().at(1).to_number<double>();
+  }
+  for (const json::value& row : aTeam.at("burn").as_array()) {
+    burn_minute minute;
+    minute.mMinute = row.as_array().at(0).to_number<std::int64_t>();
+    std::size_t place = 1;
+    for (burn_count& count : minute.mCounts) {
+      count.mAll = row.as_array().at(place++).to_number<std::uint64_t>();
+      count.mBad = row.as_array().at(place++).to_number<std::uint64_t>();
+    }
+    account.mBurn.Merge(minute);
+  }
+  const json::value* policy = aTeam.if_contains("policy");
+  if (policy == nullptr) {
+    return;
+  }
+  const json::object& fields = policy->as_object();
+  aReport.mPolicy.mLatencyObjective =
+    milliseconds(fields.at("latency_objective_ms").to_number<std::int64_t>());
+  aReport.mPolicy.mLatencyShare =
+    fields.at("latency_objective").to_number<double>();
+  aReport.mPolicy.mAvailabilityShare =
+    fields.at("availability_objective").to_number<double>();
+  aReport.mPolicy.mCoverageShare =
+    fields.at("coverage_objective").to_number<double>();
+}
+
+}
+
+bool
+MergeAccount(const std::string& aBody, system_report& aReport)
+{
+  try {
+    json::value body = json::parse(aBody);
+    const json::object& teams = body.as_object().at("teams").as_object();
+    for (const auto& [name, team] : teams) {
+      MergeTeam(team.as_object(), aReport.mTeams[std::string(name)]);
+    }
+  } catch (const std::exception&) {
+    return false;
+  }
+  return true;
+}
+
+result<system_report, tool_error>
+CollectReport(const operators_client& aOperators,
+              const std::string& aAnnounceToken,
+              wall_ms aNow)
+{
+  http_order status;
+  status.mPath = "/v1/status";
+  auto answer = aOperators.Ask(status);
+  if (!answer) {
+    return answer.error();
+  }
+  system_report report;
+  report.mMadeAt = aNow;
+  const json::object& object = answer.value().as_object();
+  for (const json::value& daemon : object.at("daemons").as_array()) {
+    std::string host(daemon.as_object().at("host").as_string());
+    http_order order;
+    order.mAddress = daemon.as_object().at("announce_address").as_string();
+    order.mPath = "/v1/account";
+    if (!aAnnounceToken.empty()) {
+      order.mHeaders["Authorization"] = "Bearer " + aAnnounceToken;
+    }
+    http_answer account = CallHttp(order);
+    bool isMerged =
+      account.mStatus == 200 && MergeAccount(account.mBody, report);
+    (isMerged ? report.mHosts : report.mMissing).push_back(host);
+  }
+  return report;
+}
+
+}
