--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -38,7 +38,7 @@
   return mHosts;
 }
 
-std::set<failure_domain_id>
+std::shared_ptr<const std::set<failure_domain_id>>
 backend_controller::DomainsOut() const
 {
   std::lock_guard guard(mViewLock);
@@ -144,8 +144,10 @@
 void
 backend_controller::SetDomainsOut(std::set<failure_domain_id> aDomains)
 {
+  auto domains =
+    std::make_shared<const std::set<failure_domain_id>>(std::move(aDomains));
   std::lock_guard guard(mViewLock);
-  mDomainsOut = std::move(aDomains);
+  mDomainsOut = std::move(domains);
 }
 
 void
@@ -302,10 +304,10 @@
 std::optional<attempt_permit>
 backend_controller::Choose(const choice_request& aRequest, steady_time aNow)
 {
-  std::set<failure_domain_id> domainsOut = DomainsOut();
+  auto domainsOut = DomainsOut();
   std::optional<attempt_permit> permit;
   mServices.UpdateIfPresent(aRequest.mService, [&](service_pool& aPool) {
-    auto candidates = Candidates(aPool, aRequest, domainsOut, aNow);
+    auto candidates = Candidates(aPool, aRequest, *domainsOut, aNow);
     auto inOther = candidates;
     std::erase_if(inOther, [&](const replica_candidate& aCandidate) {
       return aPool.mBackends[aCandidate.mPlace].mRecord.mFailureDomain ==
@@ -330,8 +332,15 @@
       ++chosen.mOpen;
       return;
     }
-    permit->mConnection = chosen.mIdle.back();
-    chosen.mIdle.pop_back();
+    // The latest of this worker's own connections, else the latest of all.
+    auto own = std::find_if(
+      chosen.mIdle.rbegin(), chosen.mIdle.rend(), [&](connection_id aNumber) {
+        return aNumber % kMostWorkers == aRequest.mWorker % kMostWorkers;
+      });
+    auto taken = own != chosen.mIdle.rend() ? std::prev(own.base())
+                                            : std::prev(chosen.mIdle.end());
+    permit->mConnection = *taken;
+    chosen.mIdle.erase(taken);
   });
   return permit;
 }
@@ -520,14 +529,14 @@
 std::vector<service_snapshots>
 backend_controller::Snapshots(const std::vector<service_id>& aServices)
 {
-  std::set<failure_domain_id> domainsOut = DomainsOut();
+  auto domainsOut = DomainsOut();
   std::vector<service_snapshots> all;
   all.reserve(aServices.size());
   for (const service_id& service : aServices) {
     service_snapshots held{ service, {} };
     mServices.UpdateIfPresent(service, [&](service_pool& aPool) {
       for (const backend& entry : aPool.mBackends) {
-        if (CanAnswer(entry, domainsOut)) {
+        if (CanAnswer(entry, *domainsOut)) {
           held.mSnapshots.insert(held.mSnapshots.end(),
                                  entry.mRecord.mSnapshots.begin(),
                                  entry.mRecord.mSnapshots.end());
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/sharded_map.h"
+#include "core/worker_number.h"
 #include "decisions/records.h"
 #include "decisions/replica_choice.h"
 #include "decisions/server_limit.h"
@@ -9,6 +10,7 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -84,6 +86,8 @@
   failure_domain_id mAvoidedDomain;
   /** For a request that is pinned to no index version. */
   bool mAnySnapshot = false;
+  /** The worker whose connections are best; others work too. */
+  worker_number mWorker = 0;
 };
 
 struct backend_config
@@ -155,10 +159,12 @@
 
   mutable std::mutex mViewLock;
   std::vector<host_id> mHosts;
-  std::set<failure_domain_id> mDomainsOut;
+  std::shared_ptr<const std::set<failure_domain_id>> mDomainsOut =
+    std::make_shared<const std::set<failure_domain_id>>();
 
   [[nodiscard]] std::vector<host_id> Hosts() const;
-  [[nodiscard]] std::set<failure_domain_id> DomainsOut() const;
+  [[nodiscard]] std::shared_ptr<const std::set<failure_domain_id>> DomainsOut()
+    const;
   [[nodiscard]] std::uint32_t Allowed(const backend& aBackend,
                                       steady_time aNow) const;
   [[nodiscard]] std::uint32_t Share(const backend& aBackend,
--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -114,12 +114,12 @@
 {
   while (true) {
     std::vector<event> events;
+    steady_time confirmsDue = mHooks.mSteadyNow() + kConfirmRetry;
     {
       std::unique_lock guard(mQueueLock);
-      // A quarter of the heartbeat keeps the member's timers exact enough.
-      mQueueFilled.wait_for(guard, mConfig.mRaft.mHeartbeat / 4, [&] {
-        return !mQueue.empty() || mIsStopping;
-      });
+      mQueueFilled.wait_until(guard,
+                              std::min(mNode.NextDue(), confirmsDue),
+                              [&] { return !mQueue.empty() || mIsStopping; });
       if (mIsStopping) {
         break;
       }
--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -489,6 +489,13 @@
   std::erase_if(mPendingReads, isConfirmed);
 }
 
+steady_time
+raft_node::NextDue() const
+{
+  return mRole == raft_role::Leader ? mHeartbeatDue
+                                    : std::min(mElectionDue, mJoinDue);
+}
+
 void
 raft_node::Tick(steady_time aNow)
 {
@@ -532,6 +539,9 @@
   if (!isMember && aNow >= mJoinDue) {
     AskToJoin(aNow);
   }
+  if (isMember) {
+    mJoinDue = aNow + kJoinInterval;
+  }
   if (aNow < mElectionDue) {
     return;
   }
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -174,6 +174,8 @@
   void TransferLeadership(const std::set<host_id>& aAvoid, steady_time aNow);
   /** Puts the state at an applied index in place of the log up to it. */
   void Compact(log_index aIndex, std::string aState);
+  /** When `Tick` has something to do next. */
+  [[nodiscard]] steady_time NextDue() const;
   /** What is to be done since the last call. */
   raft_actions TakeActions();
 
--- a/decisions/refusal.h
+++ b/decisions/refusal.h
@@ -18,11 +18,8 @@
   MissingKey,
   KeyReused,
   NotConfirmed,
-  Stopping,
-  FailureDomainOut,
   TeamLimit,
   HostLimit,
-  DeadlineTooShort,
   DeadlinePassed,
   Quarantined,
   CoverageTooLow,
@@ -31,22 +28,18 @@
   ClaimFailed,
   OutcomeUnknown,
   NoServer,
-  ServerFailed,
 };
 
 template<>
-inline constexpr name_table<refusal_reason, 20> kNames<refusal_reason>{ {
+inline constexpr name_table<refusal_reason, 16> kNames<refusal_reason>{ {
   { refusal_reason::BadRequest, "bad_request" },
   { refusal_reason::BodyTooLarge, "body_too_large" },
   { refusal_reason::UnknownTeam, "unknown_team" },
   { refusal_reason::MissingKey, "missing_key" },
   { refusal_reason::KeyReused, "key_reused" },
   { refusal_reason::NotConfirmed, "not_confirmed" },
-  { refusal_reason::Stopping, "stopping" },
-  { refusal_reason::FailureDomainOut, "failure_domain_out" },
   { refusal_reason::TeamLimit, "team_limit" },
   { refusal_reason::HostLimit, "host_limit" },
-  { refusal_reason::DeadlineTooShort, "deadline_too_short" },
   { refusal_reason::DeadlinePassed, "deadline_passed" },
   { refusal_reason::Quarantined, "quarantined" },
   { refusal_reason::CoverageTooLow, "coverage_too_low" },
@@ -55,7 +48,6 @@
   { refusal_reason::ClaimFailed, "claim_failed" },
   { refusal_reason::OutcomeUnknown, "outcome_unknown" },
   { refusal_reason::NoServer, "no_server" },
-  { refusal_reason::ServerFailed, "server_failed" },
 } };
 
 /** Whether any backend server may have run the request. */
--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/address.h"
 #include "core/sharded_map.h"
+#include "core/worker_number.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -42,9 +43,10 @@
   tcp::socket mSocket;
   beast::flat_buffer mBuffer;
   steady_time mUsedAt;
+  worker_number mWorker = CurrentWorker();
 
-  explicit backend_connection(asio::io_context& aContext)
-    : mSocket(aContext)
+  explicit backend_connection(const asio::any_io_executor& aExecutor)
+    : mSocket(aExecutor)
   {
   }
 
@@ -161,8 +163,9 @@
     if (!address) {
       co_return nullptr;
     }
-    auto opened = std::make_shared<backend_connection>(mContext);
-    asio::steady_timer timeout(co_await asio::this_coro::executor);
+    auto executor = co_await asio::this_coro::executor;
+    auto opened = std::make_shared<backend_connection>(executor);
+    asio::steady_timer timeout(executor);
     timeout.expires_at(
       std::min(aOrder.mGiveUpAt,
                std::chrono::steady_clock::now() + mConfig.mConnectTimeout));
@@ -193,7 +196,9 @@
   connection_id Keep(connection_pointer aConnection, steady_time aNow)
   {
     aConnection->mUsedAt = aNow;
-    connection_id number = mNextConnection++;
+    // The number tells which worker the connection belongs to.
+    connection_id number =
+      mNextConnection++ * kMostWorkers + aConnection->mWorker % kMostWorkers;
     mConnections.Set(number, std::move(aConnection));
     return number;
   }
--- a/drivers/callers_front.cpp
+++ b/drivers/callers_front.cpp
@@ -220,20 +220,16 @@
       return 409;
     case refusal_reason::TeamLimit:
       return 429;
-    case refusal_reason::DeadlineTooShort:
     case refusal_reason::DeadlinePassed:
     case refusal_reason::OutcomeUnknown:
       return 504;
     case refusal_reason::NotConfirmed:
-    case refusal_reason::Stopping:
-    case refusal_reason::FailureDomainOut:
     case refusal_reason::HostLimit:
     case refusal_reason::CoverageTooLow:
     case refusal_reason::NoSnapshot:
     case refusal_reason::ClaimsFull:
     case refusal_reason::ClaimFailed:
     case refusal_reason::NoServer:
-    case refusal_reason::ServerFailed:
       return 503;
   }
   return 503;
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -150,6 +150,15 @@
   {
   }
 
+  /** The executor of a new connection. */
+  asio::any_io_executor Place()
+  {
+    if (mConfig.mContextOf) {
+      return mConfig.mContextOf().get_executor();
+    }
+    return asio::make_strand(mContext);
+  }
+
   asio::awaitable<void> Serve(std::shared_ptr<http_connection> aConnection)
   {
     beast::flat_buffer buffer;
@@ -306,11 +315,8 @@
       co_await aState->mRoom.async_wait(kNoThrow);
       continue;
     }
-    auto [error, socket] = co_await aState->mAcceptor.async_accept(
-      asio::make_strand(aState->mContext), kNoThrow);
-    if (error == asio::error::operation_aborted) {
-      co_return;
-    }
+    auto [error, socket] =
+      co_await aState->mAcceptor.async_accept(aState->Place(), kNoThrow);
     if (error) {
       // Out of descriptors, most likely: some come free before long.
       pause.expires_after(kAcceptPause);
@@ -361,6 +367,12 @@
   }
 }
 
+std::size_t
+http_server::Connections() const
+{
+  return mState->mCount;
+}
+
 std::size_t
 http_server::Active() const
 {
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -80,10 +80,12 @@
   milliseconds mSlowSender{ 5000 };
   milliseconds mIdle{ 60'000 };
   std::size_t mMostConnections = 4096;
+  /** Chooses the context of a new connection; the listener's own if unset. */
+  std::function<boost::asio::io_context&()> mContextOf;
 };
 
 /**
- * An HTTP/1.1 listener. Each connection runs on a strand of its own and takes
+ * An HTTP/1.1 listener. Each connection runs on one thread at a time and takes
  * one request after the other; requests with a fault reach the handler too,
  * so that their refusal is accounted for.
  */
@@ -105,6 +107,8 @@
   void StartClosing();
   /** Accepts no more and closes connections that wait for a request. */
   void Stop();
+  /** Connections that are open. */
+  [[nodiscard]] std::size_t Connections() const;
   /** Requests that are being answered. */
   [[nodiscard]] std::size_t Active() const;
 };
--- a/filters/scatter.cpp
+++ b/filters/scatter.cpp
@@ -239,10 +239,12 @@
     choice.mSnapshot = mSnapshot;
     choice.mAnySnapshot = mKind == request_kind::Run;
     choice.mExcluded = aService.mExcluded;
+    // A hedge or a repeat goes to another failure domain if it can.
     for (const auto& [number, flying] : aService.mFlying) {
       choice.mExcluded.push_back(flying.mPermit.mServer);
     }
     choice.mAvoidedDomain = aService.mFirstDomain;
+    choice.mWorker = CurrentWorker();
     return choice;
   }
 
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -37,8 +37,10 @@
 constexpr milliseconds kRecordPause{ 200 };
 constexpr milliseconds kIndexPause{ 5 };
 constexpr milliseconds kStopCheck{ 20 };
+constexpr milliseconds kCloseTime{ 3000 };
 /** A first crash is reported at most this often by one host. */
 constexpr milliseconds kCrashReportPause{ 500 };
+constexpr milliseconds kCrashReportTimeout{ 200 };
 constexpr std::size_t kMostInBatch = 1000;
 constexpr std::size_t kHarmlessKept = 100'000;
 /** Disk hosts that must have a refusal before it is forgotten here. */
@@ -101,6 +103,8 @@
   , mSelf{ mSettings.mHostId }
   , mIncarnation(aIncarnation)
   , mClient(std::move(aClient))
+  , mWorkers(
+      worker_pool::Create(static_cast<std::size_t>(mSettings.mEntryThreads)))
   , mLease(milliseconds(mSettings.mEntryLeaseMs))
   , mBackends(ToBackendConfig(mSettings),
               backend_hooks{
@@ -332,10 +336,14 @@
   trial.mTrials = { NewNumber("t").mValue };
   change_command command;
   command.mWishes = { crash, trial };
-  auto outcomes =
-    co_await mClient.Propose(std::move(command), aReport.mDeadline);
+  // A lost connection is mostly no crash: the repeat must not wait for a
+  // group that has no leader just now. This host counts its own crashes.
+  steady_time deadline =
+    isFirst ? std::min(aReport.mDeadline, now + kCrashReportTimeout)
+            : aReport.mDeadline;
+  auto outcomes = co_await mClient.Propose(std::move(command), deadline);
   if (!outcomes || outcomes.value().size() != 2) {
-    co_return crash_verdict::Quarantined;
+    co_return isFirst ? crash_verdict::TryAgain : crash_verdict::Quarantined;
   }
   const change_outcome& verdict = outcomes.value().back();
   if (verdict.mVerdict == change_verdict::Accepted) {
@@ -495,6 +503,9 @@
   callers.mSlowSender = milliseconds(mSettings.mEntrySlowSenderMs);
   callers.mMostConnections =
     static_cast<std::size_t>(mSettings.mEntryMostCallers);
+  callers.mContextOf = [this]() -> asio::io_context& {
+    return mWorkers->Next();
+  };
   callers_front_hooks hooks;
   hooks.mNow = SteadyNow;
   hooks.mEntryHosts = [this](const failure_domain_id& aNearby) {
@@ -680,6 +691,12 @@
   mAnnounce->Stop();
   mWatch->Stop();
   mClient.Stop();
+  // Sockets must be gone before the contexts that they belong to.
+  end = SteadyNow() + kCloseTime;
+  while (mCallers->Connections() > 0 && SteadyNow() < end) {
+    std::this_thread::sleep_for(kStopCheck);
+  }
+  mWorkers->Stop();
 }
 
 }
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -14,6 +14,7 @@
 #include "drivers/control_client.h"
 #include "drivers/http_server.h"
 #include "drivers/watch_client.h"
+#include "drivers/worker_pool.h"
 #include "filters/claim.h"
 #include "filters/quarantine.h"
 #include "main/role_error.h"
@@ -34,6 +35,7 @@
   host_id mSelf;
   incarnation_number mIncarnation;
   control_client mClient;
+  std::unique_ptr<worker_pool> mWorkers;
   std::unique_ptr<backend_client> mBackendClient;
   lease_controller mLease;
   backend_controller mBackends;
--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -21,6 +21,9 @@
 
 namespace {
 
+/** Threads for all that is not a caller's request. */
+constexpr int kThreads = 2;
+
 /** Where the main thread waits for the end. */
 struct end_signal
 {
@@ -111,8 +114,7 @@
 
   bool isStarted = StartRoles(context, aSettings, end, running);
   std::vector<std::thread> threads;
-  auto count = static_cast<std::size_t>(aSettings.mEntryThreads);
-  for (std::size_t number = 0; number < count; ++number) {
+  for (int number = 0; number < kThreads; ++number) {
     threads.emplace_back([&context] { context.run(); });
   }
   if (isStarted) {
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -1,4 +1,5 @@
 #include "drivers/http_server.h"
+#include "tests/standin/direct_load.h"
 #include "tests/standin/proxy.h"
 #include "tests/standin/server.h"
 
@@ -211,10 +212,23 @@
   return RunContext(context);
 }
 
+int
+RunDirect(const options::variables_map& aGiven)
+{
+  standin::direct_options direct;
+  direct.mAdmins = Split(aGiven["ask"].as<std::string>(), ',');
+  direct.mPrefix = aGiven["prefix"].as<std::string>();
+  direct.mRate = aGiven["rate"].as<double>();
+  direct.mSeconds = aGiven["seconds"].as<double>();
+  direct.mSeed = aGiven["seed"].as<std::uint64_t>();
+  return standin::RunDirectLoad(direct);
+}
+
 int
 Run(const std::vector<std::string>& aArguments)
 {
-  options::options_description known("hibiscusspool-standin backends|proxy");
+  options::options_description known(
+    "hibiscusspool-standin backends|proxy|direct");
   known.add_options()("help", "this text")(
     "admin", options::value<std::string>(), "ip:port to be told what to do")(
     "announce", options::value<std::string>(), "ip:port,… to announce to")(
@@ -244,6 +258,9 @@
     std::cout << known;
     return 0;
   }
+  if (aArguments.front() == "direct") {
+    return RunDirect(given);
+  }
   return aArguments.front() == "proxy" ? RunProxy(given) : RunBackends(given);
 }
 
--- a/tests/standin/server.cpp
+++ b/tests/standin/server.cpp
@@ -502,6 +502,7 @@
 {
   return { { "server", mOptions.mName },
            { "service", mOptions.mService },
+           { "address", mOptions.mAddress },
            { "failure_domain", mOptions.mFailureDomain },
            { "state", mOptions.mState },
            { "announced_state", mAnnouncedState },
--- a/tools/load_run.cpp
+++ b/tools/load_run.cpp
@@ -47,6 +47,16 @@
   steady_time mDueAt;
 };
 
+struct exchange_order
+{
+  std::string mMethod;
+  std::string mAddress;
+  std::string mPath;
+  std::string mRequest;
+  std::string mBody;
+  std::string mKey;
+};
+
 struct reply
 {
   bool mIsWhole = false;
@@ -117,9 +127,11 @@
     while (mIsSending) {
       // A host of the old list knows the new one; the first ones always do.
       const std::string& address = mPlan.mAsk[turn++ % mPlan.mAsk.size()];
-      std::string path =
-        "/v1/entry-hosts?failure_domain=" + mPlan.mFailureDomain;
-      reply list = co_await Exchange(address, "GET", path, {}, "", "");
+      exchange_order ask;
+      ask.mMethod = "GET";
+      ask.mAddress = address;
+      ask.mPath = "/v1/entry-hosts?failure_domain=" + mPlan.mFailureDomain;
+      reply list = co_await Exchange(std::move(ask));
       milliseconds keep = TakeList(list);
       pause.expires_after(keep);
       co_await pause.async_wait(kNoThrow);
@@ -206,12 +218,16 @@
     std::string host;
     while (true) {
       host = mHosts[mNextHost++ % mHosts.size()];
-      answer = co_await Exchange(host,
-                                 "POST",
-                                 path,
-                                 aRequest.mRequest,
-                                 aRequest.mBody,
-                                 share.mIsRun ? aRequest.mRequest : "");
+      exchange_order order;
+      order.mMethod = "POST";
+      order.mAddress = host;
+      order.mPath = path;
+      order.mRequest = aRequest.mRequest;
+      order.mBody = aRequest.mBody;
+      if (share.mIsRun) {
+        order.mKey = aRequest.mRequest;
+      }
+      answer = co_await Exchange(std::move(order));
       if (answer.mIsWhole || resends == mPlan.mResends) {
         break;
       }
@@ -221,15 +237,10 @@
     --mUnderWay;
   }
 
-  asio::awaitable<reply> Exchange(std::string aAddress,
-                                  std::string aMethod,
-                                  std::string aPath,
-                                  std::string aRequest,
-                                  std::string aBody,
-                                  std::string aKey)
+  asio::awaitable<reply> Exchange(exchange_order aOrder)
   {
     reply answer;
-    auto& idle = mIdle[aAddress];
+    auto& idle = mIdle[aOrder.mAddress];
     std::shared_ptr<caller_connection> connection;
     if (!idle.empty()) {
       connection = std::move(idle.back());
@@ -237,7 +248,7 @@
     } else {
       connection = std::make_shared<caller_connection>(
         caller_connection{ beast::tcp_stream(mContext), {} });
-      auto address = ParseAddress(aAddress);
+      auto address = ParseAddress(aOrder.mAddress);
       connection->mStream.expires_after(mPlan.mTimeout);
       tcp::endpoint endpoint(asio::ip::make_address(address->mIp),
                              address->mPort);
@@ -250,15 +261,15 @@
       connection->mStream.socket().set_option(tcp::no_delay(true), ignored);
     }
     http::request<http::string_body> request(
-      http::string_to_verb(aMethod), aPath, 11);
-    request.set(http::field::host, aAddress);
-    if (!aRequest.empty()) {
-      request.set("Request-Id", aRequest);
+      http::string_to_verb(aOrder.mMethod), aOrder.mPath, 11);
+    request.set(http::field::host, aOrder.mAddress);
+    if (!aOrder.mRequest.empty()) {
+      request.set("Request-Id", aOrder.mRequest);
     }
-    if (!aKey.empty()) {
-      request.set("Idempotency-Key", aKey);
+    if (!aOrder.mKey.empty()) {
+      request.set("Idempotency-Key", aOrder.mKey);
     }
-    request.body() = std::move(aBody);
+    request.body() = std::move(aOrder.mBody);
     request.prepare_payload();
     connection->mStream.expires_after(mPlan.mTimeout);
     auto [failed, written] =
@@ -278,7 +289,7 @@
     answer.mBody = std::move(parser.get().body());
     if (parser.keep_alive()) {
       connection->mStream.expires_never();
-      mIdle[aAddress].push_back(std::move(connection));
+      mIdle[aOrder.mAddress].push_back(std::move(connection));
     }
     co_return answer;
   }
