--- a/tests/standin/direct_load.cpp
+++ b/tests/standin/direct_load.cpp
@@ -65,7 +65,8 @@
       order.mAddress = admin;
       order.mPath = "/";
       auto answer = hibiscusspool::CallHttp(order);
-      for (const auto& one : boost::json::parse(answer.mBody).as_array()) {
+      boost::json::value servers = boost::json::parse(answer.mBody);
+      for (const auto& one : servers.as_array()) {
         std::string service(one.as_object().at("service").as_string());
         if (service.starts_with(mOptions.mPrefix)) {
           mServices[service].emplace_back(
