--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -10,6 +10,8 @@
 
 /** Refusals in a row after which a ready server is taken for a cold one. */
 constexpr std::uint32_t kColdAfterRefusals = 8;
+/** Random servers that are looked at before all are. */
+constexpr int kSampleDraws = 4;
 
 template<typename pool>
 auto
@@ -270,35 +272,85 @@
   return isInService && !aDomainsOut.contains(record.mFailureDomain);
 }
 
-std::vector<replica_candidate>
-backend_controller::Candidates(const service_pool& aPool,
-                               const choice_request& aRequest,
-                               const std::set<failure_domain_id>& aDomainsOut,
-                               steady_time aNow) const
+bool
+backend_controller::IsCandidate(const backend& aBackend,
+                                const choice_request& aRequest,
+                                const std::set<failure_domain_id>& aDomainsOut,
+                                steady_time aNow) const
+{
+  const server_record& record = aBackend.mRecord;
+  std::uint32_t share = Share(aBackend, aNow);
+  bool hasConnection = !aBackend.mIdle.empty() || aBackend.mOpen < share;
+  // The cheap tests come first: most servers are none of this host's.
+  if (share == 0 || !hasConnection || !CanAnswer(aBackend, aDomainsOut) ||
+      aBackend.mOutstanding >= Allowed(aBackend, aNow)) {
+    return false;
+  }
+  bool holds = aRequest.mAnySnapshot ||
+               std::find(record.mSnapshots.begin(),
+                         record.mSnapshots.end(),
+                         aRequest.mSnapshot) != record.mSnapshots.end();
+  return holds && std::find(aRequest.mExcluded.begin(),
+                            aRequest.mExcluded.end(),
+                            record.mServer) == aRequest.mExcluded.end();
+}
+
+replica_candidate
+backend_controller::ToCandidate(const backend& aBackend,
+                                std::size_t aPlace) const
+{
+  return { aPlace,
+           aBackend.mOutstanding,
+           aBackend.mServiceTime.Mean(),
+           aBackend.mRecord.mFailureDomain == mConfig.mFailureDomain,
+           !aBackend.mIdle.empty() };
+}
+
+std::optional<std::size_t>
+backend_controller::PickFromSample(
+  service_pool& aPool,
+  const choice_request& aRequest,
+  const std::set<failure_domain_id>& aDomainsOut,
+  steady_time aNow) const
+{
+  if (aPool.mBackends.empty() || !aRequest.mAvoidedDomain.IsEmpty()) {
+    return std::nullopt;
+  }
+  std::uniform_int_distribution<std::size_t> any(0, aPool.mBackends.size() - 1);
+  std::optional<replica_candidate> first;
+  for (int draw = 0; draw < kSampleDraws; ++draw) {
+    std::size_t place = any(aPool.mRandom);
+    const backend& entry = aPool.mBackends[place];
+    bool isNew = !first || first->mPlace != place;
+    if (!isNew || !IsCandidate(entry, aRequest, aDomainsOut, aNow)) {
+      continue;
+    }
+    replica_candidate drawn = ToCandidate(entry, place);
+    if (first) {
+      return IsBetter(drawn, *first) ? place : first->mPlace;
+    }
+    first = drawn;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::size_t>
+backend_controller::PickFromAll(service_pool& aPool,
+                                const choice_request& aRequest,
+                                const std::set<failure_domain_id>& aDomainsOut,
+                                steady_time aNow) const
 {
   std::vector<replica_candidate> candidates;
+  std::vector<replica_candidate> elsewhere;
   for (std::size_t place = 0; place < aPool.mBackends.size(); ++place) {
     const backend& entry = aPool.mBackends[place];
-    const server_record& record = entry.mRecord;
-    bool holds = aRequest.mAnySnapshot ||
-                 std::find(record.mSnapshots.begin(),
-                           record.mSnapshots.end(),
-                           aRequest.mSnapshot) != record.mSnapshots.end();
-    bool isExcluded = std::find(aRequest.mExcluded.begin(),
-                                aRequest.mExcluded.end(),
-                                record.mServer) != aRequest.mExcluded.end();
-    bool hasPlace = entry.mOutstanding < Allowed(entry, aNow) &&
-                    (!entry.mIdle.empty() || entry.mOpen < Share(entry, aNow));
-    if (!holds || isExcluded || !hasPlace || !CanAnswer(entry, aDomainsOut)) {
+    if (!IsCandidate(entry, aRequest, aDomainsOut, aNow)) {
       continue;
     }
-    candidates.push_back({ place,
-                           entry.mOutstanding,
-                           entry.mServiceTime.Mean(),
-                           record.mFailureDomain == mConfig.mFailureDomain,
-                           !entry.mIdle.empty() });
+    bool isAvoided = entry.mRecord.mFailureDomain == aRequest.mAvoidedDomain;
+    (isAvoided ? candidates : elsewhere).push_back(ToCandidate(entry, place));
   }
-  return candidates;
+  return PickReplica(elsewhere.empty() ? candidates : elsewhere, aPool.mRandom);
 }
 
 std::optional<attempt_permit>
@@ -307,14 +359,10 @@
   auto domainsOut = DomainsOut();
   std::optional<attempt_permit> permit;
   mServices.UpdateIfPresent(aRequest.mService, [&](service_pool& aPool) {
-    auto candidates = Candidates(aPool, aRequest, *domainsOut, aNow);
-    auto inOther = candidates;
-    std::erase_if(inOther, [&](const replica_candidate& aCandidate) {
-      return aPool.mBackends[aCandidate.mPlace].mRecord.mFailureDomain ==
-             aRequest.mAvoidedDomain;
-    });
-    auto place =
-      PickReplica(inOther.empty() ? candidates : inOther, aPool.mRandom);
+    auto place = PickFromSample(aPool, aRequest, *domainsOut, aNow);
+    if (!place) {
+      place = PickFromAll(aPool, aRequest, *domainsOut, aNow);
+    }
     if (!place) {
       return;
     }
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -182,8 +182,21 @@
   [[nodiscard]] static bool CanAnswer(
     const backend& aBackend,
     const std::set<failure_domain_id>& aDomainsOut);
-  [[nodiscard]] std::vector<replica_candidate> Candidates(
-    const service_pool& aPool,
+  [[nodiscard]] bool IsCandidate(const backend& aBackend,
+                                 const choice_request& aRequest,
+                                 const std::set<failure_domain_id>& aDomainsOut,
+                                 steady_time aNow) const;
+  [[nodiscard]] replica_candidate ToCandidate(const backend& aBackend,
+                                              std::size_t aPlace) const;
+  /** The better of two random candidates, if a few draws find two. */
+  std::optional<std::size_t> PickFromSample(
+    service_pool& aPool,
+    const choice_request& aRequest,
+    const std::set<failure_domain_id>& aDomainsOut,
+    steady_time aNow) const;
+  /** The better of two out of all candidates. */
+  std::optional<std::size_t> PickFromAll(
+    service_pool& aPool,
     const choice_request& aRequest,
     const std::set<failure_domain_id>& aDomainsOut,
     steady_time aNow) const;
--- a/controllers/watch_hub.cpp
+++ b/controllers/watch_hub.cpp
@@ -155,6 +155,11 @@
   if (!seen) {
     return std::nullopt;
   }
+  // Before its first confirmation this host may know less than the daemon
+  // does, as after a restart, and must not lead it through what is past.
+  if (seen->mNeedsAll && seen->mConfirmedMark == 0) {
+    return std::nullopt;
+  }
   watch_update update;
   // The mark is read before the facts: it must not vouch for older ones.
   if (seen->mConfirmedMark != seen->mAnsweredMark) {
--- a/decisions/replica_choice.cpp
+++ b/decisions/replica_choice.cpp
@@ -4,7 +4,12 @@
 
 namespace hibiscusspool {
 
-namespace {
+microseconds
+ExpectedTime(const replica_candidate& aCandidate)
+{
+  return aCandidate.mServiceTime *
+         static_cast<std::int64_t>(aCandidate.mOutstanding + 1);
+}
 
 bool
 IsBetter(const replica_candidate& aOne, const replica_candidate& aOther)
@@ -17,15 +22,6 @@
                     !aOther.mIsOwnDomain);
 }
 
-}
-
-microseconds
-ExpectedTime(const replica_candidate& aCandidate)
-{
-  return aCandidate.mServiceTime *
-         static_cast<std::int64_t>(aCandidate.mOutstanding + 1);
-}
-
 std::optional<std::size_t>
 PickReplica(const std::vector<replica_candidate>& aCandidates,
             std::mt19937_64& aRandom)
--- a/decisions/replica_choice.h
+++ b/decisions/replica_choice.h
@@ -26,6 +26,13 @@
 microseconds
 ExpectedTime(const replica_candidate& aCandidate);
 
+/**
+ * True when the first is expected to answer sooner. The own failure domain and
+ * an open connection decide between equals only.
+ */
+bool
+IsBetter(const replica_candidate& aOne, const replica_candidate& aOther);
+
 /**
  * Picks the better of two random candidates by expected time. The own failure
  * domain and an open connection decide between equals only.
