--- a/decisions/membership.cpp
+++ b/decisions/membership.cpp
@@ -39,8 +39,12 @@
                    steady_time aNow)
 {
   std::vector<record_change> wishes;
+  for (const heard_daemon& daemon : aHeard) {
+    steady_time& latest = mLastHeard[daemon.mHost.mHost];
+    latest = std::max(latest, daemon.mHeardAt);
+  }
   AddArrivals(aHeard, aView, aNow, wishes);
-  AddSilent(aHeard, aView, aNow, wishes);
+  AddSilent(aView, aNow, wishes);
   AddOrphans(aView, aNow, wishes);
   return wishes;
 }
@@ -77,16 +81,10 @@
 }
 
 void
-membership::AddSilent(const std::vector<heard_daemon>& aHeard,
-                      const membership_view& aView,
+membership::AddSilent(const membership_view& aView,
                       steady_time aNow,
                       std::vector<record_change>& aWishes)
 {
-  std::map<host_id, steady_time> heardAt;
-  for (const heard_daemon& daemon : aHeard) {
-    steady_time& latest = heardAt[daemon.mHost.mHost];
-    latest = std::max(latest, daemon.mHeardAt);
-  }
   for (const auto& [host, known] : aView.mEntryHosts) {
     if (known.mState == entry_host_state::Silent) {
       mLostSince.erase(host);
@@ -96,7 +94,7 @@
     bool isMissed = false;
     if (isOwn) {
       // After a restart the streams have a silence's time to come back.
-      steady_time latest = std::max(heardAt[host], mStartedAt);
+      steady_time latest = std::max(mLastHeard[host], mStartedAt);
       isMissed = aNow - latest > mConfig.mSilence;
       mLostSince.erase(host);
     } else if (aView.mIsLeading &&
--- a/decisions/membership.h
+++ b/decisions/membership.h
@@ -46,6 +46,8 @@
 {
   membership_config mConfig;
   steady_time mStartedAt;
+  /** When each daemon was last heard here, also over a stream that closed. */
+  std::map<host_id, steady_time> mLastHeard;
   /** Since when the leader has missed a daemon's control host. */
   std::map<host_id, steady_time> mLostSince;
   /** Since when the leader has missed a server's sponsor. */
@@ -55,8 +57,7 @@
                    const membership_view& aView,
                    steady_time aNow,
                    std::vector<record_change>& aWishes) const;
-  void AddSilent(const std::vector<heard_daemon>& aHeard,
-                 const membership_view& aView,
+  void AddSilent(const membership_view& aView,
                  steady_time aNow,
                  std::vector<record_change>& aWishes);
   void AddOrphans(const membership_view& aView,
--- a/tests/bench/bench.cpp
+++ b/tests/bench/bench.cpp
@@ -62,8 +62,10 @@
     for (int replica = 0; replica < kReplicas; ++replica) {
       backends.Put(MakeServer(service, replica), true, now);
     }
-    choices.push_back(
-      { service_id{ "service-" + std::to_string(service) }, 42 });
+    choice_request choice;
+    choice.mService.mValue = "service-" + std::to_string(service);
+    choice.mSnapshot = 42;
+    choices.push_back(choice);
   }
   constexpr int kRounds = 300;
   steady_time started = std::chrono::steady_clock::now();
--- a/tests/controllers/watch_hub_test.cpp
+++ b/tests/controllers/watch_hub_test.cpp
@@ -33,8 +33,35 @@
     return mHub.Open(
       {}, [] {}, kNow);
   }
+
+  /** A stream that holds all facts by now. */
+  stream_id OpenWithFacts()
+  {
+    stream_id stream = Open();
+    mHub.Report(stream, { 1, 0, {}, true }, kNow);
+    mAsked.back()(10);
+    mAsked.clear();
+    mHub.Next(stream);
+    return stream;
+  }
 };
 
+TEST(watch_hub, AStreamGetsNothingBeforeItsFirstConfirmation)
+{
+  // A control host that has just restarted knows little of the log.
+  mHub.Replaced(0);
+  stream_id stream = Open();
+  mHub.Report(stream, { 1, 500, {}, true }, kNow);
+  mHub.Publish(1, { Fact("long past") });
+  CHECK(!mHub.Next(stream));
+  mHub.Publish(10, { Fact("now") });
+  mAsked[0](10);
+  auto first = mHub.Next(stream);
+  CHECK(first->mReplaces);
+  LONGS_EQUAL(10, first->mIndex);
+  LONGS_EQUAL(1, first->mConfirmedMark);
+}
+
 TEST(watch_hub, AStreamStartsWithAllFactsAndGoesOnInOrder)
 {
   mHub.Replaced(10);
--- a/tests/decisions/records_test.cpp
+++ b/tests/decisions/records_test.cpp
@@ -183,6 +183,18 @@
   CHECK(std::get<server_record>(wishes.at(0)).mState == server_state::Gone);
 }
 
+TEST(membership, ADaemonWhoseStreamJustClosedIsNotSilentYet)
+{
+  entry_host_record host = Heard(kNow).mHost;
+  host.mSponsor.mValue = "c1";
+  mHosts[host.mHost] = host;
+  steady_time later = kNow + milliseconds(60'000);
+  CHECK(Wishes({ Heard(later) }, later).empty());
+  // It is on its way to another control host.
+  CHECK(Wishes({}, later + milliseconds(1000)).empty());
+  LONGS_EQUAL(1, Wishes({}, later + milliseconds(3100)).size());
+}
+
 TEST(membership, TheLeaderSpeaksForALostControlHost)
 {
   entry_host_record host = Heard(kNow).mHost;
