--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -611,6 +611,23 @@
   return slow;
 }
 
+std::vector<server_id>
+backend_controller::Sponsored() const
+{
+  std::vector<server_id> sponsored;
+  mServices.ForEach(
+    [&](const service_id& /*aName*/, const service_pool& aPool) {
+      for (const backend& entry : aPool.mBackends) {
+        bool isOurs = entry.mRecord.mSponsor == mConfig.mSelf &&
+                      entry.mRecord.mState != server_state::Gone;
+        if (isOurs) {
+          sponsored.push_back(entry.mRecord.mServer);
+        }
+      }
+    });
+  return sponsored;
+}
+
 std::vector<backend_view>
 backend_controller::Views(steady_time aNow) const
 {
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -253,6 +253,8 @@
     const std::vector<service_id>& aServices);
   /** Time after which an attempt at the service counts as slow. */
   std::optional<microseconds> SlowAfter(const service_id& aService);
+  /** The servers that name this host as their sponsor and are not gone. */
+  [[nodiscard]] std::vector<server_id> Sponsored() const;
   [[nodiscard]] std::vector<backend_view> Views(steady_time aNow) const;
   [[nodiscard]] std::optional<server_record> Record(
     const server_id& aServer) const;
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -592,15 +592,7 @@
   if (!mLease.IsConfirmed(now)) {
     co_return;
   }
-  std::vector<server_id> sponsored;
-  for (const backend_view& view : mBackends.Views(now)) {
-    bool isOurs = view.mRecord.mSponsor == mSelf &&
-                  view.mRecord.mState != server_state::Gone;
-    if (isOurs) {
-      sponsored.push_back(view.mRecord.mServer);
-    }
-  }
-  mAnnouncements.Adopt(sponsored, now);
+  mAnnouncements.Adopt(mBackends.Sponsored(), now);
   for (const server_id& server : mAnnouncements.TakeLapsed(now)) {
     auto record = mBackends.Record(server);
     bool isOurs = record && record->mSponsor == mSelf &&
--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -114,6 +114,7 @@
 
   bool isStarted = StartRoles(context, aSettings, end, running);
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int number = 0; number < kThreads; ++number) {
     threads.emplace_back([&context] { context.run(); });
   }
--- a/tests/decisions/records_test.cpp
+++ b/tests/decisions/records_test.cpp
@@ -46,7 +46,7 @@
   burn_history history;
   wall_ms now = 100LL * 24 * 3'600'000;
   history.Add(objective::Latency, true, now - 2LL * 24 * 3'600'000);
-  history.Add(objective::Latency, true, now - 30 * 60'000);
+  history.Add(objective::Latency, true, now - 30LL * 60'000);
   history.Add(objective::Latency, false, now);
   auto count = [&](burn_window aWindow) {
     return history.Count(objective::Latency, aWindow, now);
@@ -136,8 +136,9 @@
     return daemon;
   }
 
-  std::vector<record_change> Wishes(
-    std::vector<heard_daemon> aHeard, steady_time aAt, bool aLeads = false)
+  std::vector<record_change> Wishes(const std::vector<heard_daemon>& aHeard,
+                                    steady_time aAt,
+                                    bool aLeads = false)
   {
     return mMembership.Wishes(
       aHeard,
--- a/tests/decisions/share_test.cpp
+++ b/tests/decisions/share_test.cpp
@@ -20,7 +20,7 @@
 }
 
 constexpr milliseconds kLease{ 4000 };
-constexpr milliseconds kLongestRun{ 3000 };
+/** The lease, the longest run of 3 s, and one part in a hundred. */
 constexpr milliseconds kHandOver{ 7070 };
 
 /**
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -249,7 +249,13 @@
                             options::value<double>()->default_value(0),
                             "one-way delay to each server")(
     "seed", options::value<std::uint64_t>()->default_value(1), "seed")(
-    "link", options::value<std::vector<std::string>>(), "NAME=LISTEN=TARGET");
+    "link", options::value<std::vector<std::string>>(), "NAME=LISTEN=TARGET")(
+    "ask", options::value<std::string>(), "admin addresses of stand-ins")(
+    "prefix",
+    options::value<std::string>()->default_value(""),
+    "services to ask")(
+    "rate", options::value<double>()->default_value(100), "queries a second")(
+    "seconds", options::value<double>()->default_value(10), "how long");
   options::variables_map given;
   std::vector<std::string> rest(aArguments.begin() + 1, aArguments.end());
   options::store(options::command_line_parser(rest).options(known).run(),
--- a/tools/load_run.cpp
+++ b/tools/load_run.cpp
@@ -72,8 +72,6 @@
   std::mt19937_64 mRandom;
   std::map<std::string, std::vector<std::shared_ptr<caller_connection>>> mIdle;
   std::vector<std::string> mHosts;
-  steady_time mListUntil;
-  bool mIsAsking = false;
   std::size_t mNextHost = 0;
   load_counts mCounts;
   std::ofstream mHistory;
