--- a/decisions/control_state.cpp
+++ b/decisions/control_state.cpp
@@ -306,6 +306,10 @@
 {
   auto found = mQuarantine.find(aWish.mFingerprint);
   bool isTrial = aWish.mCrashedServers.empty();
+  if (isTrial && aWish.mTrials.empty()) {
+    return Refuse(
+      change_verdict::Invalid, 0, "Neither a crash nor a trial is named.");
+  }
   if (isTrial && found != mQuarantine.end()) {
     quarantine_record& known = found->second;
     const std::string& trial = aWish.mTrials.front();
--- a/drivers/announce_front.cpp
+++ b/drivers/announce_front.cpp
@@ -2,7 +2,7 @@
 
 #include "core/log_event.h"
 #include "decisions/announcement.h"
-#include "messages/caller_json.h"
+#include "drivers/error_reply.h"
 #include "messages/operator_json.h"
 
 namespace hibiscusspool {
@@ -11,15 +11,6 @@
 
 namespace {
 
-http_reply
-ErrorReply(unsigned aStatus, std::string_view aCode, std::string_view aDetail)
-{
-  http_reply reply;
-  reply.mStatus = aStatus;
-  reply.mBody = EncodeError(aCode, aDetail);
-  return reply;
-}
-
 asio::awaitable<http_reply>
 Announce(const http_request& aRequest,
          const announce_front_config& aConfig,
--- a/drivers/callers_front.cpp
+++ b/drivers/callers_front.cpp
@@ -1,5 +1,6 @@
 #include "drivers/callers_front.h"
 
+#include "drivers/error_reply.h"
 #include "messages/caller_json.h"
 
 #include <charconv>
@@ -13,15 +14,6 @@
 constexpr std::string_view kTeams = "/v1/teams/";
 constexpr std::size_t kLongestHeader = 256;
 
-http_reply
-ErrorReply(unsigned aStatus, std::string_view aCode, std::string_view aDetail)
-{
-  http_reply reply;
-  reply.mStatus = aStatus;
-  reply.mBody = EncodeError(aCode, aDetail);
-  return reply;
-}
-
 /** `/v1/teams/NAME/query` or `/run`, taken apart. */
 struct team_path
 {
--- a/drivers/operators_front.cpp
+++ b/drivers/operators_front.cpp
@@ -1,7 +1,7 @@
 #include "drivers/operators_front.h"
 
 #include "core/log_event.h"
-#include "messages/caller_json.h"
+#include "drivers/error_reply.h"
 #include "messages/operator_json.h"
 
 #include <charconv>
@@ -26,15 +26,6 @@
   return reply;
 }
 
-http_reply
-ErrorReply(unsigned aStatus, std::string_view aCode, std::string_view aDetail)
-{
-  http_reply reply;
-  reply.mStatus = aStatus;
-  reply.mBody = EncodeError(aCode, aDetail);
-  return reply;
-}
-
 unsigned
 StatusOf(change_verdict aVerdict)
 {
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -4,6 +4,7 @@
 #include "drivers/access_token.h"
 #include "drivers/operators_front.h"
 #include "main/periodic.h"
+#include "main/role_support.h"
 #include "messages/control_codec.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -39,28 +40,6 @@
   return text.str();
 }
 
-wall_ms
-WallNow()
-{
-  return ToWallMs(std::chrono::system_clock::now());
-}
-
-steady_time
-SteadyNow()
-{
-  return std::chrono::steady_clock::now();
-}
-
-std::map<host_id, std::string>
-ToHosts(const address_list& aAddresses)
-{
-  std::map<host_id, std::string> hosts;
-  for (const auto& [name, address] : aAddresses) {
-    hosts[host_id{ name }] = address;
-  }
-  return hosts;
-}
-
 }
 
 control_role::control_role(asio::io_context& aContext,
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -11,6 +11,7 @@
 #include "filters/identify.h"
 #include "filters/plan.h"
 #include "main/periodic.h"
+#include "main/role_support.h"
 #include "messages/account_json.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -47,28 +48,6 @@
 constexpr std::size_t kRefusalCopies = 2;
 constexpr double kPercent = 0.01;
 
-wall_ms
-WallNow()
-{
-  return ToWallMs(std::chrono::system_clock::now());
-}
-
-steady_time
-SteadyNow()
-{
-  return std::chrono::steady_clock::now();
-}
-
-std::map<host_id, std::string>
-ToHosts(const address_list& aAddresses)
-{
-  std::map<host_id, std::string> hosts;
-  for (const auto& [name, address] : aAddresses) {
-    hosts[host_id{ name }] = address;
-  }
-  return hosts;
-}
-
 /**
  * Time until a gained share may be used: a lease, the longest wait, and one
  * part in a hundred for clocks that run apart.
--- /dev/null
+++ b/main/role_support.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "settings/settings.h"
+
+#include <map>
+#include <string>
+
+namespace hibiscusspool {
+
+/** The present wall-clock time, for records. */
+wall_ms
+WallNow();
+
+/** The present steady time, for decisions. */
+steady_time
+SteadyNow();
+
+/** A list of addresses from the settings, by host. */
+std::map<host_id, std::string>
+ToHosts(const address_list& aAddresses);
+
+}
--- a/messages/operator_json.cpp
+++ b/messages/operator_json.cpp
@@ -13,14 +13,15 @@
 constexpr std::uint64_t kAnyNumber = std::numeric_limits<std::uint64_t>::max();
 constexpr std::uint64_t kAnyUnits = std::numeric_limits<std::uint32_t>::max();
 
-result<void, json_error>
-CheckName(const std::string& aName)
+/** A reader of the body of a record whose name is good. */
+result<json_reader, json_error>
+ReadNamed(const std::string& aName, const std::string& aBody)
 {
   if (!IsName(aName)) {
     return Fail(json_error::OutOfRange,
                 "A name must be 1 to 128 letters, digits and any of . _ - :");
   }
-  return boost::outcome_v2::success();
+  return json_reader::Create(aBody);
 }
 
 json::object
@@ -116,11 +117,7 @@
 result<template_record, json_error>
 ParseTemplate(const std::string& aName, const std::string& aBody)
 {
-  auto named = CheckName(aName);
-  if (!named) {
-    return named.error();
-  }
-  auto reader = json_reader::Create(aBody);
+  auto reader = ReadNamed(aName, aBody);
   if (!reader) {
     return reader.error();
   }
@@ -137,11 +134,7 @@
 result<team_record, json_error>
 ParseTeam(const std::string& aName, const std::string& aBody)
 {
-  auto named = CheckName(aName);
-  if (!named) {
-    return named.error();
-  }
-  auto reader = json_reader::Create(aBody);
+  auto reader = ReadNamed(aName, aBody);
   if (!reader) {
     return reader.error();
   }
@@ -158,11 +151,7 @@
 result<failure_domain_record, json_error>
 ParseFailureDomain(const std::string& aName, const std::string& aBody)
 {
-  auto named = CheckName(aName);
-  if (!named) {
-    return named.error();
-  }
-  auto reader = json_reader::Create(aBody);
+  auto reader = ReadNamed(aName, aBody);
   if (!reader) {
     return reader.error();
   }
--- a/tests/decisions/control_state_test.cpp
+++ b/tests/decisions/control_state_test.cpp
@@ -240,6 +240,16 @@
   CheckVerdict(change_verdict::Accepted, mDriven.Judge(trial));
 }
 
+TEST(control_state, AQuarantineThatNamesNothingIsRefused)
+{
+  quarantine_record crash;
+  crash.mFingerprint.mValue = "f";
+  crash.mCrashedServers = { server_id{ "s1" } };
+  mDriven.Judge(crash);
+  crash.mCrashedServers.clear();
+  CheckVerdict(change_verdict::Invalid, mDriven.Judge(crash));
+}
+
 TEST(control_state, ASnapshotGivesTheSameStateAgain)
 {
   mDriven.Judge(Template("t"), std::nullopt, "c1");
--- a/tests/integration/request_side_test.cpp
+++ b/tests/integration/request_side_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/integration/caller_load.h"
 
 #include <csignal>
+#include <map>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -257,6 +258,85 @@
   }
 }
 
+TEST(request_side, RunsAreAnsweredOnceOverTheLossOfALeader)
+{
+  test_system system({});
+  system.StartAll();
+  constexpr int kCallers = 6;
+  constexpr int kOrders = 40;
+  std::mutex lock;
+  std::map<std::string, std::set<std::string>> answers;
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (int order = 0; order < kOrders; ++order) {
+        std::string key =
+          "o" + std::to_string(caller) + "-" + std::to_string(order);
+        // Each order is sent until it is answered, to one host after another.
+        for (int resend = 0; resend < 60; ++resend) {
+          std::string host =
+            "e" + std::to_string((caller + order + resend) % 3 + 1);
+          auto result = system.Run(host, key);
+          std::lock_guard guard(lock);
+          if (result.mStatus == 200) {
+            answers[key].insert(result.Text("answer"));
+            break;
+          }
+        }
+      }
+    });
+  }
+  Sleep(300);
+  std::string leader = system.Leader();
+  system.End(leader, SIGKILL);
+  Sleep(2500);
+  system.Start(leader);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  LONGS_EQUAL(kCallers * kOrders, answers.size());
+  for (const auto& [key, count] : system.Runs()) {
+    LONGS_EQUAL(1, count);
+  }
+  // Asked again, each gives the answer that it gave before.
+  auto again = system.Run("e1", "o0-0");
+  CHECK(answers["o0-0"].contains(again.Text("answer")));
+}
+
+TEST(request_side, AnEntryHostThatIsKilledCostsItsOwnCallsAlone)
+{
+  test_system system({});
+  system.StartAll();
+  caller_load load(system, 4);
+  Sleep(500);
+  system.End("e2", SIGKILL);
+  Sleep(3000);
+  auto history = load.Stop();
+  std::vector<call_record> others;
+  for (call_record& record : history) {
+    if (record.mHost != system.Callers("e2")) {
+      others.push_back(std::move(record));
+    }
+  }
+  CheckFull(Summarise(others));
+}
+
+TEST(request_side, AServerAndTheLeaderLostAtOnceCostNoCoverage)
+{
+  test_system system({});
+  system.StartAll();
+  caller_load load(system, 4);
+  Sleep(500);
+  std::string leader = system.Leader();
+  system.Tell("rack1-0", R"({"crash":true})");
+  system.End(leader, SIGKILL);
+  Sleep(3000);
+  system.Tell("rack2-1", R"({"crash":true})");
+  system.Start(leader);
+  Sleep(2000);
+  CheckFull(Summarise(load.Stop()));
+}
+
 TEST(request_side, ARunThatNoServerTookIsReleasedAndMayRunLater)
 {
   test_system system({});
