--- a/controllers/admission_controller.cpp
+++ b/controllers/admission_controller.cpp
@@ -53,13 +53,6 @@
   }
 }
 
-void
-admission_controller::SetHostLimit(std::uint32_t aLimit)
-{
-  std::lock_guard guard(mLock);
-  mAdmission.SetHostLimit(aLimit);
-}
-
 std::uint32_t
 admission_controller::Running()
 {
--- a/controllers/admission_controller.h
+++ b/controllers/admission_controller.h
@@ -39,7 +39,6 @@
   /** Takes a queued request back; false when it was decided already. */
   bool Withdraw(const admission_request& aRequest);
   void Release(const team_id& aTeam, microseconds aRan, steady_time aNow);
-  void SetHostLimit(std::uint32_t aLimit);
   [[nodiscard]] std::uint32_t Running();
   [[nodiscard]] std::uint32_t HostLimit();
 };
--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/** Refusals in a row after which a ready server is taken for a cold one. */
-constexpr std::uint32_t kColdAfterRefusals = 8;
+/** Losing this many times its usual time counts against a server. */
+constexpr int kSilentFactor = 3;
 /** Random servers that are looked at before all are. */
 constexpr int kSampleDraws = 4;
 
@@ -295,6 +295,15 @@
                             record.mServer) == aRequest.mExcluded.end();
 }
 
+bool
+backend_controller::IsKeptFrom(const backend& aBackend, steady_time aNow) const
+{
+  const server_health& health = aBackend.mHealth;
+  return mConfig.mSuspendsFailing &&
+         (health.IsSuspended(aNow) ||
+          (health.IsOnTrial() && aBackend.mOutstanding > 0));
+}
+
 replica_candidate
 backend_controller::ToCandidate(const backend& aBackend,
                                 std::size_t aPlace) const
@@ -303,7 +312,10 @@
            aBackend.mOutstanding,
            aBackend.mServiceTime.Mean(),
            aBackend.mRecord.mFailureDomain == mConfig.mFailureDomain,
-           !aBackend.mIdle.empty() };
+           !aBackend.mIdle.empty(),
+           aBackend.mRecord.mFailureDomain == mConfig.mFailureDomain
+             ? microseconds(0)
+             : mConfig.mDomainDistance };
 }
 
 std::optional<std::size_t>
@@ -322,7 +334,8 @@
     std::size_t place = any(aPool.mRandom);
     const backend& entry = aPool.mBackends[place];
     bool isNew = !first || first->mPlace != place;
-    if (!isNew || !IsCandidate(entry, aRequest, aDomainsOut, aNow)) {
+    if (!isNew || IsKeptFrom(entry, aNow) ||
+        !IsCandidate(entry, aRequest, aDomainsOut, aNow)) {
       continue;
     }
     replica_candidate drawn = ToCandidate(entry, place);
@@ -342,14 +355,22 @@
 {
   std::vector<replica_candidate> candidates;
   std::vector<replica_candidate> elsewhere;
+  std::vector<replica_candidate> failing;
   for (std::size_t place = 0; place < aPool.mBackends.size(); ++place) {
     const backend& entry = aPool.mBackends[place];
     if (!IsCandidate(entry, aRequest, aDomainsOut, aNow)) {
       continue;
     }
+    if (IsKeptFrom(entry, aNow)) {
+      failing.push_back(ToCandidate(entry, place));
+      continue;
+    }
     bool isAvoided = entry.mRecord.mFailureDomain == aRequest.mAvoidedDomain;
     (isAvoided ? candidates : elsewhere).push_back(ToCandidate(entry, place));
   }
+  if (candidates.empty() && elsewhere.empty()) {
+    return PickReplica(failing, aPool.mRandom);
+  }
   return PickReplica(elsewhere.empty() ? candidates : elsewhere, aPool.mRandom);
 }
 
@@ -405,15 +426,22 @@
     aBackend.mLimit.OnAnswer(aBackend.mOutstanding);
     aPool.mTail.Add(aReport.mTook);
     aBackend.mRefusedInRow = 0;
+    aBackend.mHealth.OnAnswer();
     return;
   }
   if (aReport.mStatus == attempt_status::Cancelled) {
     // A loser that ran long says that the server is at least that slow.
+    bool wasSilent =
+      aReport.mTook > aBackend.mServiceTime.Mean() * kSilentFactor;
     if (aReport.mTook > aBackend.mServiceTime.Mean()) {
       aBackend.mServiceTime.Add(aReport.mTook);
     }
+    if (wasSilent) {
+      aBackend.mHealth.OnFailure(aNow);
+    }
     return;
   }
+  aBackend.mHealth.OnFailure(aNow);
   if (!IsOverload(aReport.mStatus)) {
     return;
   }
@@ -445,9 +473,9 @@
       found->mIdle.push_back(aReport.mConnection);
     }
     closed = TakeSurplus(*found, aNow);
-    turnedCold = !found->mLooksCold &&
+    turnedCold = !found->mLooksCold && mConfig.mColdAfterRefusals > 0 &&
                  found->mRecord.mState == server_state::Ready &&
-                 found->mRefusedInRow >= kColdAfterRefusals;
+                 found->mRefusedInRow >= mConfig.mColdAfterRefusals;
     if (turnedCold) {
       found->mLooksCold = true;
       found->mLimit.Restart();
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -4,6 +4,7 @@
 #include "core/worker_number.h"
 #include "decisions/records.h"
 #include "decisions/replica_choice.h"
+#include "decisions/server_health.h"
 #include "decisions/server_limit.h"
 #include "decisions/share.h"
 #include "decisions/snapshot_choice.h"
@@ -98,6 +99,13 @@
   milliseconds mHandOver{ 0 };
   /** Time from the end of a cold start to the full limit. */
   milliseconds mRamp{ 10'000 };
+  /** What a server in another failure domain counts as slower. */
+  microseconds mDomainDistance{ 0 };
+  /** Refusals in a row after which a ready server is taken for a cold one; 0
+   * for never. */
+  std::uint32_t mColdAfterRefusals = 8;
+  /** Keep away from servers that fail, while another can answer. */
+  bool mSuspendsFailing = false;
   std::uint64_t mSeed = 0;
 };
 
@@ -137,6 +145,7 @@
     std::uint32_t mOutstanding = 0;
     server_limit mLimit;
     service_time mServiceTime;
+    server_health mHealth;
     steady_time mReadySince;
     /** Sheds and resets in a row, to notice an unannounced cold start. */
     std::uint32_t mRefusedInRow = 0;
@@ -186,6 +195,8 @@
                                  const choice_request& aRequest,
                                  const std::set<failure_domain_id>& aDomainsOut,
                                  steady_time aNow) const;
+  [[nodiscard]] bool IsKeptFrom(const backend& aBackend,
+                                steady_time aNow) const;
   [[nodiscard]] replica_candidate ToCandidate(const backend& aBackend,
                                               std::size_t aPlace) const;
   /** The better of two random candidates, if a few draws find two. */
--- a/controllers/budget_controller.h
+++ b/controllers/budget_controller.h
@@ -1,41 +1,85 @@
 #pragma once
 
+#include "core/ids.h"
+#include "core/sharded_map.h"
 #include "decisions/server_limit.h"
+#include "decisions/window_budget.h"
 
+#include <functional>
 #include <mutex>
 
 namespace hibiscusspool {
 
-/** The host's budgets for extra attempts, under one lock. */
+struct budget_hooks
+{
+  /**
+   * This host's part of the budget that all hosts share for each service, or
+   * nothing where each host has ratios of its own.
+   */
+  std::function<std::optional<budget_terms>()> mSharedTerms;
+};
+
+/**
+ * The host's budgets for extra attempts: ratios over all services, and where
+ * the hosts share a budget, a window for each service besides.
+ */
 class budget_controller
 {
+  budget_hooks mHooks;
   std::mutex mLock;
   ratio_budget mHedges;
   ratio_budget mRetries;
+  sharded_map<service_id, window_budget> mWindows;
+
+  bool SpendWindow(const service_id& aService, steady_time aNow)
+  {
+    auto terms = mHooks.mSharedTerms();
+    return !terms || mWindows.Update(aService, [&](window_budget& aWindow) {
+      return aWindow.Spend(*terms, aNow);
+    });
+  }
 
 public:
   /** Ratios are extra attempts for each regular one. */
-  budget_controller(double aHedgeRatio, double aRetryRatio)
-    : mHedges(aHedgeRatio)
+  budget_controller(double aHedgeRatio,
+                    double aRetryRatio,
+                    budget_hooks aHooks)
+    : mHooks(std::move(aHooks))
+    , mHedges(aHedgeRatio)
     , mRetries(aRetryRatio)
   {
   }
 
-  void OnRegular()
+  void OnRegular(const service_id& aService, steady_time aNow)
   {
+    if (auto terms = mHooks.mSharedTerms()) {
+      mWindows.Update(aService, [&](window_budget& aWindow) {
+        aWindow.OnRegular(*terms, aNow);
+      });
+    }
     std::lock_guard guard(mLock);
     mHedges.OnRegular();
     mRetries.OnRegular();
   }
-  bool SpendHedge()
+  bool SpendHedge(const service_id& aService, steady_time aNow)
   {
-    std::lock_guard guard(mLock);
-    return mHedges.Spend();
+    {
+      std::lock_guard guard(mLock);
+      if (!mHedges.Spend()) {
+        return false;
+      }
+    }
+    return SpendWindow(aService, aNow);
   }
-  bool SpendRetry()
+  bool SpendRetry(const service_id& aService, steady_time aNow)
   {
-    std::lock_guard guard(mLock);
-    return mRetries.Spend();
+    {
+      std::lock_guard guard(mLock);
+      if (!mRetries.Spend()) {
+        return false;
+      }
+    }
+    return SpendWindow(aService, aNow);
   }
 };
 
--- a/controllers/catalog_controller.cpp
+++ b/controllers/catalog_controller.cpp
@@ -45,6 +45,10 @@
   }
   // Claims stay on the control hosts.
   void operator()(const claim_record& /*aRecord*/) const {}
+  void operator()(const configuration_record& aRecord) const
+  {
+    mCatalog.SetConfiguration(aRecord);
+  }
   void operator()(const record_removal& aRemoval) const
   {
     mCatalog.Remove(aRemoval, mNow);
@@ -67,9 +71,6 @@
     std::visit(apply, fact);
   }
   mIndex = aUpdate.mIndex;
-  if (!aUpdate.mFacts.empty()) {
-    mHooks.mChanged();
-  }
 }
 
 void
@@ -153,6 +154,7 @@
       mQuarantine.Take(fingerprint_id{ aRemoval.mName });
       return;
     case record_kind::Claim:
+    case record_kind::Configuration:
       return;
   }
 }
@@ -190,6 +192,8 @@
     mNames.insert({ record_kind::Quarantine, aRecord.mFingerprint.mValue });
   }
   void operator()(const claim_record& /*aRecord*/) const {}
+  // There is one configuration, which is replaced and never taken away.
+  void operator()(const configuration_record& /*aRecord*/) const {}
   void operator()(const record_removal& /*aRecord*/) const {}
 };
 
@@ -270,28 +274,48 @@
   return CopyAll(mEntryHosts, std::vector<entry_host_record>());
 }
 
-std::vector<quarantine_record>
-catalog_controller::QuarantineList() const
-{
-  return CopyAll(mQuarantine, std::vector<quarantine_record>());
-}
-
-std::vector<failure_domain_record>
-catalog_controller::FailureDomains() const
+std::shared_ptr<const route_table>
+catalog_controller::Routes() const
 {
-  return CopyAll(mFailureDomains, std::vector<failure_domain_record>());
+  std::lock_guard guard(mRoutesLock);
+  return mRoutes;
 }
 
-std::vector<template_record>
-catalog_controller::Templates() const
+void
+catalog_controller::SetConfiguration(const configuration_record& aRecord)
 {
-  return CopyAll(mTemplates, std::vector<template_record>());
+  std::vector<std::string> unfit;
+  auto routes =
+    std::make_shared<const route_table>(route_table::Create(aRecord, unfit));
+  for (const std::string& cause : unfit) {
+    // The control hosts check this before they accept a configuration.
+    log_event("route_unfit", log_event::severity::Error).Add("cause", cause);
+  }
+  log_event("configuration_in_force")
+    .Add("number", aRecord.mNumber)
+    .Add("version", aRecord.mVersion)
+    .Add("routes", aRecord.mRoutes.size());
+  std::lock_guard guard(mRoutesLock);
+  mRoutes = std::move(routes);
 }
 
-std::optional<team_record>
-catalog_controller::TeamRecord(const team_id& aTeam) const
+service_id
+catalog_controller::NextService(const route_record& aRoute)
 {
-  return mTeams.Get(aTeam);
+  if (aRoute.mBackends.size() == 1) {
+    return aRoute.mBackends.front().mService;
+  }
+  return mChoices.Update(
+    aRoute.mName, [&](std::optional<weighted_choice>& aChoice) {
+      if (!aChoice || !aChoice->Fits(aRoute.mBackends)) {
+        // Hosts begin their cycles apart, as each sees few requests.
+        auto hash = std::hash<std::string>{}(mSelf.mValue + aRoute.mName);
+        constexpr std::size_t kSteps = 1024;
+        double spread = static_cast<double>(hash % kSteps) / kSteps;
+        aChoice.emplace(aRoute.mBackends, spread);
+      }
+      return aChoice->Next();
+    });
 }
 
 std::vector<team_id>
--- a/controllers/catalog_controller.h
+++ b/controllers/catalog_controller.h
@@ -3,7 +3,9 @@
 #include "controllers/backend_controller.h"
 #include "controllers/watch_hub.h"
 #include "core/sharded_map.h"
+#include "decisions/route_table.h"
 #include "decisions/team_policy.h"
+#include "decisions/weighted_choice.h"
 
 #include <atomic>
 #include <functional>
@@ -20,12 +22,6 @@
   log_index mVersion = 0;
 };
 
-struct catalog_hooks
-{
-  /** The facts of an update are in force on this daemon. */
-  std::function<void()> mChanged;
-};
-
 /**
  * What is in force, as the watch stream told this daemon: teams, templates,
  * failure domains, entry hosts and quarantine. Servers go on to the backend
@@ -38,13 +34,16 @@
 
   host_id mSelf;
   backend_controller& mBackends;
-  catalog_hooks mHooks;
   sharded_map<template_id, template_record> mTemplates;
   sharded_map<team_id, team_record> mTeams;
   sharded_map<team_id, team_view> mViews;
   sharded_map<failure_domain_id, failure_domain_record> mFailureDomains;
   sharded_map<host_id, entry_host_record> mEntryHosts;
   sharded_map<fingerprint_id, quarantine_record> mQuarantine;
+  mutable std::mutex mRoutesLock;
+  std::shared_ptr<const route_table> mRoutes;
+  /** Where each route with several services is in its cycle, by name. */
+  sharded_map<std::string, std::optional<weighted_choice>> mChoices;
   std::atomic<log_index> mIndex{ 0 };
   std::atomic<std::uint32_t> mServingHosts{ 1 };
   /** Updates come from one stream at a time, but streams overlap at a switch.
@@ -54,16 +53,15 @@
   void FillTeam(const team_id& aTeam);
   void RefreshHosts(steady_time aNow);
   void RefreshDomains();
+  void SetConfiguration(const configuration_record& aRecord);
   void Remove(const record_removal& aRemoval, steady_time aNow);
   void RemoveAllBut(const std::vector<record_change>& aFacts, steady_time aNow);
 
 public:
   catalog_controller(host_id aSelf,
-                     backend_controller& aBackends,
-                     catalog_hooks aHooks)
+                     backend_controller& aBackends)
     : mSelf(std::move(aSelf))
     , mBackends(aBackends)
-    , mHooks(std::move(aHooks))
   {
   }
 
@@ -76,11 +74,10 @@
     const fingerprint_id& aFingerprint) const;
   [[nodiscard]] std::vector<entry_host_record> EntryHosts() const;
   [[nodiscard]] std::vector<team_id> Teams() const;
-  [[nodiscard]] std::vector<quarantine_record> QuarantineList() const;
-  [[nodiscard]] std::vector<failure_domain_record> FailureDomains() const;
-  [[nodiscard]] std::vector<template_record> Templates() const;
-  [[nodiscard]] std::optional<team_record> TeamRecord(
-    const team_id& aTeam) const;
+  /** The routes in force, or nothing before the first configuration. */
+  [[nodiscard]] std::shared_ptr<const route_table> Routes() const;
+  /** The service that takes the next request of a route without shards. */
+  service_id NextService(const route_record& aRoute);
   [[nodiscard]] bool IsOut(const failure_domain_id& aDomain) const;
   /** Entry hosts that serve callers now, at least one. */
   [[nodiscard]] std::uint32_t ServingHosts() const { return mServingHosts; }
--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -134,9 +134,12 @@
     if (!Carry(mNode.TakeActions()) || !CompactIfLong()) {
       return Fail(group_error::DiskFailed, "The data folder can't be written.");
     }
-    NoteRole();
+    bool roleChanged = NoteRole();
     RetryConfirms(now);
     UpdateStatus();
+    if (roleChanged) {
+      mHooks.mRoleChanged();
+    }
   }
   AnswerAllAtEnd();
   return boost::outcome_v2::success();
@@ -370,24 +373,24 @@
   }
 }
 
-void
+bool
 control_group::NoteRole()
 {
   bool isLeading = mNode.Role() == raft_role::Leader;
   if (isLeading == mIsLeading) {
-    return;
+    return false;
   }
   mIsLeading = isLeading;
   log_event("role_changed")
     .Add("role", NameOf(mNode.Role()))
     .Add("term", mNode.Term())
     .Add("leader", mNode.Leader().mHost.mValue);
-  if (isLeading) {
-    return;
+  if (!isLeading) {
+    // What was proposed may still be committed by the next leader; whoever
+    // sends it again gets the first outcome.
+    FailProposals();
   }
-  // What was proposed may still be committed by the next leader; whoever
-  // sends it again gets the first outcome.
-  FailProposals();
+  return true;
 }
 
 void
@@ -429,7 +432,7 @@
   mStatus.mSelf = mNode.Self();
   mStatus.mCommit = mNode.CommitIndex();
   mStatus.mApplied = mState.Index();
-  mStatus.mPeers = mNode.Peers();
+  mStatus.mPeers = mNode.CommittedPeers();
   mStatus.mClaims = mState.ClaimCount();
   mStatus.mServers = mState.ServerCount();
   mStatus.mIsEmpty = mNode.LastIndex() == 0 && mNode.Term() == 0;
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -62,6 +62,8 @@
   std::function<void(log_index, std::vector<record_change>)> mPublish;
   /** Tells that the facts were replaced as a whole. */
   std::function<void(log_index)> mReplaced;
+  /** This member began or ceased to lead, and the status says so. */
+  std::function<void()> mRoleChanged;
 };
 
 struct control_group_config
@@ -187,7 +189,8 @@
   void AnswerConfirms(const std::vector<raft_read>& aReads);
   void AnswerReadyConfirms();
   void RetryConfirms(steady_time aNow);
-  void NoteRole();
+  /** True when this member began or ceased to lead. */
+  bool NoteRole();
   void AnswerAllAtEnd();
   void FailProposals();
   void LeaveIfOut(steady_time aNow);
--- a/core/ids.h
+++ b/core/ids.h
@@ -29,7 +29,10 @@
 using change_id = strong_id<struct change_tag>;
 using fingerprint_id = strong_id<struct fingerprint_tag>;
 
-/** Number of one run of a process; a later run has a larger number. */
+/**
+ * Number of one run of a process. A backend server counts its runs up; a host
+ * of the system draws each at random.
+ */
 using incarnation_number = std::uint64_t;
 /** Position in the replicated log; the first entry has index 1. */
 using log_index = std::uint64_t;
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -1,6 +1,7 @@
 #include "core/log_event.h"
 
 #include "core/clock.h"
+#include "core/log_writer.h"
 
 #include <ctime>
 #include <iomanip>
@@ -58,6 +59,10 @@
 
 log_event::~log_event()
 {
+  // A server's lines go to standard output; other commands log by glog alone.
+  if (WriteLogLine(mLine.str())) {
+    return;
+  }
   switch (mSeverity) {
     case severity::Info:
       LOG(INFO) << mLine.str();
--- a/decisions/control_state.cpp
+++ b/decisions/control_state.cpp
@@ -211,10 +211,13 @@
   auto found = mEntryHosts.find(aWish.mHost);
   if (found != mEntryHosts.end()) {
     const entry_host_record& known = found->second;
-    if (aWish.mIncarnation < known.mIncarnation) {
+    // Runs of a host are told apart by random numbers: no clock orders them.
+    bool isLate = aWish.mIncarnation != known.mIncarnation &&
+                  aWish.mState != entry_host_state::Joining;
+    if (isLate) {
       return Refuse(change_verdict::Stale,
                     known.mVersion,
-                    "A later run of this host has joined.");
+                    "Another run of this host has joined.");
     }
     bool sameRun = aWish.mIncarnation == known.mIncarnation;
     // A host that has gone over to another control host is not silent.
@@ -260,7 +263,12 @@
       aWish.mIncarnation < known.mIncarnation ||
       (aWish.mIncarnation == known.mIncarnation &&
        aWish.mSponsor == known.mSponsor && aWish.mSequence < known.mSequence);
-    if (older) {
+    bool sameRun = aWish.mIncarnation == known.mIncarnation;
+    // A server that counts its announcements can be ordered across sponsors.
+    bool overtaken = sameRun && aWish.mSequence != 0 &&
+                     aWish.mSequence < known.mSequence;
+    bool hasLeft = sameRun && known.mHasLeft && !aWish.mHasLeft;
+    if (older || overtaken || hasLeft) {
       return Refuse(change_verdict::Stale,
                     known.mVersion,
                     "A later announcement of this server is in force.");
@@ -277,10 +285,21 @@
                     found->second.mVersion,
                     "Another entry host sponsors this server.");
     }
+    found->second.mHasLeft = found->second.mHasLeft || aWish.mHasLeft;
     RetireServer(found->second, aEffects);
     return Accept(mIndex);
   }
   auto holder = mServerAddresses.find(aWish.mAddress);
+  if (holder != mServerAddresses.end() && holder->second != aWish.mServer) {
+    server_record& present = mServers[holder->second];
+    bool isLater =
+      present.mStartedAt != 0 && aWish.mStartedAt > present.mStartedAt;
+    if (isLater) {
+      // The address was given to another server after this one had ended.
+      RetireServer(present, aEffects);
+      holder = mServerAddresses.end();
+    }
+  }
   if (holder != mServerAddresses.end() && holder->second != aWish.mServer) {
     return Refuse(change_verdict::InUse,
                   0,
@@ -389,6 +408,35 @@
   return OutcomeOf(known);
 }
 
+change_outcome
+control_state::Put(const configuration_record& aWish,
+                   const std::optional<log_index>& /*aIfVersion*/,
+                   change_effects& aEffects)
+{
+  auto checked = CheckConfiguration(aWish);
+  if (!checked) {
+    return Refuse(change_verdict::Invalid, 0, checked.error().mDetail);
+  }
+  if (mConfiguration && aWish.mNumber <= mConfiguration->mNumber) {
+    bool isOther = aWish.mNumber == mConfiguration->mNumber &&
+                   aWish.mDocument != mConfiguration->mDocument;
+    if (isOther) {
+      return Refuse(change_verdict::Conflict,
+                    mConfiguration->mVersion,
+                    "Configuration " + std::to_string(aWish.mNumber) +
+                      " has other content.");
+    }
+    change_outcome kept = Accept(mConfiguration->mVersion);
+    kept.mDetail = "Configuration " + std::to_string(mConfiguration->mNumber) +
+                   " stays in force.";
+    return kept;
+  }
+  mConfiguration = aWish;
+  mConfiguration->mVersion = mIndex;
+  aEffects.mFacts.emplace_back(*mConfiguration);
+  return Accept(mIndex);
+}
+
 change_outcome
 control_state::SettleClaim(claim_record& aClaim,
                            const claim_record& aWish,
@@ -487,6 +535,8 @@
       return CurrentVersion(mQuarantine, fingerprint_id{ aName.mName });
     case record_kind::Claim:
       return CurrentVersion(mClaims, aName.mName);
+    case record_kind::Configuration:
+      return mConfiguration ? mConfiguration->mVersion : 0;
   }
   return 0;
 }
@@ -548,6 +598,11 @@
       return Refuse(change_verdict::Invalid,
                     current,
                     "A claim ends by itself and can't be removed.");
+    case record_kind::Configuration:
+      return Refuse(change_verdict::Invalid,
+                    current,
+                    "A configuration is replaced by one with a higher number "
+                    "and can't be removed.");
   }
   aEffects.mFacts.emplace_back(aWish);
   return Accept(mIndex);
@@ -621,6 +676,9 @@
   CopyFacts(mEntryHosts, facts);
   CopyFacts(mServers, facts);
   CopyFacts(mQuarantine, facts);
+  if (mConfiguration) {
+    facts.emplace_back(*mConfiguration);
+  }
   return facts;
 }
 
@@ -656,7 +714,12 @@
   std::map<std::string, server_id>& mServerAddresses;
   std::set<std::pair<wall_ms, server_id>>& mGoneServers;
   std::map<fingerprint_id, quarantine_record>& mQuarantine;
+  std::optional<configuration_record>& mConfiguration;
 
+  void operator()(const configuration_record& aRecord) const
+  {
+    mConfiguration = aRecord;
+  }
   void operator()(const template_record& aRecord) const
   {
     mTemplates[aRecord.mTemplate] = aRecord;
@@ -707,7 +770,8 @@
   fact_loader loader{ state.mTemplates,      state.mTeams,
                       state.mFailureDomains, state.mEntryHosts,
                       state.mServers,        state.mServerAddresses,
-                      state.mGoneServers,    state.mQuarantine };
+                      state.mGoneServers,    state.mQuarantine,
+                      state.mConfiguration };
   for (const record_change& fact : aFacts) {
     std::visit(loader, fact);
   }
--- a/decisions/control_state.h
+++ b/decisions/control_state.h
@@ -59,6 +59,7 @@
   std::map<std::string, server_id> mServerAddresses;
   std::set<std::pair<wall_ms, server_id>> mGoneServers;
   std::map<fingerprint_id, quarantine_record> mQuarantine;
+  std::optional<configuration_record> mConfiguration;
   std::map<std::string, claim_record> mClaims;
   /** Settled claims in the order in which they settled. */
   std::deque<std::pair<wall_ms, std::string>> mSettledClaims;
@@ -90,6 +91,9 @@
   change_outcome Put(const claim_record& aWish,
                      const std::optional<log_index>& aIfVersion,
                      change_effects& aEffects);
+  change_outcome Put(const configuration_record& aWish,
+                     const std::optional<log_index>& aIfVersion,
+                     change_effects& aEffects);
   change_outcome Put(const record_removal& aWish,
                      const std::optional<log_index>& aIfVersion,
                      change_effects& aEffects);
@@ -138,6 +142,11 @@
   {
     return mServers;
   }
+  /** The configuration in force, if one was ever put. */
+  [[nodiscard]] const std::optional<configuration_record>& Configuration() const
+  {
+    return mConfiguration;
+  }
   /** The claim of this name, or nothing. */
   [[nodiscard]] const claim_record* FindClaim(const std::string& aName) const;
   [[nodiscard]] std::size_t ClaimCount() const { return mClaims.size(); }
--- a/decisions/membership.cpp
+++ b/decisions/membership.cpp
@@ -62,11 +62,10 @@
     auto found = aView.mEntryHosts.find(daemon.mHost.mHost);
     entry_host_state state = entry_host_state::Joining;
     if (found != aView.mEntryHosts.end() &&
-        found->second.mIncarnation >= daemon.mHost.mIncarnation) {
+        found->second.mIncarnation == daemon.mHost.mIncarnation) {
       const entry_host_record& known = found->second;
       state = NextState(daemon, known);
       bool isSettled =
-        known.mIncarnation > daemon.mHost.mIncarnation ||
         known.mState == entry_host_state::Leaving ||
         (known.mState == state && known.mSponsor == mConfig.mSelf);
       if (isSettled) {
@@ -122,8 +121,9 @@
   }
   for (const auto& [server, known] : aView.mServers) {
     auto sponsor = aView.mEntryHosts.find(known.mSponsor);
-    bool hasSponsor = sponsor != aView.mEntryHosts.end() &&
-                      sponsor->second.mState != entry_host_state::Silent;
+    bool hasSponsor = aView.mHeardControlHosts.contains(known.mSponsor) ||
+                      (sponsor != aView.mEntryHosts.end() &&
+                       sponsor->second.mState != entry_host_state::Silent);
     if (hasSponsor || known.mState == server_state::Gone) {
       mOrphanSince.erase(server);
       continue;
@@ -137,4 +137,18 @@
   }
 }
 
+std::vector<entry_host_record>
+ServingHosts(std::vector<entry_host_record> aHosts,
+             const failure_domain_id& aNearby)
+{
+  std::erase_if(aHosts, [](const entry_host_record& aHost) {
+    return aHost.mState != entry_host_state::Serving;
+  });
+  std::stable_partition(
+    aHosts.begin(), aHosts.end(), [&](const entry_host_record& aHost) {
+      return aHost.mFailureDomain == aNearby;
+    });
+  return aHosts;
+}
+
 }
--- a/decisions/membership.h
+++ b/decisions/membership.h
@@ -76,4 +76,9 @@
                                     steady_time aNow);
 };
 
+/** The hosts that take callers, those of the named failure domain first. */
+std::vector<entry_host_record>
+ServingHosts(std::vector<entry_host_record> aHosts,
+             const failure_domain_id& aNearby);
+
 }
--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -12,6 +12,8 @@
 constexpr log_index kCaughtUpEntries = 64;
 constexpr milliseconds kSnapshotResend{ 2000 };
 constexpr milliseconds kJoinInterval{ 1000 };
+/** Voters beyond these would only make commits slower. */
+constexpr std::size_t kMostVoters = 9;
 
 }
 
@@ -581,7 +583,12 @@
 void
 raft_node::OnJoin(const raft_message& aMessage, steady_time aNow)
 {
-  bool isKnown = mConfig.mKnownHosts.contains(aMessage.mFrom.mHost);
+  bool isKnown =
+    mConfig.mIsOpen || mConfig.mKnownHosts.contains(aMessage.mFrom.mHost);
+  if (isKnown && mRole != raft_role::Leader) {
+    PassJoinOn(aMessage);
+    return;
+  }
   if (!CanChangePeers() || !isKnown) {
     return;
   }
@@ -599,6 +606,21 @@
   ChangePeers(std::move(peers), aNow);
 }
 
+void
+raft_node::PassJoinOn(const raft_message& aMessage)
+{
+  // A newcomer may know none of the hosts that can lead. One step is enough,
+  // and two members that take each other for the leader don't go on forever.
+  bool wasPassedOn = aMessage.mNumber != 0;
+  if (wasPassedOn || mLeader.mHost.IsEmpty()) {
+    return;
+  }
+  raft_message passed = aMessage;
+  passed.mTo = mLeader;
+  passed.mNumber = 1;
+  mActions.mMessages.push_back(std::move(passed));
+}
+
 void
 raft_node::ChangePeers(std::vector<raft_peer> aPeers, steady_time aNow)
 {
@@ -621,20 +643,56 @@
   if (!CanChangePeers()) {
     return;
   }
+  if (!PromoteLearner(aNow) && !RemoveReplaced(aNow)) {
+    RemoveSilent(aNow);
+  }
+}
+
+bool
+raft_node::PromoteLearner(steady_time aNow)
+{
   std::vector<raft_peer> peers = mPeers;
+  auto voters = static_cast<std::size_t>(
+    std::count_if(peers.begin(), peers.end(), [](const raft_peer& aPeer) {
+      return aPeer.mIsVoter;
+    }));
   for (raft_peer& peer : peers) {
     const progress& state = mProgress[peer.mId];
     bool caughtUp = state.mMatch > 0 &&
                     state.mMatch + kCaughtUpEntries >= LastIndex() &&
                     aNow - state.mLastContact < mConfig.mElection;
-    if (!peer.mIsVoter && caughtUp) {
-      peer.mIsVoter = true;
-      ChangePeers(std::move(peers), aNow);
-      return;
+    if (peer.mIsVoter || !caughtUp) {
+      continue;
     }
+    raft_peer promoted = peer;
+    promoted.mIsVoter = true;
+    // The disk that this host had before takes part in nothing any more: it
+    // goes with the same entry, so that its loss is never counted twice. Safe
+    // since the learner's own entry was committed without that disk.
+    auto replaced =
+      std::find_if(peers.begin(), peers.end(), [&](const raft_peer& aPeer) {
+        return aPeer.mIsVoter && aPeer.mId.mHost == promoted.mId.mHost &&
+               aPeer.mId != mConfig.mSelf;
+      });
+    if (replaced == peers.end() && voters >= kMostVoters) {
+      continue;
+    }
+    peer = promoted;
+    if (replaced != peers.end()) {
+      peers.erase(replaced);
+    }
+    ChangePeers(std::move(peers), aNow);
+    return true;
   }
+  return false;
+}
+
+bool
+raft_node::RemoveReplaced(steady_time aNow)
+{
   // The later of two voters on one host holds the disk that is in use, since
   // it stands after the one that it replaces.
+  std::vector<raft_peer> peers = mPeers;
   for (std::size_t place = 0; place < peers.size(); ++place) {
     auto later = std::find_if(
       peers.begin() + static_cast<std::ptrdiff_t>(place) + 1,
@@ -646,9 +704,50 @@
     if (later != peers.end() && !isSelf) {
       peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(place));
       ChangePeers(std::move(peers), aNow);
-      return;
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+raft_node::RemoveSilent(steady_time aNow)
+{
+  std::vector<raft_peer> peers = mPeers;
+  auto voters =
+    std::count_if(peers.begin(), peers.end(), [](const raft_peer& aPeer) {
+      return aPeer.mIsVoter;
+    });
+  // An even number of voters bears no more losses than one fewer does, so
+  // that a silent one costs nothing to leave out.
+  if (!mConfig.mIsOpen || voters % 2 != 0 || voters < 4) {
+    return false;
+  }
+  auto silent =
+    std::find_if(peers.begin(), peers.end(), [&](const raft_peer& aPeer) {
+      return aPeer.mIsVoter && aPeer.mId != mConfig.mSelf &&
+             aNow - mProgress[aPeer.mId].mLastContact > mConfig.mGiveWay;
+    });
+  if (silent == peers.end()) {
+    return false;
+  }
+  peers.erase(silent);
+  ChangePeers(std::move(peers), aNow);
+  return true;
+}
+
+std::vector<raft_peer>
+raft_node::CommittedPeers() const
+{
+  if (mPeersIndex <= mCommit) {
+    return mPeers;
+  }
+  for (auto entry = mLog.rbegin(); entry != mLog.rend(); ++entry) {
+    if (entry->mPeers && entry->mIndex <= mCommit) {
+      return *entry->mPeers;
     }
   }
+  return mSnapshot.mPeers;
 }
 
 void
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -15,6 +15,11 @@
   raft_peer_id mSelf;
   /** Hosts that may be members, by the settings. */
   std::set<host_id> mKnownHosts;
+  /** Any host may join; `mKnownHosts` are only those to ask first. */
+  bool mIsOpen = false;
+  /** A voter that is not heard for so long gives way to a newcomer in an open
+   * group. */
+  milliseconds mGiveWay{ 10'000 };
   milliseconds mHeartbeat{ 100 };
   /** An election starts after one to two of these without a leader. */
   milliseconds mElection{ 1000 };
@@ -139,6 +144,10 @@
   void TendPeers(steady_time aNow);
   void ChangePeers(std::vector<raft_peer> aPeers, steady_time aNow);
   void AskToJoin(steady_time aNow);
+  void PassJoinOn(const raft_message& aMessage);
+  bool PromoteLearner(steady_time aNow);
+  bool RemoveReplaced(steady_time aNow);
+  bool RemoveSilent(steady_time aNow);
   void AnswerStale(const raft_message& aMessage);
 
   void OnPreVote(const raft_message& aMessage, steady_time aNow);
@@ -185,6 +194,8 @@
   [[nodiscard]] const raft_peer_id& Leader() const { return mLeader; }
   [[nodiscard]] const raft_peer_id& Self() const { return mConfig.mSelf; }
   [[nodiscard]] const std::vector<raft_peer>& Peers() const { return mPeers; }
+  /** The members by the newest list that is committed. */
+  [[nodiscard]] std::vector<raft_peer> CommittedPeers() const;
   [[nodiscard]] const raft_hard_state& HardState() const { return mHardState; }
   [[nodiscard]] log_index CommitIndex() const { return mCommit; }
   [[nodiscard]] log_index LastIndex() const
--- a/decisions/records.h
+++ b/decisions/records.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/name_table.h"
+#include "decisions/configuration.h"
 
 #include <cstdint>
 #include <map>
@@ -141,12 +142,16 @@
   std::uint32_t mColdSlots = 0;
   server_state mState = server_state::Cold;
   std::vector<snapshot_number> mSnapshots;
-  /** The entry host that holds the announcement's lease. */
+  /** The host that holds the announcement's lease. */
   host_id mSponsor;
   /** Changes when some host found that the server behaves as if cold. */
   log_index mColdMark = 0;
   /** When the server went; its record stays for a while in state `Gone`. */
   wall_ms mGoneAt = 0;
+  /** When this run of the server started, by its own word; 0 if untold. */
+  wall_ms mStartedAt = 0;
+  /** The server said itself that it goes, so that this run can't return. */
+  bool mHasLeft = false;
 
   bool operator==(const server_record&) const = default;
 };
@@ -195,10 +200,11 @@
   Server,
   Quarantine,
   Claim,
+  Configuration,
 };
 
 template<>
-inline constexpr name_table<record_kind, 7> kNames<record_kind>{ {
+inline constexpr name_table<record_kind, 8> kNames<record_kind>{ {
   { record_kind::Template, "template" },
   { record_kind::Team, "team" },
   { record_kind::FailureDomain, "failure_domain" },
@@ -206,6 +212,7 @@
   { record_kind::Server, "server" },
   { record_kind::Quarantine, "quarantine" },
   { record_kind::Claim, "claim" },
+  { record_kind::Configuration, "configuration" },
 } };
 
 /** Takes the record of this kind and name away. */
@@ -225,6 +232,7 @@
                                    server_record,
                                    quarantine_record,
                                    claim_record,
-                                   record_removal>;
+                                   record_removal,
+                                   configuration_record>;
 
 }
--- a/decisions/refusal.h
+++ b/decisions/refusal.h
@@ -28,10 +28,12 @@
   ClaimFailed,
   OutcomeUnknown,
   NoServer,
+  HeaderTooLarge,
+  SlowSender,
 };
 
 template<>
-inline constexpr name_table<refusal_reason, 16> kNames<refusal_reason>{ {
+inline constexpr name_table<refusal_reason, 18> kNames<refusal_reason>{ {
   { refusal_reason::BadRequest, "bad_request" },
   { refusal_reason::BodyTooLarge, "body_too_large" },
   { refusal_reason::UnknownTeam, "unknown_team" },
@@ -48,6 +50,8 @@
   { refusal_reason::ClaimFailed, "claim_failed" },
   { refusal_reason::OutcomeUnknown, "outcome_unknown" },
   { refusal_reason::NoServer, "no_server" },
+  { refusal_reason::HeaderTooLarge, "header_too_large" },
+  { refusal_reason::SlowSender, "slow_sender" },
 } };
 
 /** Whether any backend server may have run the request. */
--- a/decisions/replica_choice.cpp
+++ b/decisions/replica_choice.cpp
@@ -7,8 +7,9 @@
 microseconds
 ExpectedTime(const replica_candidate& aCandidate)
 {
-  return aCandidate.mServiceTime *
-         static_cast<std::int64_t>(aCandidate.mOutstanding + 1);
+  return aCandidate.mDistance +
+         aCandidate.mServiceTime *
+           static_cast<std::int64_t>(aCandidate.mOutstanding + 1);
 }
 
 bool
--- a/decisions/replica_choice.h
+++ b/decisions/replica_choice.h
@@ -20,6 +20,8 @@
   bool mIsOwnDomain = false;
   /** A connection is open and unused. */
   bool mHasConnection = false;
+  /** What the way to another failure domain counts for, in time. */
+  microseconds mDistance{ 0 };
 };
 
 /** Expected time until an attempt sent now is answered. */
--- /dev/null
+++ b/decisions/route_table.cpp
@@ -0,0 +1,66 @@
+#include "decisions/route_table.h"
+
+#include "decisions/route_policy.h"
+
+#include <algorithm>
+
+namespace hibiscusspool {
+
+namespace {
+
+std::string
+ToLower(std::string_view aText)
+{
+  std::string lower(aText);
+  std::transform(
+    lower.begin(), lower.end(), lower.begin(), [](unsigned char aLetter) {
+      return static_cast<char>(std::tolower(aLetter));
+    });
+  return lower;
+}
+
+}
+
+route_table
+route_table::Create(const configuration_record& aConfiguration,
+                    std::vector<std::string>& aUnfit)
+{
+  route_table table;
+  table.mNumber = aConfiguration.mNumber;
+  table.mLimits = aConfiguration.mLimits;
+  for (const route_record& route : aConfiguration.mRoutes) {
+    auto policy = PolicyOf(route);
+    if (!policy) {
+      aUnfit.push_back(route.mName + ": " + policy.error().mDetail);
+      continue;
+    }
+    table.mByHost[ToLower(route.mAuthority)].push_back(table.mRoutes.size());
+    table.mRoutes.push_back({ route, std::move(policy.value()) });
+  }
+  for (auto& [host, places] : table.mByHost) {
+    std::sort(
+      places.begin(), places.end(), [&](std::size_t aOne, std::size_t aTwo) {
+        return table.mRoutes[aOne].mRoute.mPathPrefix.size() >
+               table.mRoutes[aTwo].mRoute.mPathPrefix.size();
+      });
+  }
+  return table;
+}
+
+const routed_team*
+route_table::Find(std::string_view aHost, std::string_view aPath) const
+{
+  std::string host = ToLower(aHost.substr(0, aHost.find(':')));
+  auto found = mByHost.find(host);
+  if (found == mByHost.end()) {
+    return nullptr;
+  }
+  for (std::size_t place : found->second) {
+    if (aPath.starts_with(mRoutes[place].mRoute.mPathPrefix)) {
+      return &mRoutes[place];
+    }
+  }
+  return nullptr;
+}
+
+}
--- a/decisions/team_policy.cpp
+++ b/decisions/team_policy.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-using policy_failure = failure<policy_error>;
-
 result<double, policy_error>
 ReadNumber(std::string_view aField,
            const std::string& aText,
--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -43,6 +43,8 @@
   tcp::socket mSocket;
   beast::flat_buffer mBuffer;
   steady_time mUsedAt;
+  /** Unused for longer, it is replaced. */
+  milliseconds mLongestIdle{ 0 };
   worker_number mWorker = CurrentWorker();
 
   explicit backend_connection(const asio::any_io_executor& aExecutor)
@@ -65,60 +67,115 @@
 using attempt_request = http::request<http::span_body<const char>>;
 using attempt_parser = http::response_parser<http::string_body>;
 
+/** Extra answers that are read over before a connection is given up. */
+constexpr int kMostForeign = 2;
+
 attempt_request
-MakeRequest(const attempt_order& aOrder, steady_time aNow)
+MakeRequest(const backend_dialect& aDialect,
+            const attempt_order& aOrder,
+            steady_time aNow)
 {
-  bool isRun = aOrder.mKind == request_kind::Run;
-  attempt_request request(
-    http::verb::post, isRun ? "/v1/run" : "/v1/search", 11);
-  request.set(http::field::host, aOrder.mPermit.mAddress);
-  request.set("Request-Id", aOrder.mAttempt.mValue);
   auto left = std::chrono::duration_cast<milliseconds>(aOrder.mDeadline - aNow);
-  request.set("Deadline-Ms",
-              std::to_string(std::max<std::int64_t>(1, left.count())));
-  request.set("Team", aOrder.mTeam.mValue);
-  if (isRun) {
-    request.set("Idempotency-Key", aOrder.mKey.mValue);
-  } else {
-    request.set("Snapshot", std::to_string(aOrder.mSnapshot));
+  backend_call call =
+    aDialect.mEncode(aOrder, std::max(milliseconds(1), left));
+  attempt_request request;
+  request.method_string(call.mMethod);
+  request.target(call.mTarget);
+  for (const header_field& field : call.mFields) {
+    request.insert(field.mName, field.mValue);
   }
   request.body() = { aOrder.mBody->data(), aOrder.mBody->size() };
-  request.prepare_payload();
+  bool hasBody = !aOrder.mBody->empty() ||
+                 request.method() == http::verb::post ||
+                 request.method() == http::verb::put;
+  if (hasBody) {
+    request.prepare_payload();
+  }
   return request;
 }
 
-/** Whether a whole answer may be used. */
+server_reply
+ToReply(http::response<http::string_body>& aAnswer)
+{
+  server_reply reply;
+  reply.mStatus = aAnswer.result_int();
+  for (const auto& field : aAnswer) {
+    reply.mFields.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  reply.mBody = std::move(aAnswer.body());
+  return reply;
+}
+
+/** How long the server keeps an unused connection, if it says so. */
+std::optional<milliseconds>
+KeepAliveOf(const server_reply& aReply)
+{
+  std::string_view text = aReply.Field("keep-alive");
+  constexpr std::string_view kKey = "timeout=";
+  std::size_t place = text.find(kKey);
+  if (place == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::int64_t seconds = 0;
+  const char* start = text.data() + place + kKey.size();
+  auto [stop, problem] =
+    std::from_chars(start, text.data() + text.size(), seconds);
+  if (problem != std::errc{} || seconds < 0) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+backend_call
+EncodeOwn(const attempt_order& aOrder, milliseconds aLeft)
+{
+  bool isRun = aOrder.mKind == request_kind::Run;
+  backend_call call{ "POST", isRun ? "/v1/run" : "/v1/search", {} };
+  call.mFields = { { "Host", aOrder.mPermit.mAddress },
+                   { "Request-Id", aOrder.mAttempt.mValue },
+                   { "Deadline-Ms", std::to_string(aLeft.count()) },
+                   { "Team", aOrder.mTeam.mValue } };
+  if (isRun) {
+    call.mFields.push_back({ "Idempotency-Key", aOrder.mKey.mValue });
+  } else {
+    call.mFields.push_back({ "Snapshot", std::to_string(aOrder.mSnapshot) });
+  }
+  return call;
+}
+
 attempt_status
-JudgeAnswer(const attempt_order& aOrder,
-            const http::response<http::string_body>& aAnswer)
+JudgeOwn(const attempt_order& aOrder, const server_reply& aReply)
 {
+  constexpr unsigned kOk = 200;
+  constexpr unsigned kUnavailable = 503;
   // An answer to another request proves that the connection is crossed.
-  if (aAnswer["Request-Id"] != aOrder.mAttempt.mValue) {
+  if (aReply.Field("request-id") != aOrder.mAttempt.mValue) {
     return attempt_status::BadAnswer;
   }
-  if (aAnswer.result() == http::status::service_unavailable &&
-      aAnswer["Not-Run"] == "true") {
+  if (aReply.mStatus == kUnavailable && aReply.Field("not-run") == "true") {
     return attempt_status::Shed;
   }
-  if (aAnswer.result() != http::status::ok) {
+  if (aReply.mStatus != kOk) {
     return attempt_status::Failed;
   }
   bool isPinned = aOrder.mKind == request_kind::Query;
-  if (isPinned && aAnswer["Snapshot"] != std::to_string(aOrder.mSnapshot)) {
+  if (isPinned &&
+      aReply.Field("snapshot") != std::to_string(aOrder.mSnapshot)) {
     return attempt_status::WrongSnapshot;
   }
   return attempt_status::Answered;
 }
 
-double
-LoadOf(const http::response<http::string_body>& aAnswer)
-{
-  auto text = aAnswer["Load"];
-  double load = 0;
-  std::from_chars(text.data(), text.data() + text.size(), load);
-  return load;
 }
 
+backend_dialect
+MakeOwnDialect()
+{
+  return { EncodeOwn,
+           JudgeOwn,
+           [](const attempt_order&, const server_reply&) { return false; },
+           true };
 }
 
 struct backend_client::state
@@ -133,7 +190,7 @@
         backend_client_config aConfig,
         backend_client_hooks aHooks)
     : mContext(aContext)
-    , mConfig(aConfig)
+    , mConfig(std::move(aConfig))
     , mHooks(std::move(aHooks))
   {
   }
@@ -148,8 +205,10 @@
     if (!kept) {
       return nullptr;
     }
-    bool isRun = aOrder.mKind == request_kind::Run;
-    milliseconds longest = isRun ? kFreshForRun : mConfig.mIdleProbe;
+    milliseconds longest = (*kept)->mLongestIdle;
+    if (!IsRepeatable(aOrder.mKind)) {
+      longest = std::min(longest, kFreshForRun);
+    }
     bool isOld = aNow - (*kept)->mUsedAt > longest;
     if (isOld || (*kept)->IsStale()) {
       return nullptr;
@@ -207,8 +266,8 @@
                                            connection_pointer aConnection)
   {
     attempt_result ended;
-    attempt_request request =
-      MakeRequest(aOrder, std::chrono::steady_clock::now());
+    attempt_request request = MakeRequest(
+      mConfig.mDialect, aOrder, std::chrono::steady_clock::now());
     auto [writeError, written] =
       co_await http::async_write(aConnection->mSocket, request, kNoThrow);
     if (writeError) {
@@ -218,21 +277,30 @@
                                      : attempt_status::Reset;
       co_return ended;
     }
-    attempt_parser parser;
-    parser.body_limit(mConfig.mAnswerBytes);
-    auto [readError, count] = co_await http::async_read(
-      aConnection->mSocket, aConnection->mBuffer, parser, kNoThrow);
-    if (readError) {
-      ended.mStatus = StatusOf(readError);
-      co_return ended;
+    bool isForeign = true;
+    bool keeps = true;
+    for (int number = 0; isForeign && number <= kMostForeign; ++number) {
+      attempt_parser parser;
+      parser.body_limit(mConfig.mAnswerBytes);
+      auto [readError, count] = co_await http::async_read(
+        aConnection->mSocket, aConnection->mBuffer, parser, kNoThrow);
+      if (readError) {
+        ended.mStatus = StatusOf(readError);
+        co_return ended;
+      }
+      keeps = keeps && number == 0 && parser.keep_alive();
+      ended.mReply = ToReply(parser.get());
+      isForeign = mConfig.mDialect.mIsForeign(aOrder, ended.mReply);
     }
-    auto& answer = parser.get();
-    ended.mStatus = JudgeAnswer(aOrder, answer);
-    ended.mLoad = LoadOf(answer);
-    bool isUsable = ended.mStatus != attempt_status::BadAnswer &&
-                    parser.keep_alive() && aConnection->mBuffer.size() == 0;
-    ended.mBody = std::move(answer.body());
+    ended.mStatus = isForeign ? attempt_status::BadAnswer
+                              : mConfig.mDialect.mJudge(aOrder, ended.mReply);
+    bool isUsable = ended.mStatus != attempt_status::BadAnswer && keeps &&
+                    aConnection->mBuffer.size() == 0;
     if (isUsable) {
+      auto kept = KeepAliveOf(ended.mReply);
+      // Used in the last part of the server's time, it may meet its close.
+      aConnection->mLongestIdle =
+        kept ? std::min(mConfig.mIdleProbe, *kept * 3 / 4) : mConfig.mIdleProbe;
       ended.mConnection =
         Keep(std::move(aConnection), std::chrono::steady_clock::now());
     }
@@ -308,7 +376,8 @@
                        backend_client_hooks aHooks)
 {
   return backend_client(
-    std::make_shared<state>(aContext, aConfig, std::move(aHooks)));
+    std::make_shared<state>(
+    aContext, std::move(aConfig), std::move(aHooks)));
 }
 
 asio::awaitable<attempt_result>
@@ -343,7 +412,8 @@
   if (ended.mStatus == attempt_status::Cancelled && (isPast || *timedOut)) {
     ended.mStatus = attempt_status::TimedOut;
   }
-  if (ended.mStatus == attempt_status::Cancelled) {
+  if (ended.mStatus == attempt_status::Cancelled &&
+      kept->mConfig.mDialect.mSendsCancel) {
     const server_id& server = aOrder.mPermit.mServer;
     auto borrowed = kept->mHooks.mBorrow(server);
     if (borrowed) {
--- a/drivers/backend_client.h
+++ b/drivers/backend_client.h
@@ -9,8 +9,36 @@
 
 namespace hibiscusspool {
 
+/** What is sent for an attempt, besides its body. */
+struct backend_call
+{
+  std::string mMethod;
+  std::string mTarget;
+  std::vector<header_field> mFields;
+};
+
+/** How attempts are put to servers and their answers read. */
+struct backend_dialect
+{
+  /** The call for an attempt with so much time left. */
+  std::function<backend_call(const attempt_order&, milliseconds)> mEncode;
+  /** Whether a whole answer may be used. */
+  std::function<attempt_status(const attempt_order&, const server_reply&)>
+    mJudge;
+  /** True for an answer to another request, after which the own one comes. */
+  std::function<bool(const attempt_order&, const server_reply&)> mIsForeign;
+  /** A cancelled attempt is told to the server besides the closed connection.
+   */
+  bool mSendsCancel = false;
+};
+
+/** The dialect of the system's own interface for servers. */
+backend_dialect
+MakeOwnDialect();
+
 struct backend_client_config
 {
+  backend_dialect mDialect;
   /** Largest answer taken, in bytes. */
   std::size_t mAnswerBytes = 16 << 20;
   /** A connection that was unused for longer is replaced. */
--- a/drivers/callers_front.cpp
+++ b/drivers/callers_front.cpp
@@ -33,7 +33,8 @@
     return std::nullopt;
   }
   auto kind = ValueOf<request_kind>(aPath.substr(slash + 1));
-  if (!kind) {
+  bool isOwn = kind == request_kind::Query || kind == request_kind::Run;
+  if (!isOwn) {
     return std::nullopt;
   }
   return team_path{ team_id{ std::string(aPath.substr(0, slash)) }, *kind };
@@ -43,6 +44,7 @@
 FaultOf(http_fault aFault)
 {
   switch (aFault) {
+    case http_fault::HeaderTooLarge:
     case http_fault::BodyTooLarge:
       return { refusal_reason::BodyTooLarge,
                "The headers or the body are larger than this host takes." };
@@ -204,6 +206,8 @@
     case refusal_reason::BadRequest:
     case refusal_reason::BodyTooLarge:
     case refusal_reason::MissingKey:
+    case refusal_reason::HeaderTooLarge:
+    case refusal_reason::SlowSender:
       return 400;
     case refusal_reason::UnknownTeam:
       return 404;
--- a/drivers/control_client.cpp
+++ b/drivers/control_client.cpp
@@ -1,6 +1,8 @@
 #include "drivers/control_client.h"
 
+#include "core/log_event.h"
 #include "drivers/grpc_settings.h"
+#include "drivers/host_address.h"
 #include "messages/control_codec.h"
 #include "messages/refusal_codec.h"
 
@@ -25,6 +27,8 @@
 
 constexpr milliseconds kStatusTimeout{ 1000 };
 constexpr milliseconds kRetryPause{ 50 };
+/** Control hosts that are remembered, those of the settings among them. */
+constexpr std::size_t kMostHosts = 32;
 
 template<typename request, typename reply>
 struct unary_call
@@ -76,7 +80,7 @@
     std::lock_guard guard(mLock);
     auto& channel = mChannels[aHost];
     if (channel == nullptr) {
-      channel = OpenChannel(mAddresses.at(aHost));
+      channel = OpenChannel(AddressOf(mAddresses, aHost).value_or(""));
     }
     return channel;
   }
@@ -103,6 +107,12 @@
   void SetLeader(host_id aLeader)
   {
     std::lock_guard guard(mLock);
+    bool isNew = !aLeader.IsEmpty() && !mAddresses.contains(aLeader) &&
+                 mAddresses.size() < kMostHosts;
+    if (isNew && AddressOf(mAddresses, aLeader)) {
+      mAddresses[aLeader] = aLeader.mValue;
+      log_event("control_host_learned").Add("host", aLeader.mValue);
+    }
     mLeader = std::move(aLeader);
   }
 
@@ -179,6 +189,7 @@
 control_client::Hosts() const
 {
   std::vector<host_id> hosts;
+  std::lock_guard guard(mState->mLock);
   for (const auto& [host, address] : mState->mAddresses) {
     hosts.push_back(host);
   }
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -26,7 +26,6 @@
 
 namespace {
 
-constexpr std::uint32_t kHeaderBytes = 16 << 10;
 constexpr milliseconds kAcceptPause{ 50 };
 constexpr milliseconds kDrainTime{ 1000 };
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
@@ -49,13 +48,15 @@
   http_request request;
   request.mFault = aFault;
   request.mMethod = std::string(message.method_string());
-  std::string target(message.target());
-  std::size_t mark = target.find('?');
-  request.mPath = target.substr(0, mark);
+  request.mTarget = std::string(message.target());
+  std::size_t mark = request.mTarget.find('?');
+  request.mPath = request.mTarget.substr(0, mark);
   if (mark != std::string::npos) {
-    request.mQuery = target.substr(mark + 1);
+    request.mQuery = request.mTarget.substr(mark + 1);
   }
   for (const auto& field : message) {
+    request.mFields.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
     request.mHeaders[ToLower(field.name_string())] = std::string(field.value());
   }
   if (aFault == http_fault::None) {
@@ -70,8 +71,10 @@
   if (!aError) {
     return http_fault::None;
   }
-  if (aError == http::error::body_limit ||
-      aError == http::error::header_limit) {
+  if (aError == http::error::header_limit) {
+    return http_fault::HeaderTooLarge;
+  }
+  if (aError == http::error::body_limit) {
     return http_fault::BodyTooLarge;
   }
   if (aError == beast::error::timeout) {
@@ -150,6 +153,13 @@
   {
   }
 
+  void NoteIdle() const
+  {
+    if (mIsClosing && mConfig.mOnIdle) {
+      mConfig.mOnIdle();
+    }
+  }
+
   /** The executor of a new connection. */
   asio::any_io_executor Place()
   {
@@ -165,7 +175,7 @@
     while (!mIsStopped) {
       http::request_parser<http::string_body> parser;
       parser.body_limit(mConfig.mBodyBytes);
-      parser.header_limit(kHeaderBytes);
+      parser.header_limit(mConfig.mHeaderBytes);
       beast::error_code error =
         co_await ReadRequest(*aConnection, buffer, parser);
       if (IsGone(error) || (error && !parser.got_some())) {
@@ -179,6 +189,7 @@
                         ToRequest(parser, fault),
                         fault == http_fault::None && parser.keep_alive());
       --mActive;
+      NoteIdle();
       aConnection->mIsWaiting = true;
       if (!keeps) {
         break;
@@ -241,18 +252,49 @@
     co_return progress->mIsSlow ? beast::error::timeout : error;
   }
 
+  /** Notes when the caller closes while its request is being answered. */
+  static void WatchCaller(http_connection& aConnection,
+                          const std::shared_ptr<caller_presence>& aPresence,
+                          const std::shared_ptr<bool>& aIsDone)
+  {
+    auto& socket = aConnection.mStream.socket();
+    socket.async_wait(
+      tcp::socket::wait_read,
+      [&socket, aPresence, aIsDone](beast::error_code aError) {
+        if (*aIsDone || aError) {
+          return;
+        }
+        char byte = 0;
+        ssize_t got =
+          recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        bool hasMore = got > 0 || (got < 0 && (errno == EAGAIN ||
+                                               errno == EWOULDBLOCK));
+        if (!hasMore) {
+          aPresence->Leave();
+        }
+      });
+  }
+
   asio::awaitable<bool> Answer(http_connection& aConnection,
                                http_request aRequest,
                                bool aKeepAlive)
   {
     bool isHead = aRequest.mMethod == "HEAD";
+    aRequest.mPresence = std::make_shared<caller_presence>();
+    auto isDone = std::make_shared<bool>(false);
+    WatchCaller(aConnection, aRequest.mPresence, isDone);
     http_reply reply = co_await mHandler(std::move(aRequest));
+    *isDone = true;
+    beast::error_code ignoredCancel;
+    aConnection.mStream.socket().cancel(ignoredCancel);
     bool keeps = aKeepAlive && !mIsClosing;
     http::response<http::string_body> response(
       static_cast<http::status>(reply.mStatus), 11);
-    response.set(http::field::content_type, reply.mContentType);
+    if (!reply.mContentType.empty()) {
+      response.set(http::field::content_type, reply.mContentType);
+    }
     for (const auto& [name, value] : reply.mHeaders) {
-      response.set(name, value);
+      response.insert(name, value);
     }
     response.keep_alive(keeps);
     response.body() = std::move(reply.mBody);
@@ -335,6 +377,7 @@
                    [aState, number](const std::exception_ptr&) {
                      aState->mConnections.Take(number);
                      --aState->mCount;
+                     aState->NoteIdle();
                      asio::post(aState->mAcceptor.get_executor(),
                                 [aState] { aState->mRoom.cancel(); });
                    });
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -3,6 +3,8 @@
 #include "core/clock.h"
 #include "core/failure.h"
 #include "core/name_table.h"
+#include "filters/caller_presence.h"
+#include "filters/forwarded_message.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -32,14 +34,16 @@
 {
   None,
   Malformed,
+  HeaderTooLarge,
   BodyTooLarge,
   TooSlow,
 };
 
 template<>
-inline constexpr name_table<http_fault, 4> kNames<http_fault>{ {
+inline constexpr name_table<http_fault, 5> kNames<http_fault>{ {
   { http_fault::None, "none" },
   { http_fault::Malformed, "malformed" },
+  { http_fault::HeaderTooLarge, "header_too_large" },
   { http_fault::BodyTooLarge, "body_too_large" },
   { http_fault::TooSlow, "too_slow" },
 } };
@@ -50,10 +54,16 @@
   /** Path without the query. */
   std::string mPath;
   std::string mQuery;
+  /** Path and query as they were sent. */
+  std::string mTarget;
   /** Header values by lower-case name. */
   std::map<std::string, std::string> mHeaders;
+  /** All fields in their order. */
+  std::vector<header_field> mFields;
   std::string mBody;
   http_fault mFault = http_fault::None;
+  /** Tells when the caller leaves before its answer. */
+  std::shared_ptr<caller_presence> mPresence;
 
   [[nodiscard]] std::optional<std::string> Header(
     const std::string& aName) const;
@@ -66,6 +76,7 @@
 {
   unsigned mStatus = 200;
   std::string mBody;
+  /** Left out when empty. */
   std::string mContentType = "application/json";
   std::vector<std::pair<std::string, std::string>> mHeaders;
 };
@@ -76,12 +87,15 @@
 struct http_server_config
 {
   std::string mAddress;
+  std::uint32_t mHeaderBytes = 16 << 10;
   std::size_t mBodyBytes = 1 << 20;
   milliseconds mSlowSender{ 5000 };
   milliseconds mIdle{ 60'000 };
   std::size_t mMostConnections = 4096;
   /** Chooses the context of a new connection; the listener's own if unset. */
   std::function<boost::asio::io_context&()> mContextOf;
+  /** Called when a request was answered or a connection has ended. */
+  std::function<void()> mOnIdle;
 };
 
 /**
--- a/drivers/operators_front.cpp
+++ b/drivers/operators_front.cpp
@@ -114,6 +114,10 @@
   {
     return { record_kind::Claim, aRecord.mKey.mValue };
   }
+  record_path operator()(const configuration_record& aRecord) const
+  {
+    return { record_kind::Configuration, std::to_string(aRecord.mNumber) };
+  }
   record_path operator()(const record_removal& aRecord) const
   {
     return { aRecord.mKind, aRecord.mName };
--- a/drivers/raft_transport.cpp
+++ b/drivers/raft_transport.cpp
@@ -1,6 +1,7 @@
 #include "drivers/raft_transport.h"
 
 #include "drivers/grpc_settings.h"
+#include "drivers/host_address.h"
 #include "messages/control_codec.h"
 
 #include <condition_variable>
@@ -96,7 +97,7 @@
     sorted[host].push_back(std::move(message));
   }
   for (auto& [host, messages] : sorted) {
-    if (!mState->mAddresses.contains(host)) {
+    if (!AddressOf(mState->mAddresses, host)) {
       continue;
     }
     mState->mLinks.Update(host, [&queued = messages](peer_link& aLink) {
@@ -127,7 +128,7 @@
       aLink.mQueue.pop_front();
     }
     if (aLink.mChannel == nullptr) {
-      aLink.mChannel = OpenChannel(aState->mAddresses.at(aHost));
+      aLink.mChannel = OpenChannel(*AddressOf(aState->mAddresses, aHost));
     }
     channel = aLink.mChannel;
   });
--- a/filters/account.cpp
+++ b/filters/account.cpp
@@ -1,5 +1,7 @@
 #include "filters/account.h"
 
+#include "core/log_event.h"
+
 namespace hibiscusspool {
 
 namespace {
@@ -13,6 +15,43 @@
   return std::chrono::duration_cast<microseconds>(aTo - aFrom);
 }
 
+/** The one line that says how a request ended, and by what. */
+void
+LogEnd(const request_context& aRequest, microseconds aTook)
+{
+  log_event line("request_ended");
+  line.Add("request", aRequest.mRequest.mValue)
+    .Add("team", aRequest.mTeam.mValue)
+    .Add("kind", NameOf(aRequest.mKind))
+    .Add("configuration", aRequest.mConfiguration)
+    .Add("took_us", aTook.count())
+    .Add("services", aRequest.mServices.size())
+    .Add("answers", aRequest.mAnswers.size())
+    .Add("attempts", aRequest.mAttempts)
+    .Add("hedges", aRequest.mHedges)
+    .Add("retries", aRequest.mRetries)
+    .Add("ran", NameOf(aRequest.mRan));
+  for (const missing_service& missing : aRequest.mMissing) {
+    line.Add("missing",
+             missing.mService.mValue + ":" +
+               std::string(NameOf(missing.mReason)));
+  }
+  if (aRequest.mPresence != nullptr && aRequest.mPresence->mIsGone) {
+    line.Add("caller", "left");
+  }
+  if (!aRequest.mRefusal) {
+    line.Add("outcome", "answered");
+    if (aRequest.mReply) {
+      line.Add("code", aRequest.mReply->mStatus);
+    }
+    return;
+  }
+  line.Add("outcome", "refused")
+    .Add("reason", NameOf(aRequest.mRefusal->mReason))
+    .Add("refusal", aRequest.mRefusal->mId)
+    .Add("detail", aRequest.mRefusal->mDetail);
+}
+
 }
 
 filter
@@ -42,6 +81,7 @@
       ended.mReason = aRequest.mRefusal->mReason;
     }
     aAccounts.Count(ended, aRequest.mPolicy, hooks.mWallNow());
+    LogEnd(aRequest, ended.mTook);
     co_return;
   };
   return { filter_name::Account, filter_when::Always, std::move(run) };
--- a/filters/claim.cpp
+++ b/filters/claim.cpp
@@ -24,7 +24,8 @@
       aRequest.mRan = ran_answer::Yes;
       aRequest.mIsAnswered = true;
       aRequest.mAnswers.push_back(
-        { aRequest.mServices.front(), std::move(aOutcome.mRecordedOutcome) });
+        { aRequest.mServices.front(),
+          server_reply{ 0, {}, std::move(aOutcome.mRecordedOutcome) } });
       return true;
     case change_verdict::AlreadyUnknown:
       aRequest.mRan = ran_answer::Unknown;
--- /dev/null
+++ b/filters/deliver.cpp
@@ -0,0 +1,84 @@
+#include "filters/deliver.h"
+
+#include "decisions/snapshot_choice.h"
+#include "decisions/top_records.h"
+
+namespace hibiscusspool {
+
+namespace {
+
+/** Time after which another host, or this one, may do better. */
+constexpr milliseconds kRetryAfter{ 50 };
+
+void
+RefuseUnanswered(request_context& aRequest, const std::string& aDetail)
+{
+  if (aRequest.mRan == ran_answer::No) {
+    aRequest.Refuse(refusal_reason::NoServer, aDetail, kRetryAfter);
+    return;
+  }
+  aRequest.Refuse(aRequest.mIsMerged ? refusal_reason::CoverageTooLow
+                                     : refusal_reason::OutcomeUnknown,
+                  aDetail);
+}
+
+void
+DeliverOne(request_context& aRequest)
+{
+  if (!aRequest.mAnswers.empty()) {
+    aRequest.mReply = std::move(aRequest.mAnswers.front().mReply);
+    aRequest.mCoverage = 1;
+    return;
+  }
+  if (aRequest.mFailedReply) {
+    // The server's own failure is the answer that its caller should see.
+    aRequest.mReply = std::move(aRequest.mFailedReply);
+    return;
+  }
+  RefuseUnanswered(aRequest, "No server answered.");
+}
+
+void
+DeliverMerged(request_context& aRequest)
+{
+  std::size_t shards = aRequest.mServices.size();
+  std::size_t answered = aRequest.mAnswers.size();
+  aRequest.mCoverage =
+    static_cast<double>(answered) / static_cast<double>(shards);
+  std::size_t needed =
+    NeededServices(shards, aRequest.mPolicy.mMinimumCoverage);
+  if (answered == 0 || answered < needed) {
+    RefuseUnanswered(aRequest,
+                     std::to_string(answered) + " of " +
+                       std::to_string(shards) + " shards answered.");
+    return;
+  }
+  std::vector<std::string_view> parts;
+  for (const service_answer& answer : aRequest.mAnswers) {
+    parts.emplace_back(answer.mReply.mBody);
+  }
+  server_reply merged;
+  constexpr unsigned kOk = 200;
+  merged.mStatus = kOk;
+  merged.mBody = MergeTopRecords(parts, aRequest.mTopRecords);
+  aRequest.mReply = std::move(merged);
+}
+
+}
+
+filter
+MakeDeliver()
+{
+  return { filter_name::Deliver,
+           filter_when::Open,
+           [](request_context& aRequest) -> boost::asio::awaitable<void> {
+             if (aRequest.mIsMerged) {
+               DeliverMerged(aRequest);
+             } else {
+               DeliverOne(aRequest);
+             }
+             co_return;
+           } };
+}
+
+}
--- a/filters/filter_chain.h
+++ b/filters/filter_chain.h
@@ -10,7 +10,7 @@
 
 namespace hibiscusspool {
 
-/** The steps of a request, in their order. */
+/** The steps that a request may take. */
 enum class filter_name
 {
   Identify,
@@ -23,10 +23,12 @@
   Gather,
   Settle,
   Account,
+  Route,
+  Deliver,
 };
 
 template<>
-inline constexpr name_table<filter_name, 10> kNames<filter_name>{ {
+inline constexpr name_table<filter_name, 12> kNames<filter_name>{ {
   { filter_name::Identify, "identify" },
   { filter_name::Confirm, "confirm" },
   { filter_name::Admit, "admit" },
@@ -37,6 +39,8 @@
   { filter_name::Gather, "gather" },
   { filter_name::Settle, "settle" },
   { filter_name::Account, "account" },
+  { filter_name::Route, "route" },
+  { filter_name::Deliver, "deliver" },
 } };
 
 using filter_run =
--- a/filters/request_context.h
+++ b/filters/request_context.h
@@ -4,6 +4,9 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "decisions/refusal.h"
+#include "decisions/route_table.h"
+#include "filters/caller_presence.h"
+#include "filters/forwarded_message.h"
 
 #include <functional>
 #include <memory>
@@ -17,16 +20,29 @@
 {
   /** Asks all services of the team; may run more than once. */
   Query,
-  /** Runs at one server, at most once. */
+  /** Runs at one server, at most once, under a key. */
   Run,
+  /** Passed on as it is; may run more than once. */
+  Forward,
+  /** Passed on as it is; runs at most once for each arrival. */
+  ForwardOnce,
 };
 
 template<>
-inline constexpr name_table<request_kind, 2> kNames<request_kind>{ {
+inline constexpr name_table<request_kind, 4> kNames<request_kind>{ {
   { request_kind::Query, "query" },
   { request_kind::Run, "run" },
+  { request_kind::Forward, "forward" },
+  { request_kind::ForwardOnce, "forward_once" },
 } };
 
+/** True for requests that may run more than once. */
+constexpr bool
+IsRepeatable(request_kind aKind)
+{
+  return aKind == request_kind::Query || aKind == request_kind::Forward;
+}
+
 /** Why an answer lacks a service. */
 enum class missing_reason
 {
@@ -45,7 +61,7 @@
 struct service_answer
 {
   service_id mService;
-  std::string mBody;
+  server_reply mReply;
 };
 
 struct missing_service
@@ -76,12 +92,30 @@
   std::optional<milliseconds> mCallerWait;
   steady_time mReceivedAt;
   std::optional<request_fault> mFault;
+  /** Whether the caller still waits; unset where that can't be known. */
+  std::shared_ptr<caller_presence> mPresence;
+  /** What a forwarded request looks like; unset for others. */
+  std::shared_ptr<const forwarded_request> mForwarded;
+  /** The virtual host and the path by which it is routed. */
+  std::string mAuthority;
+  std::string mPath;
 
   team_policy mPolicy;
   bool mHasPolicy = false;
   steady_time mDeadline;
   /** When this host stops waiting even for what the caller gave up. */
   steady_time mGiveUpAt;
+  /** The routes of the one configuration that the request is served by. */
+  std::shared_ptr<const route_table> mRoutes;
+  configuration_number mConfiguration = 0;
+  /** The answer is made of the parts of all services. */
+  bool mIsMerged = false;
+  std::size_t mTopRecords = 0;
+  /** Servers that may get the request, for each service. */
+  std::uint32_t mMostAttempts = UINT32_MAX;
+  std::uint32_t mPriority = 0;
+  /** When a partial answer is worth more than a later, fuller one. */
+  steady_time mAnswerBy = steady_time::max();
   fingerprint_id mFingerprint;
   bool mIsAdmitted = false;
   steady_time mAdmittedAt;
@@ -103,6 +137,11 @@
   /** Whether a server may have run it, as far as is known. */
   ran_answer mRan = ran_answer::No;
 
+  /** The whole answer to a forwarded request. */
+  std::optional<server_reply> mReply;
+  /** The latest failure that a server answered with. */
+  std::optional<server_reply> mFailedReply;
+
   std::size_t mAttempts = 0;
   std::size_t mHedges = 0;
   std::size_t mRetries = 0;
--- /dev/null
+++ b/filters/route.cpp
@@ -0,0 +1,88 @@
+#include "filters/route.h"
+
+#include <algorithm>
+
+namespace hibiscusspool {
+
+namespace {
+
+constexpr milliseconds kUnconfiguredRetry{ 500 };
+
+void
+TakeRoute(const route_hooks& aHooks,
+          const routed_team& aRouted,
+          request_context& aRequest)
+{
+  const route_record& route = aRouted.mRoute;
+  aRequest.mPolicy = aRouted.mPolicy;
+  aRequest.mHasPolicy = true;
+  aRequest.mTeam.mValue = route.mName;
+  bool isOnce = route.mKind == route_kind::NonIdempotent;
+  aRequest.mKind = isOnce ? request_kind::ForwardOnce : request_kind::Forward;
+  aRequest.mIsMerged = !route.mShards.empty();
+  aRequest.mTopRecords = route.mTopRecords;
+  aRequest.mMostAttempts = std::max(1U, route.mMostAttempts);
+  aRequest.mPriority = route.mPriority;
+  if (aRequest.mIsMerged) {
+    aRequest.mServices = route.mShards;
+  } else {
+    aRequest.mServices = { aHooks.mNextService(route) };
+  }
+  milliseconds wait = route.mTimeout;
+  if (aRequest.mCallerWait) {
+    wait = std::min(wait, *aRequest.mCallerWait);
+  }
+  aRequest.mDeadline = aRequest.mReceivedAt + wait;
+  aRequest.mGiveUpAt = aRequest.mDeadline;
+  aRequest.mAnswerBy = aRequest.mDeadline;
+  if (route.mObjective > milliseconds(0)) {
+    milliseconds objective = std::max(
+      route.mObjective - aHooks.mObjectiveMargin, route.mObjective / 2);
+    aRequest.mAnswerBy =
+      std::min(aRequest.mDeadline, aRequest.mReceivedAt + objective);
+  }
+}
+
+void
+Route(const route_hooks& aHooks, request_context& aRequest)
+{
+  aRequest.mDeadline = aRequest.mReceivedAt + kLongestWait;
+  aRequest.mGiveUpAt = aRequest.mDeadline;
+  if (aRequest.mFault) {
+    aRequest.Refuse(aRequest.mFault->mReason, aRequest.mFault->mDetail);
+    return;
+  }
+  aRequest.mRoutes = aHooks.mRoutes();
+  if (aRequest.mRoutes == nullptr) {
+    aRequest.Refuse(refusal_reason::NotConfirmed,
+                    "This host knows no configuration yet.",
+                    kUnconfiguredRetry);
+    return;
+  }
+  aRequest.mConfiguration = aRequest.mRoutes->Number();
+  const routed_team* routed =
+    aRequest.mRoutes->Find(aRequest.mAuthority, aRequest.mPath);
+  if (routed == nullptr) {
+    aRequest.Refuse(refusal_reason::UnknownTeam,
+                    "No route of configuration " +
+                      std::to_string(aRequest.mConfiguration) + " fits.");
+    return;
+  }
+  TakeRoute(aHooks, *routed, aRequest);
+}
+
+}
+
+filter
+MakeRoute(route_hooks aHooks)
+{
+  return { filter_name::Route,
+           filter_when::Open,
+           [hooks = std::move(aHooks)](
+             request_context& aRequest) -> boost::asio::awaitable<void> {
+             Route(hooks, aRequest);
+             co_return;
+           } };
+}
+
+}
--- a/filters/scatter.cpp
+++ b/filters/scatter.cpp
@@ -1,5 +1,8 @@
 #include "filters/scatter.h"
 
+#include "core/log_event.h"
+#include "decisions/snapshot_choice.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
@@ -53,6 +56,8 @@
   std::vector<server_id> mExcluded;
   failure_domain_id mFirstDomain;
   int mShedRounds = 0;
+  /** Servers that the request was sent to, or may have been. */
+  std::uint32_t mSent = 0;
   steady_time mStartAt;
   steady_time mHedgeAt = steady_time::max();
   missing_reason mReason = missing_reason::NoServer;
@@ -73,12 +78,20 @@
 
   // A copy of what attempts need, since they may outlive the request.
   request_kind mKind;
+  request_id mRequest;
   team_id mTeam;
   idempotency_key mKey;
   fingerprint_id mFingerprint;
   std::shared_ptr<const std::string> mBody;
   steady_time mDeadline;
   steady_time mGiveUpAt;
+  steady_time mAnswerBy;
+  std::shared_ptr<const forwarded_request> mForwarded;
+  std::shared_ptr<caller_presence> mPresence;
+  bool mIsMerged;
+  std::uint32_t mMostAttempts;
+  /** Services without which there is no answer. */
+  std::size_t mNeeded;
   snapshot_number mSnapshot;
 
   std::vector<service_progress> mServices;
@@ -96,6 +109,7 @@
   std::vector<server_id> mCrashedServers;
   bool mIsSuspect = false;
   std::function<void(std::string)> mLateAnswer;
+  std::optional<server_reply> mFailedReply;
   std::size_t mAttempts = 0;
   std::size_t mHedges = 0;
   std::size_t mRetries = 0;
@@ -116,12 +130,20 @@
     , mExecutor(aExecutor)
     , mChanged(aExecutor)
     , mKind(aRequest.mKind)
+    , mRequest(aRequest.mRequest)
     , mTeam(aRequest.mTeam)
     , mKey(aRequest.mKey)
     , mFingerprint(aRequest.mFingerprint)
     , mBody(aRequest.mBody)
     , mDeadline(aRequest.mDeadline)
     , mGiveUpAt(aRequest.mGiveUpAt)
+    , mAnswerBy(aRequest.mAnswerBy)
+    , mForwarded(aRequest.mForwarded)
+    , mPresence(aRequest.mPresence)
+    , mIsMerged(aRequest.mIsMerged)
+    , mMostAttempts(aRequest.mMostAttempts)
+    , mNeeded(NeededServices(aRequest.mServices.size(),
+                             aRequest.mPolicy.mMinimumCoverage))
     , mSnapshot(aRequest.mSnapshot)
     , mIsSuspect(aRequest.mIsTrial)
     , mLateAnswer(aRequest.mLateAnswer)
@@ -131,12 +153,15 @@
 
   asio::awaitable<void> Run(request_context& aRequest)
   {
-    bool isNew = mIsSuspect || !mFingerprints.IsHarmless(mFingerprint);
+    bool isNew = mHooks.mUsesCanary &&
+                 (mIsSuspect || !mFingerprints.IsHarmless(mFingerprint));
     mIsCanary = isNew && mKind == request_kind::Query && mServices.size() > 1;
+    WatchCaller();
     int replans = 0;
     while (true) {
       steady_time now = mHooks.mNow();
-      if (IsFinished() || now >= mDeadline || mIsQuarantined) {
+      if (IsFinished() || now >= mDeadline || mIsQuarantined || IsAbandoned() ||
+          IsGoodEnough(now)) {
         break;
       }
       if (mNeedsReplan && replans++ < kMostReplans) {
@@ -153,6 +178,31 @@
   }
 
 private:
+  /** Ends the wait when the caller leaves. */
+  void WatchCaller()
+  {
+    if (mPresence == nullptr) {
+      return;
+    }
+    mPresence->mOnLeft = [weak = weak_from_this()] {
+      if (auto self = weak.lock()) {
+        self->mChanged.cancel();
+      }
+    };
+  }
+
+  [[nodiscard]] bool IsAbandoned() const
+  {
+    return mPresence != nullptr && mPresence->mIsGone;
+  }
+
+  /** True when what is in should be answered rather than waited for more. */
+  [[nodiscard]] bool IsGoodEnough(steady_time aNow) const
+  {
+    return mIsMerged && aNow >= mAnswerBy && !mAnswers.empty() &&
+           mAnswers.size() >= mNeeded;
+  }
+
   void SetServices(const std::vector<service_id>& aServices)
   {
     mServices.clear();
@@ -208,18 +258,27 @@
 
   void Hedge(service_progress& aService, steady_time aNow)
   {
-    bool mayHedge = mKind == request_kind::Query && !aService.mWasHedged &&
-                    aService.mFlying.size() == 1;
-    if (!mayHedge || !mBudgets.SpendHedge()) {
+    bool mayHedge = IsRepeatable(mKind) && !aService.mWasHedged &&
+                    aService.mFlying.size() == 1 && MayTryAgain(aService);
+    if (!mayHedge || !mBudgets.SpendHedge(aService.mService, aNow)) {
       return;
     }
     aService.mWasHedged = true;
     StartAttempt(aService, attempt_reason::Hedge, aNow);
   }
 
+  /** True while the request may be sent to one more server of the service. */
+  [[nodiscard]] bool MayTryAgain(const service_progress& aService) const
+  {
+    return aService.mSent < mMostAttempts;
+  }
+
   [[nodiscard]] steady_time NextDue(steady_time aNow) const
   {
     steady_time due = mDeadline;
+    if (mIsMerged && mAnswerBy > aNow && mAnswers.size() >= mNeeded) {
+      due = std::min(due, mAnswerBy);
+    }
     for (const service_progress& service : mServices) {
       if (service.mIsDone) {
         continue;
@@ -237,7 +296,7 @@
     choice_request choice;
     choice.mService = aService.mService;
     choice.mSnapshot = mSnapshot;
-    choice.mAnySnapshot = mKind == request_kind::Run;
+    choice.mAnySnapshot = mKind != request_kind::Query;
     choice.mExcluded = aService.mExcluded;
     // A hedge or a repeat goes to another failure domain if it can.
     for (const auto& [number, flying] : aService.mFlying) {
@@ -264,7 +323,7 @@
       }
       return;
     }
-    Count(aReason);
+    Count(aService, aReason, aNow);
     auto hedgeAfter = mBackends.SlowAfter(aService.mService);
     if (aReason != attempt_reason::Hedge && hedgeAfter) {
       aService.mHedgeAt = aNow + std::max(*hedgeAfter, kShortestHedge);
@@ -275,12 +334,15 @@
     Launch(aService, std::move(*permit));
   }
 
-  void Count(attempt_reason aReason)
+  void Count(service_progress& aService,
+             attempt_reason aReason,
+             steady_time aNow)
   {
     ++mAttempts;
+    ++aService.mSent;
     switch (aReason) {
       case attempt_reason::Regular:
-        mBudgets.OnRegular();
+        mBudgets.OnRegular(aService.mService, aNow);
         return;
       case attempt_reason::Hedge:
         ++mHedges;
@@ -305,12 +367,13 @@
       mChanged.cancel();
       return;
     }
-    if (!isServed && mKind == request_kind::Run) {
+    if (!isServed && mKind != request_kind::Query) {
       GiveUp(aService, missing_reason::NoServer);
       return;
     }
     if (!aService.mExcluded.empty()) {
-      bool mayGoOn = aService.mShedRounds++ < kMostShedRounds;
+      bool mayGoOn =
+        MayTryAgain(aService) && aService.mShedRounds++ < kMostShedRounds;
       if (!mayGoOn) {
         GiveUp(aService, missing_reason::Failed);
         return;
@@ -372,6 +435,8 @@
     bool isKept = mKind == request_kind::Run || order.mPermit.mIsCold;
     order.mGiveUpAt = isKept ? mGiveUpAt : mDeadline;
     order.mBody = mBody;
+    order.mForwarded = mForwarded;
+    order.mIsPart = mIsMerged;
     asio::co_spawn(
       mExecutor,
       Attempt(shared_from_this(),
@@ -406,7 +471,7 @@
     bool isLate = answer.mStatus == attempt_status::Answered &&
                   aRun->mKind == request_kind::Run && aRun->mLateAnswer;
     if (isLate) {
-      aRun->mLateAnswer(std::move(answer.mBody));
+      aRun->mLateAnswer(std::move(answer.mReply.mBody));
     }
   }
 
@@ -416,20 +481,48 @@
   {
     service_progress& service = mServices[aPlace];
     auto node = service.mFlying.extract(aNumber);
-    if (aAnswer.mStatus != attempt_status::NotSent) {
-      mWasSent = true;
+    bool ranNothing = aAnswer.mStatus == attempt_status::NotSent ||
+                      aAnswer.mStatus == attempt_status::Shed;
+    mWasSent = mWasSent || !ranNothing;
+    if (aAnswer.mStatus == attempt_status::NotSent) {
+      --service.mSent;
     }
+    NoteFailure(service, node.mapped().mPermit, aAnswer);
     if (!service.mIsDone) {
       Judge(service, node.mapped().mPermit, std::move(aAnswer));
     }
     mChanged.cancel();
   }
 
+  /** Keeps a server's own failure, and logs an attempt that came to nothing.
+   */
+  void NoteFailure(const service_progress& aService,
+                   const attempt_permit& aPermit,
+                   attempt_result& aAnswer)
+  {
+    bool isPlain = aAnswer.mStatus == attempt_status::Answered ||
+                   aAnswer.mStatus == attempt_status::Cancelled;
+    if (isPlain || mForwarded == nullptr) {
+      return;
+    }
+    log_event("attempt_failed")
+      .Add("request", mRequest.mValue)
+      .Add("service", aService.mService.mValue)
+      .Add("server", aPermit.mServer.mValue)
+      .Add("address", aPermit.mAddress)
+      .Add("status", NameOf(aAnswer.mStatus))
+      .Add("code", aAnswer.mReply.mStatus)
+      .Add("sent", aService.mSent);
+    if (aAnswer.mStatus == attempt_status::Failed) {
+      mFailedReply = std::move(aAnswer.mReply);
+    }
+  }
+
   void Judge(service_progress& aService,
              const attempt_permit& aPermit,
              attempt_result aAnswer)
   {
-    if (mKind == request_kind::Run) {
+    if (!IsRepeatable(mKind)) {
       JudgeRun(aService, aPermit, std::move(aAnswer));
       return;
     }
@@ -438,6 +531,10 @@
         TakeAnswer(aService, std::move(aAnswer));
         return;
       case attempt_status::Reset:
+        if (mForwarded != nullptr) {
+          TryElsewhere(aService, aPermit, aAnswer.mStatus);
+          return;
+        }
         ReportCrash(aPermit, aService);
         return;
       case attempt_status::WrongSnapshot:
@@ -455,7 +552,7 @@
   void TakeAnswer(service_progress& aService, attempt_result aAnswer)
   {
     aService.mIsDone = true;
-    mAnswers.push_back({ aService.mService, std::move(aAnswer.mBody) });
+    mAnswers.push_back({ aService.mService, std::move(aAnswer.mReply) });
     if (mIsCanary) {
       mIsCanary = false;
       mFingerprints.SetHarmless(mFingerprint);
@@ -482,10 +579,12 @@
       return;
     }
     // A shed costs a server next to nothing; other repeats have a budget.
-    bool isCheap = aStatus == attempt_status::Shed ||
-                   aStatus == attempt_status::NotSent ||
-                   aStatus == attempt_status::WrongSnapshot;
-    if (!isCheap && !mBudgets.SpendRetry()) {
+    bool isCheap = aStatus == attempt_status::NotSent ||
+                   aStatus == attempt_status::WrongSnapshot ||
+                   (aStatus == attempt_status::Shed && mForwarded == nullptr);
+    bool mayTry = aStatus == attempt_status::NotSent || MayTryAgain(aService);
+    if (!mayTry ||
+        (!isCheap && !mBudgets.SpendRetry(aService.mService, mHooks.mNow()))) {
       GiveUp(aService, missing_reason::Failed);
       return;
     }
@@ -500,7 +599,7 @@
       case attempt_status::Answered:
         mRan = ran_answer::Yes;
         aService.mIsDone = true;
-        mAnswers.push_back({ aService.mService, std::move(aAnswer.mBody) });
+        mAnswers.push_back({ aService.mService, std::move(aAnswer.mReply) });
         return;
       case attempt_status::Shed:
       case attempt_status::NotSent:
@@ -509,7 +608,9 @@
         return;
       case attempt_status::Reset:
         mRan = ran_answer::Unknown;
-        ReportCrash(aPermit, aService);
+        if (mForwarded == nullptr) {
+          ReportCrash(aPermit, aService);
+        }
         GiveUp(aService, missing_reason::Failed);
         return;
       case attempt_status::TimedOut:
@@ -570,7 +671,7 @@
   {
     mIsEnded = true;
     // A run that is under way is not cut: its outcome is still to be learnt.
-    if (mKind == request_kind::Query) {
+    if (mKind != request_kind::Run) {
       CancelAll();
     }
     for (const service_progress& service : mServices) {
@@ -583,12 +684,19 @@
         mRan = ran_answer::Unknown;
       }
     }
+    if (mPresence != nullptr) {
+      mPresence->mOnLeft = nullptr;
+    }
+    aRequest.mFailedReply = std::move(mFailedReply);
     aRequest.mAnswers = std::move(mAnswers);
     aRequest.mMissing = std::move(mMissing);
     aRequest.mAttempts += mAttempts;
     aRequest.mHedges += mHedges;
     aRequest.mRetries += mRetries;
     aRequest.mRan = RanOf(aRequest);
+    if (mForwarded != nullptr) {
+      return;
+    }
     if (mKind == request_kind::Run) {
       if (aRequest.mAnswers.empty()) {
         RefuseRun(aRequest);
@@ -607,7 +715,7 @@
 
   [[nodiscard]] ran_answer RanOf(const request_context& aRequest) const
   {
-    if (mKind == request_kind::Run) {
+    if (!IsRepeatable(mKind)) {
       return mRan;
     }
     if (!aRequest.mAnswers.empty()) {
--- a/filters/scatter.h
+++ b/filters/scatter.h
@@ -22,16 +22,18 @@
   /** When this host stops waiting for an answer. */
   steady_time mGiveUpAt;
   std::shared_ptr<const std::string> mBody;
+  /** What is passed on as it is; unset for the system's own requests. */
+  std::shared_ptr<const forwarded_request> mForwarded;
+  /** The answer is to be one part of several. */
+  bool mIsPart = false;
 };
 
 struct attempt_result
 {
   attempt_status mStatus = attempt_status::NotSent;
-  std::string mBody;
+  server_reply mReply;
   /** The connection that may be used again, or 0. */
   connection_id mConnection = 0;
-  /** The server's own word on its load, 0 to 1; a hint. */
-  double mLoad = 0;
 };
 
 /** What a crash means for the request. */
@@ -71,6 +73,8 @@
   /** Another index version to plan with, if the first went away. */
   std::function<std::optional<snapshot_number>(const request_context&)> mReplan;
   std::function<bool(steady_time)> mIsConfirmed;
+  /** Try a query that is new to this host on one service first. */
+  bool mUsesCanary = true;
 };
 
 /**
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -6,6 +6,7 @@
 #include "main/periodic.h"
 #include "main/role_support.h"
 #include "messages/control_codec.h"
+#include "platform/directory_front.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
@@ -26,7 +27,10 @@
 constexpr milliseconds kMembershipPause{ 500 };
 constexpr milliseconds kFormPause{ 300 };
 constexpr milliseconds kHandOverTime{ 2000 };
-constexpr milliseconds kHandOverCheck{ 20 };
+/** How often the leases of servers are looked through. */
+constexpr milliseconds kTendPause{ 250 };
+/** The platform's callers wait one second for an answer before they go on. */
+constexpr milliseconds kPlatformAnswer{ 900 };
 constexpr milliseconds kSystemChangeTimeout{ 2000 };
 
 std::string
@@ -40,6 +44,17 @@
   return text.str();
 }
 
+/** Daemons need what a configuration says, not the text that said it. */
+void
+LeaveDocumentsOut(std::vector<record_change>& aFacts)
+{
+  for (record_change& fact : aFacts) {
+    if (auto* configuration = std::get_if<configuration_record>(&fact)) {
+      configuration->mDocument.clear();
+    }
+  }
+}
+
 }
 
 control_role::control_role(asio::io_context& aContext,
@@ -51,8 +66,11 @@
   , mSettings(std::move(aSettings))
   , mDisk(std::move(aDisk))
   , mRefusals(std::move(aRefusals))
-  , mTransport(raft_transport::Create(ToHosts(mSettings.mControlMembers)))
+  , mTransport(raft_transport::Create(ControlHosts(mSettings)))
   , mClient(std::move(aClient))
+  , mSponsor(host_id{ mSettings.mHostId },
+             milliseconds(mSettings.mControlLapseMs),
+             SponsorHooks())
   , mMembership({ host_id{ mSettings.mHostId },
                   milliseconds(mSettings.mControlSilenceMs),
                   milliseconds(mSettings.mControlServerLapseMs) },
@@ -76,7 +94,7 @@
     return Fail(role_error::DiskFailed, refusals.error().mDetail);
   }
   auto client = control_client::Create(aContext.get_executor(),
-                                       ToHosts(aSettings.mControlMembers));
+                                       ControlHosts(aSettings));
   if (!client) {
     return Fail(role_error::BadSettings, client.error().mDetail);
   }
@@ -100,6 +118,11 @@
     role->Stop();
     return operators.error();
   }
+  auto platformFronts = role->SetUpPlatform();
+  if (!platformFronts) {
+    role->Stop();
+    return platformFronts.error();
+  }
   role->StartLoops();
   return role;
 }
@@ -147,9 +170,11 @@
     mTransport.Send(std::move(aMessages));
   };
   hooks.mPublish = [this](log_index aIndex, std::vector<record_change> aFacts) {
+    LeaveDocumentsOut(aFacts);
     mHub->Publish(aIndex, std::move(aFacts));
   };
   hooks.mReplaced = [this](log_index aIndex) { mHub->Replaced(aIndex); };
+  hooks.mRoleChanged = [this] { mStopGate.Notify(); };
   return hooks;
 }
 
@@ -161,6 +186,7 @@
   for (const host_id& host : GroupHosts()) {
     config.mRaft.mKnownHosts.insert(host);
   }
+  config.mRaft.mIsOpen = mSettings.IsOnPlatform();
   config.mRaft.mHeartbeat = milliseconds(mSettings.mControlHeartbeatMs);
   config.mRaft.mElection = milliseconds(mSettings.mControlElectionMs);
   config.mRaft.mSeed = std::random_device{}();
@@ -177,7 +203,11 @@
   }
   mGroup = std::move(group.value());
   mHub = std::make_unique<watch_hub>(
-    watch_hub_hooks{ [this] { return mGroup->Facts(); },
+    watch_hub_hooks{ [this] {
+                       auto facts = mGroup->Facts();
+                       LeaveDocumentsOut(facts.second);
+                       return facts;
+                     },
                      [this](std::function<void(log_index)> aReply) {
                        mGroup->Confirm(std::move(aReply));
                      } });
@@ -282,6 +312,8 @@
 {
   RunPeriodically(
     mContext, kFormPause, mIsStopping, [this] { return FormGroup(); });
+  RunPeriodically(
+    mContext, kTendPause, mIsStopping, [this] { return mSponsor.Tend(); });
   RunPeriodically(mContext, kMembershipPause, mIsStopping, [this] {
     return TendMembership();
   });
@@ -291,8 +323,8 @@
 control_role::GroupHosts() const
 {
   std::vector<host_id> hosts;
-  for (const auto& [name, address] : mSettings.mControlMembers) {
-    hosts.push_back(host_id{ name });
+  for (const auto& [host, address] : ControlHosts(mSettings)) {
+    hosts.push_back(host);
   }
   return hosts;
 }
@@ -304,7 +336,7 @@
   std::vector<host_id> group = GroupHosts();
   // One host alone may form the group, so that two can't form it unalike.
   bool isFormer = own.mSelf.mHost == group.front();
-  if (!own.mIsEmpty || !isFormer) {
+  if (!own.mIsEmpty || !isFormer || !mSettings.mControlBootstrap) {
     co_return;
   }
   std::vector<raft_peer> voters{ { own.mSelf, true } };
@@ -374,8 +406,8 @@
   }
 }
 
-asio::awaitable<std::optional<std::vector<record_change>>>
-control_role::ConfirmedFacts(steady_time aDeadline)
+asio::awaitable<bool>
+control_role::ConfirmRead(steady_time aDeadline)
 {
   auto executor = co_await asio::this_coro::executor;
   auto confirmed = std::make_shared<asio::steady_timer>(executor, aDeadline);
@@ -387,27 +419,186 @@
     });
   });
   co_await confirmed->async_wait(asio::as_tuple(asio::use_awaitable));
-  if (!*isDone) {
+  co_return *isDone;
+}
+
+asio::awaitable<std::optional<std::vector<record_change>>>
+control_role::ConfirmedFacts(steady_time aDeadline)
+{
+  if (!co_await ConfirmRead(aDeadline)) {
     co_return std::nullopt;
   }
   co_return mGroup->Facts().second;
 }
 
+asio::awaitable<std::optional<change_outcome>>
+control_role::ProposeOne(record_change aWish,
+                         std::optional<log_index> aIfVersion,
+                         steady_time aDeadline)
+{
+  change_command command;
+  command.mIfVersion = aIfVersion;
+  command.mWishes.push_back(std::move(aWish));
+  auto outcomes = co_await mClient.Propose(std::move(command), aDeadline);
+  if (!outcomes || outcomes.value().size() != 1) {
+    co_return std::nullopt;
+  }
+  co_return std::move(outcomes.value().front());
+}
+
+std::optional<service_profile>
+control_role::Profile(const service_id& aService) const
+{
+  return mGroup->Look(
+    [&](const control_state& aState) -> std::optional<service_profile> {
+      if (!aState.Configuration()) {
+        return std::nullopt;
+      }
+      for (const service_profile& service : aState.Configuration()->mServices) {
+        if (service.mService == aService) {
+          return service;
+        }
+      }
+      return std::nullopt;
+    });
+}
+
+std::vector<entry_host_record>
+control_role::ListEntryHosts(const failure_domain_id& aNearby) const
+{
+  return mGroup->Look([&](const control_state& aState) {
+    std::vector<entry_host_record> hosts;
+    for (const auto& [host, record] : aState.EntryHosts()) {
+      hosts.push_back(record);
+    }
+    return ServingHosts(std::move(hosts), aNearby);
+  });
+}
+
+server_sponsor_hooks
+control_role::SponsorHooks()
+{
+  server_sponsor_hooks hooks;
+  hooks.mNow = SteadyNow;
+  hooks.mCanVouch = [this](steady_time /*aNow*/) {
+    return !mGroup->Status().mLeader.IsEmpty();
+  };
+  hooks.mKnown = [this](const server_id& aServer) {
+    return mGroup->Look(
+      [&](const control_state& aState) -> std::optional<server_record> {
+        auto found = aState.Servers().find(aServer);
+        return found == aState.Servers().end() ? std::nullopt
+                                               : std::optional(found->second);
+      });
+  };
+  hooks.mSponsored = [this] {
+    return mGroup->Look([&](const control_state& aState) {
+      std::vector<server_id> sponsored;
+      for (const auto& [server, record] : aState.Servers()) {
+        bool isOurs = record.mSponsor.mValue == mSettings.mHostId &&
+                      record.mState != server_state::Gone;
+        if (isOurs) {
+          sponsored.push_back(server);
+        }
+      }
+      return sponsored;
+    });
+  };
+  hooks.mPropose = [this](record_change aWish,
+                          std::optional<log_index> aVersion,
+                          steady_time aDeadline) {
+    return ProposeOne(std::move(aWish), aVersion, aDeadline);
+  };
+  // A control host answers from the log, which the leader has applied.
+  hooks.mWaitForIndex = [](log_index, steady_time) -> asio::awaitable<bool> {
+    co_return true;
+  };
+  return hooks;
+}
+
+platform::control_front_hooks
+control_role::PlatformHooks()
+{
+  platform::control_front_hooks hooks;
+  hooks.mPropose = [this](record_change aWish) {
+    return ProposeOne(
+      std::move(aWish), std::nullopt, SteadyNow() + kPlatformAnswer);
+  };
+  hooks.mReadDocument =
+    [this]() -> asio::awaitable<std::optional<std::optional<std::string>>> {
+    if (!co_await ConfirmRead(SteadyNow() + kPlatformAnswer)) {
+      co_return std::nullopt;
+    }
+    co_return mGroup->Look(
+      [](const control_state& aState) -> std::optional<std::string> {
+        const auto& configuration = aState.Configuration();
+        return configuration ? std::optional(configuration->mDocument)
+                             : std::nullopt;
+      });
+  };
+  hooks.mAnnounce = [this](server_record aRecord) {
+    return mSponsor.Take(std::move(aRecord));
+  };
+  hooks.mLeave = [this](server_id aServer) {
+    return mSponsor.TakeLeave(std::move(aServer));
+  };
+  hooks.mProfile = [this](const service_id& aService) {
+    return Profile(aService);
+  };
+  return hooks;
+}
+
+result<void, role_error>
+control_role::SetUpPlatform()
+{
+  if (!mSettings.mPlatformControlAddress.empty()) {
+    http_server_config config;
+    config.mAddress = mSettings.mPlatformControlAddress;
+    auto front = http_server::Create(
+      mContext,
+      std::move(config),
+      platform::MakeControlFront(mSettings.mPlatformControlAddress,
+                                 PlatformHooks()));
+    if (!front) {
+      return Fail(role_error::CannotListen, front.error().mDetail);
+    }
+    mPlatformControl = std::make_unique<http_server>(std::move(front.value()));
+  }
+  if (!mSettings.mPlatformDirectoryAddress.empty()) {
+    http_server_config config;
+    config.mAddress = mSettings.mPlatformDirectoryAddress;
+    auto front = http_server::Create(
+      mContext,
+      std::move(config),
+      platform::MakeDirectoryFront(
+        std::chrono::seconds(mSettings.mPlatformKeepListS),
+        { [this](const failure_domain_id& aNearby) {
+          return ListEntryHosts(aNearby);
+        } }));
+    if (!front) {
+      return Fail(role_error::CannotListen, front.error().mDetail);
+    }
+    mDirectory = std::make_unique<http_server>(std::move(front.value()));
+  }
+  return boost::outcome_v2::success();
+}
+
 void
 control_role::Stop()
 {
   bool leads = mGroup->Status().mRole == raft_role::Leader;
-  bool isAlone = mSettings.mControlMembers.size() == 1;
+  bool isAlone = mGroup->Status().mPeers.size() <= 1;
   if (leads && !isAlone && !mHasFailed) {
     mGroup->HandOver();
-    steady_time end = SteadyNow() + kHandOverTime;
-    while (mGroup->Status().mRole == raft_role::Leader && SteadyNow() < end) {
-      std::this_thread::sleep_for(kHandOverCheck);
-    }
+    mStopGate.WaitUntil(SteadyNow() + kHandOverTime, [this] {
+      return mGroup->Status().mRole != raft_role::Leader;
+    });
   }
   mIsStopping = true;
-  if (mOperators != nullptr) {
-    mOperators->Stop();
+  for (auto* front : { &mOperators, &mPlatformControl, &mDirectory }) {
+    if (*front != nullptr) {
+      (*front)->Stop();
+    }
   }
   mTransport.Stop();
   mGroup->Stop();
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -10,6 +10,9 @@
 #include "drivers/raft_transport.h"
 #include "drivers/refusal_store.h"
 #include "main/role_error.h"
+#include "main/server_sponsor.h"
+#include "main/wait_gate.h"
+#include "platform/control_front.h"
 #include "settings/settings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -34,6 +37,10 @@
   std::unique_ptr<watch_hub> mHub;
   std::unique_ptr<control_service> mService;
   std::unique_ptr<http_server> mOperators;
+  std::unique_ptr<http_server> mPlatformControl;
+  std::unique_ptr<http_server> mDirectory;
+  server_sponsor mSponsor;
+  wait_gate mStopGate;
   membership mMembership;
   std::thread mThread;
   std::atomic<bool> mIsStopping{ false };
@@ -49,6 +56,18 @@
   result<void, role_error> SetUpGroup(std::function<void()> aOnFailure);
   result<void, role_error> SetUpService();
   result<void, role_error> SetUpOperators();
+  result<void, role_error> SetUpPlatform();
+  server_sponsor_hooks SponsorHooks();
+  platform::control_front_hooks PlatformHooks();
+  boost::asio::awaitable<std::optional<change_outcome>> ProposeOne(
+    record_change aWish,
+    std::optional<log_index> aIfVersion,
+    steady_time aDeadline);
+  boost::asio::awaitable<bool> ConfirmRead(steady_time aDeadline);
+  [[nodiscard]] std::optional<service_profile> Profile(
+    const service_id& aService) const;
+  [[nodiscard]] std::vector<entry_host_record> ListEntryHosts(
+    const failure_domain_id& aNearby) const;
   void StartLoops();
   control_group_hooks GroupHooks();
   boost::asio::awaitable<void> FormGroup();
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -1,18 +1,24 @@
 #include "main/entry_role.h"
 
 #include "core/log_event.h"
+#include "decisions/membership.h"
 #include "drivers/access_token.h"
 #include "drivers/callers_front.h"
 #include "drivers/metrics_page.h"
 #include "filters/account.h"
 #include "filters/admit.h"
 #include "filters/confirm.h"
+#include "filters/deliver.h"
 #include "filters/gather.h"
 #include "filters/identify.h"
 #include "filters/plan.h"
+#include "filters/route.h"
 #include "main/periodic.h"
 #include "main/role_support.h"
 #include "messages/account_json.h"
+#include "platform/clients_front.h"
+#include "platform/directory_front.h"
+#include "platform/server_dialect.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -37,8 +43,15 @@
 constexpr milliseconds kRecordTimeout{ 5000 };
 constexpr milliseconds kRecordPause{ 200 };
 constexpr milliseconds kIndexPause{ 5 };
-constexpr milliseconds kStopCheck{ 20 };
+/** Longest wait for sockets to go at the end of a stop. */
 constexpr milliseconds kCloseTime{ 3000 };
+/** Before a stop's grace time ends, so much is kept for running requests. */
+constexpr milliseconds kStopRunning{ 2000 };
+/** Before a stop's grace time ends, so much is kept for going itself. */
+constexpr milliseconds kStopClosing{ 700 };
+/** Part of the shared budget that is used, so that hosts which just came and
+ * are not in view yet fit in. */
+constexpr double kBudgetUse = 0.85;
 /** A first crash is reported at most this often by one host. */
 constexpr milliseconds kCrashReportPause{ 500 };
 constexpr milliseconds kCrashReportTimeout{ 200 };
@@ -67,6 +80,11 @@
   config.mFailureDomain.mValue = aSettings.mHostFailureDomain;
   config.mHandOver = HandOverTime(aSettings);
   config.mRamp = milliseconds(aSettings.mEntryRampMs);
+  config.mDomainDistance =
+    microseconds(aSettings.mEntryDomainDistanceUs);
+  config.mColdAfterRefusals =
+    static_cast<std::uint32_t>(aSettings.mEntryColdAfterRefusals);
+  config.mSuspendsFailing = aSettings.mEntrySuspendFailing;
   config.mSeed = std::random_device{}();
   return config;
 }
@@ -91,15 +109,16 @@
                   mBackendClient->Close(aConnections);
                 },
                 [this](const server_id& aServer) { NoteColdServer(aServer); } })
-  , mCatalog(mSelf, mBackends, catalog_hooks{ [] {} })
+  , mCatalog(mSelf, mBackends)
   , mAdmission(static_cast<std::uint32_t>(mSettings.mEntryHostLimit))
   , mBudgets(static_cast<double>(mSettings.mEntryHedgePercent) * kPercent,
-             static_cast<double>(mSettings.mEntryRetryPercent) * kPercent)
+             static_cast<double>(mSettings.mEntryRetryPercent) * kPercent,
+             { [this] { return SharedBudget(); } })
   , mFingerprints(kHarmlessKept)
   , mRefusals(mSelf,
               mIncarnation,
               static_cast<std::size_t>(mSettings.mEntryRefusalsKept))
-  , mAnnouncements(milliseconds(mSettings.mEntryLapseMs))
+  , mSponsor(mSelf, milliseconds(mSettings.mEntryLapseMs), SponsorHooks())
 {
 }
 
@@ -107,19 +126,24 @@
 entry_role::Create(asio::io_context& aContext, const settings& aSettings)
 {
   auto client = control_client::Create(aContext.get_executor(),
-                                       ToHosts(aSettings.mEntryControlHosts));
+                                       ControlHosts(aSettings));
   if (!client) {
     return Fail(role_error::BadSettings, client.error().mDetail);
   }
-  auto incarnation = static_cast<incarnation_number>(WallNow());
+  auto incarnation = NewIncarnation();
   std::unique_ptr<entry_role> role(new entry_role(
     aContext, aSettings, incarnation, std::move(client.value())));
   role->SetUpBackendClient();
   role->SetUpChain();
+  role->SetUpForwardChain();
   auto fronts = role->SetUpFronts();
   if (!fronts) {
     return fronts.error();
   }
+  auto platformFronts = role->SetUpPlatform();
+  if (!platformFronts) {
+    return platformFronts.error();
+  }
   role->SetUpWatch();
   role->StartLoops();
   return role;
@@ -129,6 +153,8 @@
 entry_role::SetUpBackendClient()
 {
   backend_client_config config;
+  config.mDialect = mSettings.IsOnPlatform() ? platform::MakeServerDialect()
+                                             : MakeOwnDialect();
   config.mAnswerBytes = static_cast<std::size_t>(mSettings.mEntryAnswerBytes);
   config.mIdleProbe = milliseconds(mSettings.mEntryIdleProbeMs);
   backend_client_hooks hooks;
@@ -179,6 +205,79 @@
   mChain = std::make_shared<const filter_chain>(std::move(chain));
 }
 
+void
+entry_role::SetUpForwardChain()
+{
+  route_hooks routes;
+  routes.mRoutes = [this] { return mCatalog.Routes(); };
+  routes.mNextService = [this](const route_record& aRoute) {
+    return mCatalog.NextService(aRoute);
+  };
+  routes.mObjectiveMargin = milliseconds(mSettings.mEntryObjectiveMarginMs);
+  auto mayServe = [this](steady_time aNow) {
+    return mSettings.mEntryServesUnconfirmed || mLease.IsConfirmed(aNow);
+  };
+  filter_chain chain{
+    MakeRoute(std::move(routes)),
+    MakeConfirm({ SteadyNow, mayServe }),
+    MakeAdmit(
+      mAdmission,
+      { SteadyNow, [this] { return mCatalog.ServingHosts(); }, mayServe }),
+    MakeScatter(mBackends, mBudgets, mFingerprints, ForwardHooks()),
+    MakeDeliver(),
+    MakeAccount(mAdmission, mAccounts, mRefusals, { SteadyNow, WallNow }),
+  };
+  mForwardChain = std::make_shared<const filter_chain>(std::move(chain));
+}
+
+scatter_hooks
+entry_role::ForwardHooks()
+{
+  scatter_hooks hooks = ScatterHooks();
+  hooks.mUsesCanary = false;
+  hooks.mIsConfirmed = [this](steady_time aNow) {
+    return mSettings.mEntryServesUnconfirmed || mLease.IsConfirmed(aNow);
+  };
+  return hooks;
+}
+
+std::optional<budget_terms>
+entry_role::SharedBudget() const
+{
+  if (mSettings.mEntryExtraWindowS == 0) {
+    return std::nullopt;
+  }
+  budget_terms terms;
+  terms.mRatio = mSettings.mEntryExtraRatio * kBudgetUse;
+  terms.mSlack = mSettings.mEntryExtraSlack * kBudgetUse /
+                 static_cast<double>(mCatalog.ServingHosts());
+  terms.mWindow = std::chrono::seconds(mSettings.mEntryExtraWindowS);
+  return terms;
+}
+
+server_sponsor_hooks
+entry_role::SponsorHooks()
+{
+  server_sponsor_hooks hooks;
+  hooks.mNow = SteadyNow;
+  hooks.mCanVouch = [this](steady_time aNow) {
+    return mLease.IsConfirmed(aNow);
+  };
+  hooks.mKnown = [this](const server_id& aServer) {
+    return mBackends.Record(aServer);
+  };
+  hooks.mSponsored = [this] { return mBackends.Sponsored(); };
+  hooks.mPropose = [this](record_change aWish,
+                          std::optional<log_index> aVersion,
+                          steady_time aDeadline) {
+    return ProposeOne(std::move(aWish), aVersion, aDeadline);
+  };
+  hooks.mWaitForIndex = [this](log_index aIndex, steady_time aDeadline) {
+    return WaitForIndex(aIndex, aDeadline);
+  };
+  return hooks;
+}
+
 scatter_hooks
 entry_role::ScatterHooks()
 {
@@ -194,6 +293,7 @@
   hooks.mReportHarmless = [this](const fingerprint_id& aFingerprint) {
     LiftSuspicion(aFingerprint);
   };
+  hooks.mUsesCanary = mSettings.mEntryCanary;
   hooks.mReplan =
     [this](const request_context& aRequest) -> std::optional<snapshot_number> {
     auto plan = ChooseSnapshot(mBackends.Snapshots(aRequest.mServices),
@@ -388,52 +488,6 @@
     asio::detached);
 }
 
-asio::awaitable<announce_answer>
-entry_role::TakeAnnouncement(server_record aRecord)
-{
-  steady_time now = SteadyNow();
-  if (!mLease.IsConfirmed(now)) {
-    co_return announce_answer{ announce_verdict::Unavailable,
-                               "This host can't reach the control hosts." };
-  }
-  aRecord.mSponsor = mSelf;
-  std::sort(aRecord.mSnapshots.begin(), aRecord.mSnapshots.end());
-  auto known = mBackends.Record(aRecord.mServer);
-  if (known && !IsTransition(*known, aRecord)) {
-    mAnnouncements.Renew(aRecord.mServer, now);
-    co_return announce_answer{};
-  }
-  aRecord.mColdMark = known ? known->mColdMark : 0;
-  std::optional<log_index> version = known ? known->mVersion : 0;
-  steady_time deadline = now + kSystemChangeTimeout;
-  while (SteadyNow() < deadline) {
-    auto outcome = co_await ProposeOne(aRecord, version, deadline);
-    if (!outcome) {
-      break;
-    }
-    if (outcome->mVerdict == change_verdict::Conflict) {
-      version = outcome->mVersion;
-      continue;
-    }
-    if (outcome->mVerdict != change_verdict::Accepted) {
-      co_return announce_answer{ announce_verdict::Refused, outcome->mDetail };
-    }
-    log_event("server_announced")
-      .Add("server", aRecord.mServer.mValue)
-      .Add("state", NameOf(aRecord.mState))
-      .Add("index", outcome->mIndex);
-    if (aRecord.mState == server_state::Gone) {
-      mAnnouncements.Drop(aRecord.mServer);
-    } else {
-      mAnnouncements.Renew(aRecord.mServer, SteadyNow());
-    }
-    co_await WaitForIndex(outcome->mIndex, deadline);
-    co_return announce_answer{};
-  }
-  co_return announce_answer{ announce_verdict::Unavailable,
-                             "The control hosts did not answer in time." };
-}
-
 entry_host_record
 entry_role::OwnRecord() const
 {
@@ -441,7 +495,9 @@
   record.mHost = mSelf;
   record.mIncarnation = mIncarnation;
   record.mFailureDomain.mValue = mSettings.mHostFailureDomain;
-  record.mCallersAddress = mSettings.mEntryCallersAddress;
+  record.mCallersAddress = mSettings.IsOnPlatform()
+                             ? mSettings.mPlatformCallersAddress
+                             : mSettings.mEntryCallersAddress;
   record.mAnnounceAddress = mSettings.mEntryAnnounceAddress;
   record.mState =
     mIsLeaving ? entry_host_state::Leaving : entry_host_state::Serving;
@@ -453,29 +509,67 @@
 {
   std::vector<entry_host_record> hosts = mCatalog.EntryHosts();
   std::erase_if(hosts, [&](const entry_host_record& aHost) {
-    return aHost.mState != entry_host_state::Serving ||
-           mCatalog.IsOut(aHost.mFailureDomain);
+    return mCatalog.IsOut(aHost.mFailureDomain);
   });
-  std::stable_partition(
-    hosts.begin(), hosts.end(), [&](const entry_host_record& aHost) {
-      return aHost.mFailureDomain == aNearby;
-    });
-  return hosts;
+  return ServingHosts(std::move(hosts), aNearby);
 }
 
 bool
 entry_role::IsReady() const
 {
-  return !mIsLeaving && mLease.IsConfirmed(SteadyNow());
+  if (mIsLeaving) {
+    return false;
+  }
+  bool servesLastState =
+    mSettings.mEntryServesUnconfirmed && mCatalog.Routes() != nullptr;
+  return servesLastState || mLease.IsConfirmed(SteadyNow());
 }
 
 result<void, role_error>
-entry_role::SetUpFronts()
+entry_role::SetUpPlatform()
 {
-  auto token = access_token::Create(mSettings.mEntryAnnounceToken);
-  if (!token) {
-    return Fail(role_error::BadSettings, token.error().mDetail);
+  if (mSettings.mPlatformCallersAddress.empty()) {
+    return boost::outcome_v2::success();
   }
+  http_server_config clients;
+  clients.mAddress = mSettings.mPlatformCallersAddress;
+  clients.mBodyBytes = static_cast<std::size_t>(mSettings.mEntryBodyBytes);
+  clients.mSlowSender = milliseconds(mSettings.mEntrySlowSenderMs);
+  clients.mMostConnections =
+    static_cast<std::size_t>(mSettings.mEntryMostCallers);
+  clients.mContextOf = [this]() -> asio::io_context& {
+    return mWorkers->Next();
+  };
+  clients.mOnIdle = [this] { mStopGate.Notify(); };
+  auto front =
+    http_server::Create(mContext,
+                        std::move(clients),
+                        platform::MakeClientsFront(mForwardChain, SteadyNow));
+  if (!front) {
+    return Fail(role_error::CannotListen, front.error().mDetail);
+  }
+  mClients = std::make_unique<http_server>(std::move(front.value()));
+  if (mSettings.mPlatformReadinessAddress.empty()) {
+    return boost::outcome_v2::success();
+  }
+  http_server_config readiness;
+  readiness.mAddress = mSettings.mPlatformReadinessAddress;
+  auto asked =
+    http_server::Create(mContext,
+                        std::move(readiness),
+                        platform::MakeReadinessFront([this] {
+                          return IsReady();
+                        }));
+  if (!asked) {
+    return Fail(role_error::CannotListen, asked.error().mDetail);
+  }
+  mReadiness = std::make_unique<http_server>(std::move(asked.value()));
+  return boost::outcome_v2::success();
+}
+
+result<void, role_error>
+entry_role::SetUpFronts()
+{
   http_server_config callers;
   callers.mAddress = mSettings.mEntryCallersAddress;
   callers.mBodyBytes = static_cast<std::size_t>(mSettings.mEntryBodyBytes);
@@ -485,6 +579,7 @@
   callers.mContextOf = [this]() -> asio::io_context& {
     return mWorkers->Next();
   };
+  callers.mOnIdle = [this] { mStopGate.Notify(); };
   callers_front_hooks hooks;
   hooks.mNow = SteadyNow;
   hooks.mEntryHosts = [this](const failure_domain_id& aNearby) {
@@ -510,11 +605,21 @@
     return Fail(role_error::CannotListen, front.error().mDetail);
   }
   mCallers = std::make_unique<http_server>(std::move(front.value()));
+  return SetUpAnnounceFront();
+}
+
+result<void, role_error>
+entry_role::SetUpAnnounceFront()
+{
+  auto token = access_token::Create(mSettings.mEntryAnnounceToken);
+  if (!token) {
+    return Fail(role_error::BadSettings, token.error().mDetail);
+  }
   http_server_config announce;
   announce.mAddress = mSettings.mEntryAnnounceAddress;
   announce_front_hooks announceHooks;
   announceHooks.mAnnounce = [this](server_record aRecord) {
-    return TakeAnnouncement(std::move(aRecord));
+    return mSponsor.Take(std::move(aRecord));
   };
   announceHooks.mAccount = [this] {
     return EncodeAccount(mSelf, mAccounts, mCatalog);
@@ -536,7 +641,7 @@
 entry_role::SetUpWatch()
 {
   watch_client_config config;
-  config.mAddresses = ToHosts(mSettings.mEntryControlHosts);
+  config.mAddresses = ControlHosts(mSettings);
   config.mMarkInterval = milliseconds(mSettings.mEntryMarkMs);
   config.mSeed = std::random_device{}();
   watch_client_hooks hooks;
@@ -557,42 +662,20 @@
 entry_role::StartLoops()
 {
   RunPeriodically(
-    mContext, kTendPause, mIsStopping, [this] { return TendAnnouncements(); });
+    mContext, kTendPause, mIsStopping, [this] { return mSponsor.Tend(); });
   RunPeriodically(
     mContext, kTendPause, mIsStopping, [this] { return TendConnections(); });
   RunPeriodically(
     mContext, kShipPause, mIsStopping, [this] { return ShipRefusals(); });
 }
 
-asio::awaitable<void>
-entry_role::TendAnnouncements()
-{
-  steady_time now = SteadyNow();
-  if (!mLease.IsConfirmed(now)) {
-    co_return;
-  }
-  mAnnouncements.Adopt(mBackends.Sponsored(), now);
-  for (const server_id& server : mAnnouncements.TakeLapsed(now)) {
-    auto record = mBackends.Record(server);
-    bool isOurs = record && record->mSponsor == mSelf &&
-                  record->mState != server_state::Gone;
-    if (!isOurs) {
-      continue;
-    }
-    log_event("server_lapsed").Add("server", server.mValue);
-    record->mState = server_state::Gone;
-    co_await ProposeOne(
-      *record, record->mVersion, SteadyNow() + kSystemChangeTimeout);
-  }
-}
-
 asio::awaitable<void>
 entry_role::TendConnections()
 {
   steady_time now = SteadyNow();
   // Unused connections count at the server too, so that a host which may
   // have lost its share without knowing must give them up.
-  if (!mLease.IsConfirmed(now)) {
+  if (!mLease.IsConfirmed(now) && !mSettings.mEntryServesUnconfirmed) {
     mBackends.CloseIdle();
   } else {
     mBackends.CloseSurplus(now);
@@ -630,6 +713,29 @@
   }
   if (copies == wanted) {
     mRefusals.ForgetUpTo(kept);
+    mStopGate.Notify();
+  }
+}
+
+steady_time
+entry_role::StopListeningAt(steady_time aNow) const
+{
+  if (mSettings.IsOnPlatform()) {
+    return aNow + std::chrono::seconds(mSettings.mPlatformGraceS) -
+           kStopRunning;
+  }
+  // Callers may hold a list with this host in it for as long as it may be
+  // kept, given out at the latest by a host that had a lease to learn it.
+  return aNow + milliseconds(mSettings.mEntryKeepListMs) + mLease.Lease();
+}
+
+void
+entry_role::StopFronts()
+{
+  for (auto* front : { &mClients, &mCallers, &mAnnounce, &mReadiness }) {
+    if (*front != nullptr) {
+      (*front)->Stop();
+    }
   }
 }
 
@@ -637,8 +743,13 @@
 entry_role::Stop()
 {
   mIsLeaving = true;
+  steady_time start = SteadyNow();
   log_event("leaving").Add("host", mSelf.mValue);
-  mCallers->StartClosing();
+  for (auto* front : { &mClients, &mCallers }) {
+    if (*front != nullptr) {
+      (*front)->StartClosing();
+    }
+  }
   asio::co_spawn(
     asio::make_strand(mContext),
     [this]() -> asio::awaitable<void> {
@@ -646,27 +757,33 @@
         OwnRecord(), std::nullopt, SteadyNow() + kRecordTimeout);
     },
     asio::detached);
-  // Callers may hold a list with this host in it for as long as it may be
-  // kept, given out at the latest by a host that had a lease to learn it.
-  std::this_thread::sleep_for(milliseconds(mSettings.mEntryKeepListMs) +
-                              mLease.Lease());
-  steady_time end = SteadyNow() + milliseconds(mSettings.mEntryLongestWaitMs);
-  while (mCallers->Active() > 0 && SteadyNow() < end) {
-    std::this_thread::sleep_for(kStopCheck);
-  }
-  while (mRefusals.After(0, 1).mRefusals.size() > 0 && SteadyNow() < end) {
-    std::this_thread::sleep_for(kStopCheck);
+  auto never = [] { return false; };
+  mStopGate.WaitUntil(StopListeningAt(start), never);
+  steady_time end =
+    mSettings.IsOnPlatform()
+      ? start + std::chrono::seconds(mSettings.mPlatformGraceS) - kStopClosing
+      : SteadyNow() + milliseconds(mSettings.mEntryLongestWaitMs);
+  if (mClients != nullptr) {
+    mClients->Stop();
   }
+  mStopGate.WaitUntil(end, [this] {
+    return mCallers->Active() == 0 &&
+           (mClients == nullptr || mClients->Active() == 0);
+  });
+  mStopGate.WaitUntil(
+    end, [this] { return mRefusals.After(0, 1).mRefusals.empty(); });
   mIsStopping = true;
-  mCallers->Stop();
-  mAnnounce->Stop();
+  StopFronts();
   mWatch->Stop();
   mClient.Stop();
   // Sockets must be gone before the contexts that they belong to.
-  end = SteadyNow() + kCloseTime;
-  while (mCallers->Connections() > 0 && SteadyNow() < end) {
-    std::this_thread::sleep_for(kStopCheck);
-  }
+  steady_time closed = mSettings.IsOnPlatform()
+                         ? end + kStopClosing / 2
+                         : SteadyNow() + kCloseTime;
+  mStopGate.WaitUntil(closed, [this] {
+    return mCallers->Connections() == 0 &&
+           (mClients == nullptr || mClients->Connections() == 0);
+  });
   mWorkers->Stop();
 }
 
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -2,7 +2,6 @@
 
 #include "controllers/account_controller.h"
 #include "controllers/admission_controller.h"
-#include "controllers/announcement_controller.h"
 #include "controllers/backend_controller.h"
 #include "controllers/budget_controller.h"
 #include "controllers/catalog_controller.h"
@@ -18,6 +17,8 @@
 #include "filters/claim.h"
 #include "filters/quarantine.h"
 #include "main/role_error.h"
+#include "main/server_sponsor.h"
+#include "main/wait_gate.h"
 #include "settings/settings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -45,10 +46,15 @@
   fingerprint_controller mFingerprints;
   account_controller mAccounts;
   refusal_controller mRefusals;
-  announcement_controller mAnnouncements;
+  server_sponsor mSponsor;
   std::shared_ptr<const filter_chain> mChain;
+  /** The steps of requests that are passed on as they are. */
+  std::shared_ptr<const filter_chain> mForwardChain;
+  wait_gate mStopGate;
   std::unique_ptr<http_server> mCallers;
   std::unique_ptr<http_server> mAnnounce;
+  std::unique_ptr<http_server> mClients;
+  std::unique_ptr<http_server> mReadiness;
   std::unique_ptr<watch_client> mWatch;
   std::atomic<bool> mIsLeaving{ false };
   std::atomic<bool> mIsStopping{ false };
@@ -63,25 +69,30 @@
 
   void SetUpBackendClient();
   void SetUpChain();
+  void SetUpForwardChain();
   result<void, role_error> SetUpFronts();
+  result<void, role_error> SetUpAnnounceFront();
+  result<void, role_error> SetUpPlatform();
   void SetUpWatch();
   void StartLoops();
 
   [[nodiscard]] claim_hooks ClaimHooks();
   [[nodiscard]] quarantine_hooks QuarantineHooks();
   [[nodiscard]] scatter_hooks ScatterHooks();
+  [[nodiscard]] scatter_hooks ForwardHooks();
+  [[nodiscard]] server_sponsor_hooks SponsorHooks();
+  [[nodiscard]] std::optional<budget_terms> SharedBudget() const;
   [[nodiscard]] entry_host_record OwnRecord() const;
   [[nodiscard]] std::vector<entry_host_record> ListEntryHosts(
     const failure_domain_id& aNearby) const;
   request_id NewNumber(std::string_view aKind);
   [[nodiscard]] bool IsReady() const;
+  [[nodiscard]] steady_time StopListeningAt(steady_time aNow) const;
 
   boost::asio::awaitable<std::optional<change_outcome>> ProposeOne(
     record_change aWish,
     std::optional<log_index> aIfVersion,
     steady_time aDeadline);
-  boost::asio::awaitable<announce_answer> TakeAnnouncement(
-    server_record aRecord);
   boost::asio::awaitable<crash_verdict> ReportCrash(crash_report aReport);
   boost::asio::awaitable<trial_verdict> AskTrial(request_context& aRequest);
   boost::asio::awaitable<bool> WaitForIndex(log_index aIndex,
@@ -90,8 +101,8 @@
   boost::asio::awaitable<void> RecordUntilDone(claim_record aClaim);
   void LiftSuspicion(const fingerprint_id& aFingerprint);
   void NoteColdServer(const server_id& aServer);
+  void StopFronts();
 
-  boost::asio::awaitable<void> TendAnnouncements();
   boost::asio::awaitable<void> TendConnections();
   boost::asio::awaitable<void> ShipRefusals();
 
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -82,7 +82,7 @@
     std::cout << "The settings are good.\n";
     return kDone;
   }
-  return Serve(loaded.value());
+  return Serve(given["settings"].as<std::string>(), loaded.value());
 }
 
 int
--- a/main/role_support.cpp
+++ b/main/role_support.cpp
@@ -1,5 +1,9 @@
 #include "main/role_support.h"
 
+#include "core/address.h"
+
+#include <random>
+
 namespace hibiscusspool {
 
 wall_ms
@@ -24,4 +28,35 @@
   return hosts;
 }
 
+std::map<host_id, std::string>
+ControlHosts(const settings& aSettings)
+{
+  if (!aSettings.IsOnPlatform()) {
+    return ToHosts(aSettings.IsEntry() ? aSettings.mEntryControlHosts
+                                       : aSettings.mControlMembers);
+  }
+  std::map<host_id, std::string> hosts;
+  for (const std::string& seed : aSettings.mPlatformSeeds) {
+    auto parsed = ParseAddress(seed);
+    if (!parsed) {
+      continue;
+    }
+    // Hosts are named by their addresses here.
+    std::string address =
+      parsed->mIp + ":" + std::to_string(aSettings.mPlatformControlPort);
+    hosts[host_id{ address }] = address;
+  }
+  return hosts;
+}
+
+incarnation_number
+NewIncarnation()
+{
+  std::random_device device;
+  constexpr unsigned kWordBits = 32;
+  incarnation_number high = device();
+  // Zero stands for no run at all.
+  return ((high << kWordBits) | device()) | 1U;
+}
+
 }
--- a/main/role_support.h
+++ b/main/role_support.h
@@ -21,4 +21,12 @@
 std::map<host_id, std::string>
 ToHosts(const address_list& aAddresses);
 
+/** The control hosts to begin with, as the settings name or seed them. */
+std::map<host_id, std::string>
+ControlHosts(const settings& aSettings);
+
+/** A number that no other run of a host has drawn. */
+incarnation_number
+NewIncarnation();
+
 }
--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -1,6 +1,7 @@
 #include "main/serve.h"
 
 #include "core/log_event.h"
+#include "core/log_writer.h"
 #include "main/control_role.h"
 #include "main/entry_role.h"
 
@@ -48,17 +49,39 @@
   }
 };
 
+/** Reads a changed settings file; what runs keeps what it was started with. */
+void
+Reload(const std::string& aPath)
+{
+  auto loaded = LoadSettings(aPath);
+  if (!loaded) {
+    log_event("reload_failed", log_event::severity::Error)
+      .Add("error", NameOf(loaded.error().mCode))
+      .Add("cause", loaded.error().mDetail);
+    return;
+  }
+  log_event("reloaded")
+    .Add("path", aPath)
+    .Add("in_force", "from the next start on");
+}
+
 /** Takes each signal in; a second one cuts no request either. */
 void
-AwaitSignal(asio::signal_set& aSignals, end_signal& aEnd)
+AwaitSignal(asio::signal_set& aSignals,
+            const std::string& aPath,
+            end_signal& aEnd)
 {
   aSignals.async_wait([&](boost::system::error_code aError, int aSignal) {
     if (aError) {
       return;
     }
     log_event("signal").Add("number", aSignal);
-    aEnd.Set(false);
-    AwaitSignal(aSignals, aEnd);
+    if (aSignal == SIGHUP) {
+      Reload(aPath);
+    } else {
+      aEnd.Set(false);
+    }
+    AwaitSignal(aSignals, aPath, aEnd);
   });
 }
 
@@ -101,16 +124,17 @@
 }
 
 int
-Serve(const settings& aSettings)
+Serve(const std::string& aPath, const settings& aSettings)
 {
+  StartLogWriter();
   // Writes to a closed connection are errors of that connection alone.
   std::signal(SIGPIPE, SIG_IGN);
   end_signal end;
   roles running;
   asio::io_context context;
   auto work = asio::make_work_guard(context);
-  asio::signal_set signals(context, SIGINT, SIGTERM);
-  AwaitSignal(signals, end);
+  asio::signal_set signals(context, SIGINT, SIGTERM, SIGHUP);
+  AwaitSignal(signals, aPath, end);
 
   bool isStarted = StartRoles(context, aSettings, end, running);
   std::vector<std::thread> threads;
@@ -143,6 +167,7 @@
   running.mEntry.reset();
   running.mControl.reset();
   log_event("stopped").Add("clean", isClean ? "yes" : "no");
+  StopLogWriter();
   return isClean ? 0 : 1;
 }
 
--- a/main/serve.h
+++ b/main/serve.h
@@ -6,6 +6,6 @@
 
 /** Runs the roles that the settings name until a signal; the exit code. */
 int
-Serve(const settings& aSettings);
+Serve(const std::string& aPath, const settings& aSettings);
 
 }
--- /dev/null
+++ b/main/server_sponsor.cpp
@@ -0,0 +1,124 @@
+#include "main/server_sponsor.h"
+
+#include "core/log_event.h"
+
+#include <algorithm>
+
+namespace hibiscusspool {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Longest wait for a transition to be committed. */
+constexpr milliseconds kTransitionTimeout{ 2000 };
+
+}
+
+asio::awaitable<announce_answer>
+server_sponsor::Take(server_record aRecord)
+{
+  steady_time now = mHooks.mNow();
+  if (!mHooks.mCanVouch(now)) {
+    co_return announce_answer{ announce_verdict::Unavailable,
+                               "This host can't reach the control hosts." };
+  }
+  aRecord.mSponsor = mSelf;
+  std::sort(aRecord.mSnapshots.begin(), aRecord.mSnapshots.end());
+  auto known = mHooks.mKnown(aRecord.mServer);
+  if (known && !IsTransition(*known, aRecord)) {
+    mLeases.Renew(aRecord.mServer, now);
+    co_return announce_answer{};
+  }
+  log_index version = 0;
+  if (known) {
+    aRecord.mColdMark = known->mColdMark;
+    version = known->mVersion;
+  }
+  co_return co_await Record(std::move(aRecord), version);
+}
+
+asio::awaitable<announce_answer>
+server_sponsor::TakeLeave(server_id aServer)
+{
+  auto known = mHooks.mKnown(aServer);
+  if (!known || (known->mState == server_state::Gone && known->mHasLeft)) {
+    co_return announce_answer{};
+  }
+  if (!mHooks.mCanVouch(mHooks.mNow())) {
+    co_return announce_answer{ announce_verdict::Unavailable,
+                               "This host can't reach the control hosts." };
+  }
+  server_record gone = *known;
+  gone.mState = server_state::Gone;
+  gone.mHasLeft = true;
+  log_index version = gone.mVersion;
+  co_return co_await Record(std::move(gone), version);
+}
+
+asio::awaitable<announce_answer>
+server_sponsor::Record(server_record aRecord, std::optional<log_index> aVersion)
+{
+  steady_time deadline = mHooks.mNow() + kTransitionTimeout;
+  while (mHooks.mNow() < deadline) {
+    record_change wish = aRecord;
+    auto outcome =
+      co_await mHooks.mPropose(std::move(wish), aVersion, deadline);
+    if (!outcome) {
+      break;
+    }
+    if (outcome->mVerdict == change_verdict::Conflict) {
+      aVersion = outcome->mVersion;
+      continue;
+    }
+    if (outcome->mVerdict != change_verdict::Accepted) {
+      log_event("announcement_refused", log_event::severity::Warning)
+        .Add("server", aRecord.mServer.mValue)
+        .Add("verdict", NameOf(outcome->mVerdict))
+        .Add("cause", outcome->mDetail);
+      co_return announce_answer{ announce_verdict::Refused, outcome->mDetail };
+    }
+    log_event("server_announced")
+      .Add("server", aRecord.mServer.mValue)
+      .Add("service", aRecord.mService.mValue)
+      .Add("address", aRecord.mAddress)
+      .Add("incarnation", aRecord.mIncarnation)
+      .Add("state", NameOf(aRecord.mState))
+      .Add("index", outcome->mIndex);
+    if (aRecord.mState == server_state::Gone) {
+      mLeases.Drop(aRecord.mServer);
+    } else {
+      mLeases.Renew(aRecord.mServer, mHooks.mNow());
+    }
+    co_await mHooks.mWaitForIndex(outcome->mIndex, deadline);
+    co_return announce_answer{};
+  }
+  co_return announce_answer{ announce_verdict::Unavailable,
+                             "The control hosts did not answer in time." };
+}
+
+asio::awaitable<void>
+server_sponsor::Tend()
+{
+  steady_time now = mHooks.mNow();
+  if (!mHooks.mCanVouch(now)) {
+    co_return;
+  }
+  mLeases.Adopt(mHooks.mSponsored(), now);
+  for (const server_id& server : mLeases.TakeLapsed(now)) {
+    auto record = mHooks.mKnown(server);
+    bool isOurs = record && record->mSponsor == mSelf &&
+                  record->mState != server_state::Gone;
+    if (!isOurs) {
+      continue;
+    }
+    log_event("server_lapsed").Add("server", server.mValue);
+    record->mState = server_state::Gone;
+    log_index version = record->mVersion;
+    record_change wish = std::move(*record);
+    co_await mHooks.mPropose(
+      std::move(wish), version, mHooks.mNow() + kTransitionTimeout);
+  }
+}
+
+}
--- a/messages/caller_json.cpp
+++ b/messages/caller_json.cpp
@@ -68,7 +68,7 @@
   for (const service_answer& answer : aRequest.mAnswers) {
     json::object entry;
     entry["service"] = answer.mService.mValue;
-    SetOpaque(entry, "body", answer.mBody);
+    SetOpaque(entry, "body", answer.mReply.mBody);
     answers.push_back(std::move(entry));
   }
   reply["answers"] = std::move(answers);
--- /dev/null
+++ b/messages/configuration_codec.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/failure.h"
+#include "decisions/configuration.h"
+#include "messages/control_codec.h"
+
+#include <control.pb.h>
+
+namespace hibiscusspool {
+
+void
+WriteConfiguration(const configuration_record& aRecord,
+                   wire::ConfigurationRecord& aOut);
+
+/** Errors: `UnknownName` for a kind of route that has no name here. */
+result<configuration_record, codec_error>
+ReadConfiguration(const wire::ConfigurationRecord& aIn);
+
+}
--- a/messages/control_codec.cpp
+++ b/messages/control_codec.cpp
@@ -1,10 +1,11 @@
 #include "messages/control_codec.h"
 
+#include "messages/configuration_codec.h"
+
 namespace hibiscusspool {
 
 namespace {
 
-using codec_failure = failure<codec_error>;
 using texts = google::protobuf::RepeatedPtrField<wire::Text>;
 
 void
@@ -59,6 +60,8 @@
   aOut.set_sponsor(aRecord.mSponsor.mValue);
   aOut.set_gone_at_ms(aRecord.mGoneAt);
   aOut.set_cold_mark(aRecord.mColdMark);
+  aOut.set_started_at_ms(aRecord.mStartedAt);
+  aOut.set_has_left(aRecord.mHasLeft);
 }
 
 result<record_change, codec_error>
@@ -84,6 +87,8 @@
   record.mSponsor.mValue = aIn.sponsor();
   record.mGoneAt = aIn.gone_at_ms();
   record.mColdMark = aIn.cold_mark();
+  record.mStartedAt = aIn.started_at_ms();
+  record.mHasLeft = aIn.has_left();
   return record;
 }
 
@@ -190,6 +195,10 @@
   {
     WriteClaim(aRecord, *mOut.mutable_claim());
   }
+  void operator()(const configuration_record& aRecord) const
+  {
+    WriteConfiguration(aRecord, *mOut.mutable_configuration());
+  }
   void operator()(const record_removal& aRecord) const
   {
     wire::Removal& out = *mOut.mutable_removal();
@@ -312,6 +321,8 @@
       }
       return record_removal{ kind.value(), aIn.removal().name() };
     }
+    case wire::RecordChange::kConfiguration:
+      return AsChange(ReadConfiguration(aIn.configuration()));
     case wire::RecordChange::RECORD_NOT_SET:
       break;
   }
--- a/messages/operator_json.cpp
+++ b/messages/operator_json.cpp
@@ -106,6 +106,13 @@
              { "state", NameOf(aRecord.mState) },
              { "owner", aRecord.mOwner.mValue } };
   }
+  json::object operator()(const configuration_record& aRecord) const
+  {
+    return { { "number", aRecord.mNumber },
+             { "version", aRecord.mVersion },
+             { "routes", aRecord.mRoutes.size() },
+             { "services", aRecord.mServices.size() } };
+  }
   json::object operator()(const record_removal& aRecord) const
   {
     return { { "removed", NameOf(aRecord.mKind) }, { "name", aRecord.mName } };
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -33,7 +33,40 @@
            aMember,
            0,
            0,
-           true,
+           false,
+           std::move(aHelp) };
+}
+
+setting_row
+Switch(std::string aSection,
+       std::string aKey,
+       bool settings::*aMember,
+       std::string aHelp)
+{
+  return { std::move(aSection),
+           std::move(aKey),
+           setting_type::Switch,
+           aMember,
+           0,
+           0,
+           false,
+           std::move(aHelp) };
+}
+
+setting_row
+Fraction(std::string aSection,
+         std::string aKey,
+         double settings::*aMember,
+         std::int64_t aHighest,
+         std::string aHelp)
+{
+  return { std::move(aSection),
+           std::move(aKey),
+           setting_type::Fraction,
+           aMember,
+           0,
+           aHighest,
+           false,
            std::move(aHelp) };
 }
 
@@ -225,6 +258,63 @@
            100,
            10'000'000,
            "Refusals kept in memory until two disk hosts have them."),
+    Switch("entry",
+           "serve_unconfirmed",
+           &settings::mEntryServesUnconfirmed,
+           "Pass requests on by the last known state while the control hosts "
+           "can't be reached; else such requests are refused."),
+    Switch("entry",
+           "suspend_failing",
+           &settings::mEntrySuspendFailing,
+           "Keep away for a while from servers whose answers fail, as long as "
+           "others can answer."),
+    Switch("entry",
+           "canary",
+           &settings::mEntryCanary,
+           "Try a query that is new to this host on one service first."),
+    Number("entry",
+           "cold_after_refusals",
+           type::Count,
+           &settings::mEntryColdAfterRefusals,
+           0,
+           1000,
+           "Refusals in a row after which a ready server is taken for a cold "
+           "one; 0 for never."),
+    Number("entry",
+           "domain_distance_us",
+           type::Count,
+           &settings::mEntryDomainDistanceUs,
+           0,
+           1'000'000,
+           "Microseconds that a server in another failure domain counts as "
+           "slower when one is chosen."),
+    Number("entry",
+           "objective_margin_ms",
+           type::Milliseconds,
+           &settings::mEntryObjectiveMarginMs,
+           0,
+           1000,
+           "Time before a route's objective at which a partial answer that "
+           "reaches the minimum coverage is sent."),
+    Number("entry",
+           "extra_window_s",
+           type::Seconds,
+           &settings::mEntryExtraWindowS,
+           0,
+           3600,
+           "Window of the budget for repeated attempts that all hosts share "
+           "for each service; 0 for no shared budget."),
+    Fraction("entry",
+             "extra_ratio",
+             &settings::mEntryExtraRatio,
+             10,
+             "Repeated attempts in a window for each regular one, over all "
+             "hosts."),
+    Fraction("entry",
+             "extra_slack",
+             &settings::mEntryExtraSlack,
+             1'000'000,
+             "Repeated attempts in a window besides, over all hosts."),
   };
 }
 
@@ -319,6 +409,76 @@
            1,
            365,
            "Days for which refusals are kept."),
+    Number("control",
+           "lapse_ms",
+           type::Milliseconds,
+           &settings::mControlLapseMs,
+           200,
+           120'000,
+           "Time without an announcement after which a server that announces "
+           "itself here is gone."),
+    Switch("control",
+           "bootstrap",
+           &settings::mControlBootstrap,
+           "This host may form a group; else an empty data folder joins one."),
+  };
+}
+
+std::vector<setting_row>
+PlatformRows()
+{
+  using type = setting_type;
+  return {
+    Text("platform",
+         "callers_address",
+         type::Address,
+         &settings::mPlatformCallersAddress,
+         false,
+         "Where the platform's clients connect."),
+    Text("platform",
+         "readiness_address",
+         type::Address,
+         &settings::mPlatformReadinessAddress,
+         false,
+         "Where the platform asks whether this host is ready."),
+    Text("platform",
+         "control_address",
+         type::Address,
+         &settings::mPlatformControlAddress,
+         false,
+         "Where servers register and operators connect."),
+    Text("platform",
+         "directory_address",
+         type::Address,
+         &settings::mPlatformDirectoryAddress,
+         false,
+         "Where clients ask for the entry hosts."),
+    { "platform", "seeds", type::Endpoints, &settings::mPlatformSeeds, 0, 0,
+      false,
+      "Addresses of some control hosts; of each the IP is used, with "
+      "control_port. The others are learned from them." },
+    Number("platform",
+           "control_port",
+           type::Count,
+           &settings::mPlatformControlPort,
+           1,
+           65'535,
+           "Port of [control] address on every control host; needed beside "
+           "seeds."),
+    Number("platform",
+           "grace_s",
+           type::Seconds,
+           &settings::mPlatformGraceS,
+           1,
+           3600,
+           "Time from a stop signal until the process is killed."),
+    Number("platform",
+           "keep_list_s",
+           type::Seconds,
+           &settings::mPlatformKeepListS,
+           1,
+           3600,
+           "How long clients are told to keep the list of entry hosts."),
   };
 }
 
@@ -329,7 +489,7 @@
 {
   static const std::vector<setting_row> sTable = [] {
     std::vector<setting_row> rows = HostRows();
-    for (auto section : { EntryRows(), ControlRows() }) {
+    for (auto section : { EntryRows(), ControlRows(), PlatformRows() }) {
       rows.insert(rows.end(), section.begin(), section.end());
     }
     return rows;
--- a/settings/settings.cpp
+++ b/settings/settings.cpp
@@ -35,6 +35,10 @@
 RangeOf(const setting_row& aRow)
 {
   std::string type(NameOf(aRow.mType));
+  if (aRow.mType == setting_type::Fraction) {
+    return std::to_string(aRow.mLowest) + " to " +
+           std::to_string(aRow.mHighest);
+  }
   if (!std::holds_alternative<std::int64_t settings::*>(aRow.mMember)) {
     return type;
   }
@@ -118,6 +122,48 @@
     return boost::outcome_v2::success();
   }
 
+  result<void, settings_error> operator()(
+    endpoint_list settings::*aMember) const
+  {
+    endpoint_list endpoints;
+    std::istringstream parts(mText);
+    for (std::string part; std::getline(parts, part, ',');) {
+      std::erase(part, ' ');
+      if (!ParseAddress(part)) {
+        return BadValue(mRow, mText);
+      }
+      endpoints.push_back(part);
+    }
+    mSettings.*aMember = std::move(endpoints);
+    return boost::outcome_v2::success();
+  }
+
+  result<void, settings_error> operator()(double settings::*aMember) const
+  {
+    double number = 0;
+    const char* end = mText.data() + mText.size();
+    auto [stop, problem] = std::from_chars(mText.data(), end, number);
+    bool isGood = problem == std::errc{} && stop == end &&
+                  number >= static_cast<double>(mRow.mLowest) &&
+                  number <= static_cast<double>(mRow.mHighest);
+    if (!isGood) {
+      return BadValue(mRow, mText);
+    }
+    mSettings.*aMember = number;
+    return boost::outcome_v2::success();
+  }
+
+  result<void, settings_error> operator()(bool settings::*aMember) const
+  {
+    bool isYes = mText == "yes" || mText == "true";
+    bool isNo = mText == "no" || mText == "false";
+    if (!isYes && !isNo) {
+      return BadValue(mRow, mText);
+    }
+    mSettings.*aMember = isYes;
+    return boost::outcome_v2::success();
+  }
+
   result<void, settings_error> operator()(std::int64_t settings::*aMember) const
   {
     std::int64_t number = 0;
@@ -146,7 +192,8 @@
     if (!sections.contains(section)) {
       return Fail(settings_error::UnknownSection,
                   "There is no section [" + section +
-                    "]; there are [host], [entry] and [control].");
+                    "]; there are [host], [entry], [control] and "
+                    "[platform].");
     }
     for (const auto& [key, value] : keys) {
       std::string place = PlaceOf(section, key);
@@ -177,12 +224,20 @@
       aSettings.mEntryRenewMs * 2 > aSettings.mEntryLapseMs) {
     return bad("[entry] lapse_ms must be at least twice renew_ms.");
   }
+  if (aSettings.IsEntry() && aSettings.mEntryControlHosts.empty() &&
+      !aSettings.IsOnPlatform()) {
+    return Fail(settings_error::MissingKey,
+                "[entry] control_hosts or [platform] seeds is needed.");
+  }
   if (!aSettings.IsControl()) {
     return boost::outcome_v2::success();
   }
   if (aSettings.mControlElectionMs < 3 * aSettings.mControlHeartbeatMs) {
     return bad("[control] election_ms must be at least three heartbeat_ms.");
   }
+  if (aSettings.IsOnPlatform()) {
+    return boost::outcome_v2::success();
+  }
   if (!aSettings.mControlMembers.contains(aSettings.mHostId)) {
     return bad("[control] members does not name this host, \"" +
                aSettings.mHostId + "\".");
@@ -230,6 +285,9 @@
       continue;
     }
     std::string valueText = value->second.data();
+    if (valueText.empty() && !row.mIsNeeded) {
+      continue;
+    }
     auto set = std::visit(value_setter{ loaded, row, valueText }, row.mMember);
     if (!set) {
       return set.error();
@@ -267,6 +325,14 @@
   if (aRow.mIsNeeded) {
     return "needed";
   }
+  if (const auto* fraction = std::get_if<double settings::*>(&aRow.mMember)) {
+    std::ostringstream text;
+    text << sDefaults.*(*fraction);
+    return text.str();
+  }
+  if (const auto* isOn = std::get_if<bool settings::*>(&aRow.mMember)) {
+    return sDefaults.*(*isOn) ? "yes" : "no";
+  }
   const auto* number = std::get_if<std::int64_t settings::*>(&aRow.mMember);
   return number != nullptr ? std::to_string(sDefaults.*(*number)) : "not set";
 }
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -41,10 +41,15 @@
   Count,
   Milliseconds,
   Bytes,
+  /** `ip:port`, comma between them. */
+  Endpoints,
+  Seconds,
+  Fraction,
+  Switch,
 };
 
 template<>
-inline constexpr name_table<setting_type, 7> kNames<setting_type>{ {
+inline constexpr name_table<setting_type, 11> kNames<setting_type>{ {
   { setting_type::Name, "name" },
   { setting_type::Address, "ip:port" },
   { setting_type::AddressList, "list of host=ip:port" },
@@ -52,9 +57,14 @@
   { setting_type::Count, "count" },
   { setting_type::Milliseconds, "ms" },
   { setting_type::Bytes, "bytes" },
+  { setting_type::Endpoints, "list of ip:port" },
+  { setting_type::Seconds, "s" },
+  { setting_type::Fraction, "fraction" },
+  { setting_type::Switch, "yes or no" },
 } };
 
 using address_list = std::map<std::string, std::string>;
+using endpoint_list = std::vector<std::string>;
 
 /** All settings of one process, checked. Empty texts are not set. */
 struct settings
@@ -83,6 +93,15 @@
   std::int64_t mEntryLapseMs = 4000;
   std::int64_t mEntryRefusalsKept = 100'000;
   std::string mEntryAnnounceToken;
+  bool mEntryServesUnconfirmed = false;
+  bool mEntrySuspendFailing = false;
+  bool mEntryCanary = true;
+  std::int64_t mEntryColdAfterRefusals = 8;
+  std::int64_t mEntryDomainDistanceUs = 0;
+  std::int64_t mEntryObjectiveMarginMs = 10;
+  std::int64_t mEntryExtraWindowS = 0;
+  double mEntryExtraRatio = 0.2;
+  double mEntryExtraSlack = 0;
 
   std::string mControlAddress;
   std::string mControlOperatorsAddress;
@@ -97,14 +116,31 @@
   std::int64_t mControlMostClaims = 200'000;
   std::int64_t mControlClaimHours = 48;
   std::int64_t mControlRefusalDays = 14;
+  std::int64_t mControlLapseMs = 5000;
+  bool mControlBootstrap = true;
+
+  std::string mPlatformCallersAddress;
+  std::string mPlatformReadinessAddress;
+  std::string mPlatformControlAddress;
+  std::string mPlatformDirectoryAddress;
+  endpoint_list mPlatformSeeds;
+  /** Of [control] address on all control hosts. */
+  std::int64_t mPlatformControlPort = 1;
+  std::int64_t mPlatformGraceS = 6;
+  std::int64_t mPlatformKeepListS = 2;
 
   [[nodiscard]] bool IsEntry() const { return !mEntryCallersAddress.empty(); }
   [[nodiscard]] bool IsControl() const { return !mControlAddress.empty(); }
+  /** It runs on the users' platform, and learns of hosts from its seeds. */
+  [[nodiscard]] bool IsOnPlatform() const { return !mPlatformSeeds.empty(); }
 };
 
 using setting_member = std::variant<std::string settings::*,
                                     address_list settings::*,
-                                    std::int64_t settings::*>;
+                                    endpoint_list settings::*,
+                                    std::int64_t settings::*,
+                                    double settings::*,
+                                    bool settings::*>;
 
 /** One setting: its place, type, range, default and meaning. */
 struct setting_row
