--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -188,6 +188,7 @@
   mServices.Update(aRecord.mService, [&](service_pool& aPool) {
     if (aPool.mBackends.empty()) {
       const std::string& name = aRecord.mService.mValue;
+      aPool.mTail = quantile_tracker(mConfig.mSlowQuantile);
       aPool.mRandom.seed(mConfig.mSeed ^ XXH3_64bits(name.data(), name.size()));
     }
     auto found = FindBackend(aPool, aRecord.mServer);
@@ -290,9 +291,14 @@
                std::find(record.mSnapshots.begin(),
                          record.mSnapshots.end(),
                          aRequest.mSnapshot) != record.mSnapshots.end();
-  return holds && std::find(aRequest.mExcluded.begin(),
-                            aRequest.mExcluded.end(),
-                            record.mServer) == aRequest.mExcluded.end();
+  bool isMeant =
+    aRequest.mOnly.empty() ||
+    std::find(aRequest.mOnly.begin(), aRequest.mOnly.end(), record.mServer) !=
+      aRequest.mOnly.end();
+  return holds && isMeant &&
+         std::find(aRequest.mExcluded.begin(),
+                   aRequest.mExcluded.end(),
+                   record.mServer) == aRequest.mExcluded.end();
 }
 
 bool
@@ -304,6 +310,19 @@
           (health.IsOnTrial() && aBackend.mOutstanding > 0));
 }
 
+microseconds
+backend_controller::DistanceTo(const backend& aBackend) const
+{
+  microseconds distance{ 0 };
+  if (aBackend.mRecord.mFailureDomain != mConfig.mFailureDomain) {
+    distance += mConfig.mDomainDistance;
+  }
+  if (aBackend.mIdle.empty()) {
+    distance += mConfig.mConnectCost;
+  }
+  return distance;
+}
+
 replica_candidate
 backend_controller::ToCandidate(const backend& aBackend,
                                 std::size_t aPlace) const
@@ -313,9 +332,7 @@
            aBackend.mServiceTime.Mean(),
            aBackend.mRecord.mFailureDomain == mConfig.mFailureDomain,
            !aBackend.mIdle.empty(),
-           aBackend.mRecord.mFailureDomain == mConfig.mFailureDomain
-             ? microseconds(0)
-             : mConfig.mDomainDistance };
+           DistanceTo(aBackend) };
 }
 
 std::optional<std::size_t>
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -89,6 +89,8 @@
   bool mAnySnapshot = false;
   /** The worker whose connections are best; others work too. */
   worker_number mWorker = 0;
+  /** If any is named, only these servers. */
+  std::vector<server_id> mOnly;
 };
 
 struct backend_config
@@ -101,6 +103,10 @@
   milliseconds mRamp{ 10'000 };
   /** What a server in another failure domain counts as slower. */
   microseconds mDomainDistance{ 0 };
+  /** What a connection that is still to be opened counts for. */
+  microseconds mConnectCost{ 0 };
+  /** Share of the answers after which an attempt counts as slow. */
+  double mSlowQuantile = 0.95;
   /** Refusals in a row after which a ready server is taken for a cold one; 0
    * for never. */
   std::uint32_t mColdAfterRefusals = 8;
@@ -197,6 +203,8 @@
                                  steady_time aNow) const;
   [[nodiscard]] bool IsKeptFrom(const backend& aBackend,
                                 steady_time aNow) const;
+  /** What a server counts as farther than the nearest. */
+  [[nodiscard]] microseconds DistanceTo(const backend& aBackend) const;
   [[nodiscard]] replica_candidate ToCandidate(const backend& aBackend,
                                               std::size_t aPlace) const;
   /** The better of two random candidates, if a few draws find two. */
--- a/controllers/budget_controller.h
+++ b/controllers/budget_controller.h
@@ -41,9 +41,7 @@
 
 public:
   /** Ratios are extra attempts for each regular one. */
-  budget_controller(double aHedgeRatio,
-                    double aRetryRatio,
-                    budget_hooks aHooks)
+  budget_controller(double aHedgeRatio, double aRetryRatio, budget_hooks aHooks)
     : mHooks(std::move(aHooks))
     , mHedges(aHedgeRatio)
     , mRetries(aRetryRatio)
--- a/controllers/catalog_controller.h
+++ b/controllers/catalog_controller.h
@@ -58,8 +58,7 @@
   void RemoveAllBut(const std::vector<record_change>& aFacts, steady_time aNow);
 
 public:
-  catalog_controller(host_id aSelf,
-                     backend_controller& aBackends)
+  catalog_controller(host_id aSelf, backend_controller& aBackends)
     : mSelf(std::move(aSelf))
     , mBackends(aBackends)
   {
--- a/decisions/configuration.h
+++ b/decisions/configuration.h
@@ -117,8 +117,8 @@
 };
 
 template<>
-inline constexpr name_table<configuration_error, 7>
-  kNames<configuration_error>{ {
+inline constexpr name_table<configuration_error, 7> kNames<configuration_error>{
+  {
     { configuration_error::UnknownService, "unknown_service" },
     { configuration_error::DuplicateRoute, "duplicate_route" },
     { configuration_error::NoWeight, "no_weight" },
@@ -126,7 +126,8 @@
     { configuration_error::BadPrefix, "bad_prefix" },
     { configuration_error::NoTarget, "no_target" },
     { configuration_error::BadPolicy, "bad_policy" },
-  } };
+  }
+};
 
 /** Checks a document as a whole; the detail names the route at fault. */
 result<void, configuration_error>
--- a/decisions/control_state.cpp
+++ b/decisions/control_state.cpp
@@ -265,8 +265,8 @@
        aWish.mSponsor == known.mSponsor && aWish.mSequence < known.mSequence);
     bool sameRun = aWish.mIncarnation == known.mIncarnation;
     // A server that counts its announcements can be ordered across sponsors.
-    bool overtaken = sameRun && aWish.mSequence != 0 &&
-                     aWish.mSequence < known.mSequence;
+    bool overtaken =
+      sameRun && aWish.mSequence != 0 && aWish.mSequence < known.mSequence;
     bool hasLeft = sameRun && known.mHasLeft && !aWish.mHasLeft;
     if (older || overtaken || hasLeft) {
       return Refuse(change_verdict::Stale,
--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -76,8 +76,7 @@
             steady_time aNow)
 {
   auto left = std::chrono::duration_cast<milliseconds>(aOrder.mDeadline - aNow);
-  backend_call call =
-    aDialect.mEncode(aOrder, std::max(milliseconds(1), left));
+  backend_call call = aDialect.mEncode(aOrder, std::max(milliseconds(1), left));
   attempt_request request;
   request.method_string(call.mMethod);
   request.target(call.mTarget);
@@ -266,8 +265,8 @@
                                            connection_pointer aConnection)
   {
     attempt_result ended;
-    attempt_request request = MakeRequest(
-      mConfig.mDialect, aOrder, std::chrono::steady_clock::now());
+    attempt_request request =
+      MakeRequest(mConfig.mDialect, aOrder, std::chrono::steady_clock::now());
     auto [writeError, written] =
       co_await http::async_write(aConnection->mSocket, request, kNoThrow);
     if (writeError) {
@@ -376,8 +375,7 @@
                        backend_client_hooks aHooks)
 {
   return backend_client(
-    std::make_shared<state>(
-    aContext, std::move(aConfig), std::move(aHooks)));
+    std::make_shared<state>(aContext, std::move(aConfig), std::move(aHooks)));
 }
 
 asio::awaitable<attempt_result>
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -125,6 +125,8 @@
 {
   beast::tcp_stream mStream;
   bool mIsWaiting = true;
+  /** Of the request that is being answered. */
+  std::shared_ptr<caller_presence> mPresence;
 };
 
 struct http_server::state
@@ -153,6 +155,14 @@
   {
   }
 
+  std::vector<std::shared_ptr<http_connection>> OpenConnections()
+  {
+    std::vector<std::shared_ptr<http_connection>> open;
+    mConnections.ForEach(
+      [&](std::uint64_t, auto& aConnection) { open.push_back(aConnection); });
+    return open;
+  }
+
   void NoteIdle() const
   {
     if (mIsClosing && mConfig.mOnIdle) {
@@ -267,8 +277,8 @@
         char byte = 0;
         ssize_t got =
           recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        bool hasMore = got > 0 || (got < 0 && (errno == EAGAIN ||
-                                               errno == EWOULDBLOCK));
+        bool hasMore =
+          got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
         if (!hasMore) {
           aPresence->Leave();
         }
@@ -281,6 +291,7 @@
   {
     bool isHead = aRequest.mMethod == "HEAD";
     aRequest.mPresence = std::make_shared<caller_presence>();
+    aConnection.mPresence = aRequest.mPresence;
     auto isDone = std::make_shared<bool>(false);
     WatchCaller(aConnection, aRequest.mPresence, isDone);
     http_reply reply = co_await mHandler(std::move(aRequest));
@@ -368,7 +379,7 @@
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     auto connection = std::make_shared<http_connection>(
-      http_connection{ beast::tcp_stream(std::move(socket)) });
+      http_connection{ beast::tcp_stream(std::move(socket)), true, nullptr });
     std::uint64_t number = aState->mNextConnection++;
     aState->mConnections.Set(number, connection);
     ++aState->mCount;
@@ -398,10 +409,7 @@
     beast::error_code ignored;
     kept->mAcceptor.close(ignored);
   });
-  std::vector<std::shared_ptr<http_connection>> open;
-  mState->mConnections.ForEach(
-    [&](std::uint64_t, auto& aConnection) { open.push_back(aConnection); });
-  for (auto& connection : open) {
+  for (auto& connection : mState->OpenConnections()) {
     asio::post(connection->mStream.get_executor(), [connection] {
       if (connection->mIsWaiting) {
         connection->mStream.close();
@@ -410,6 +418,18 @@
   }
 }
 
+void
+http_server::GiveUpRunning()
+{
+  for (auto& connection : mState->OpenConnections()) {
+    asio::post(connection->mStream.get_executor(), [connection] {
+      if (!connection->mIsWaiting && connection->mPresence != nullptr) {
+        connection->mPresence->Leave();
+      }
+    });
+  }
+}
+
 std::size_t
 http_server::Connections() const
 {
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -121,6 +121,8 @@
   void StartClosing();
   /** Accepts no more and closes connections that wait for a request. */
   void Stop();
+  /** Has requests that still run answered at once, as far as they got. */
+  void GiveUpRunning();
   /** Connections that are open. */
   [[nodiscard]] std::size_t Connections() const;
   /** Requests that are being answered. */
--- a/filters/gather.cpp
+++ b/filters/gather.cpp
@@ -18,8 +18,7 @@
     static_cast<double>(answered) / static_cast<double>(inScope);
   if (aRequest.mKind == request_kind::Run) {
     if (answered == 1) {
-      aRequest.mRunAnswer =
-        std::move(aRequest.mAnswers.front().mReply.mBody);
+      aRequest.mRunAnswer = std::move(aRequest.mAnswers.front().mReply.mBody);
     }
     return;
   }
--- a/filters/scatter.cpp
+++ b/filters/scatter.cpp
@@ -26,6 +26,7 @@
 constexpr int kMostReplans = 3;
 constexpr int kMostShedRounds = 20;
 constexpr milliseconds kShedPause{ 5 };
+constexpr int kWhole = 100;
 /** Least time without an answer before a hedge is thought of. */
 constexpr microseconds kShortestHedge{ 1000 };
 
@@ -57,7 +58,9 @@
   failure_domain_id mFirstDomain;
   int mShedRounds = 0;
   /** Servers that the request was sent to, or may have been. */
-  std::uint32_t mSent = 0;
+  std::vector<server_id> mTried;
+  /** Those of them that refused it without running it. */
+  std::vector<server_id> mRefusedBy;
   steady_time mStartAt;
   steady_time mHedgeAt = steady_time::max();
   missing_reason mReason = missing_reason::NoServer;
@@ -89,6 +92,8 @@
   std::shared_ptr<const forwarded_request> mForwarded;
   std::shared_ptr<caller_presence> mPresence;
   bool mIsMerged;
+  /** Latest time after an attempt at which it is hedged. */
+  std::optional<microseconds> mHedgeCap;
   std::uint32_t mMostAttempts;
   /** Services without which there is no answer. */
   std::size_t mNeeded;
@@ -149,6 +154,11 @@
     , mLateAnswer(aRequest.mLateAnswer)
   {
     SetServices(aRequest.mServices);
+    if (aRequest.mAnswerBy < aRequest.mDeadline) {
+      auto allowed = std::chrono::duration_cast<microseconds>(
+        aRequest.mAnswerBy - aRequest.mReceivedAt);
+      mHedgeCap = allowed * mHooks.mHedgePercent / kWhole;
+    }
   }
 
   asio::awaitable<void> Run(request_context& aRequest)
@@ -270,7 +280,7 @@
   /** True while the request may be sent to one more server of the service. */
   [[nodiscard]] bool MayTryAgain(const service_progress& aService) const
   {
-    return aService.mSent < mMostAttempts;
+    return aService.mTried.size() < mMostAttempts;
   }
 
   [[nodiscard]] steady_time NextDue(steady_time aNow) const
@@ -302,6 +312,11 @@
     for (const auto& [number, flying] : aService.mFlying) {
       choice.mExcluded.push_back(flying.mPermit.mServer);
     }
+    if (!MayTryAgain(aService)) {
+      // No further server may get the request, but those that refused it may
+      // get it again.
+      choice.mOnly = aService.mRefusedBy;
+    }
     choice.mAvoidedDomain = aService.mFirstDomain;
     choice.mWorker = CurrentWorker();
     return choice;
@@ -328,9 +343,15 @@
     if (aReason != attempt_reason::Hedge && hedgeAfter) {
       aService.mHedgeAt = aNow + std::max(*hedgeAfter, kShortestHedge);
     }
+    if (aReason != attempt_reason::Hedge && mHedgeCap) {
+      aService.mHedgeAt = std::min(aService.mHedgeAt, aNow + *mHedgeCap);
+    }
     if (aService.mFirstDomain.IsEmpty()) {
       aService.mFirstDomain = permit->mFailureDomain;
     }
+    std::erase(aService.mTried, permit->mServer);
+    std::erase(aService.mRefusedBy, permit->mServer);
+    aService.mTried.push_back(permit->mServer);
     Launch(aService, std::move(*permit));
   }
 
@@ -339,7 +360,6 @@
              steady_time aNow)
   {
     ++mAttempts;
-    ++aService.mSent;
     switch (aReason) {
       case attempt_reason::Regular:
         mBudgets.OnRegular(aService.mService, aNow);
@@ -372,8 +392,8 @@
       return;
     }
     if (!aService.mExcluded.empty()) {
-      bool mayGoOn =
-        MayTryAgain(aService) && aService.mShedRounds++ < kMostShedRounds;
+      bool mayGoOn = (MayTryAgain(aService) || !aService.mRefusedBy.empty()) &&
+                     aService.mShedRounds++ < kMostShedRounds;
       if (!mayGoOn) {
         GiveUp(aService, missing_reason::Failed);
         return;
@@ -484,8 +504,12 @@
     bool ranNothing = aAnswer.mStatus == attempt_status::NotSent ||
                       aAnswer.mStatus == attempt_status::Shed;
     mWasSent = mWasSent || !ranNothing;
+    const server_id& server = node.mapped().mPermit.mServer;
     if (aAnswer.mStatus == attempt_status::NotSent) {
-      --service.mSent;
+      std::erase(service.mTried, server);
+    }
+    if (aAnswer.mStatus == attempt_status::Shed) {
+      service.mRefusedBy.push_back(server);
     }
     NoteFailure(service, node.mapped().mPermit, aAnswer);
     if (!service.mIsDone) {
@@ -512,7 +536,7 @@
       .Add("address", aPermit.mAddress)
       .Add("status", NameOf(aAnswer.mStatus))
       .Add("code", aAnswer.mReply.mStatus)
-      .Add("sent", aService.mSent);
+      .Add("tried", aService.mTried.size());
     if (aAnswer.mStatus == attempt_status::Failed) {
       mFailedReply = std::move(aAnswer.mReply);
     }
@@ -582,13 +606,20 @@
     bool isCheap = aStatus == attempt_status::NotSent ||
                    aStatus == attempt_status::WrongSnapshot ||
                    (aStatus == attempt_status::Shed && mForwarded == nullptr);
-    bool mayTry = aStatus == attempt_status::NotSent || MayTryAgain(aService);
+    bool mayTry = aStatus == attempt_status::NotSent || MayTryAgain(aService) ||
+                  !aService.mRefusedBy.empty();
     if (!mayTry ||
         (!isCheap && !mBudgets.SpendRetry(aService.mService, mHooks.mNow()))) {
       GiveUp(aService, missing_reason::Failed);
       return;
     }
     aService.mNextReason = attempt_reason::Retry;
+    if (!MayTryAgain(aService) && aStatus != attempt_status::NotSent) {
+      for (const server_id& server : aService.mRefusedBy) {
+        std::erase(aService.mExcluded, server);
+      }
+      aService.mStartAt = mHooks.mNow() + kShedPause * ++aService.mShedRounds;
+    }
   }
 
   void JudgeRun(service_progress& aService,
--- a/filters/scatter.h
+++ b/filters/scatter.h
@@ -75,6 +75,9 @@
   std::function<bool(steady_time)> mIsConfirmed;
   /** Try a query that is new to this host on one service first. */
   bool mUsesCanary = true;
+  /** Share of the time to a route's objective after which an attempt is
+   * hedged at the latest, in percent. */
+  int mHedgePercent = 100;
 };
 
 /**
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -93,8 +93,8 @@
   if (!refusals) {
     return Fail(role_error::DiskFailed, refusals.error().mDetail);
   }
-  auto client = control_client::Create(aContext.get_executor(),
-                                       ControlHosts(aSettings));
+  auto client =
+    control_client::Create(aContext.get_executor(), ControlHosts(aSettings));
   if (!client) {
     return Fail(role_error::BadSettings, client.error().mDetail);
   }
@@ -204,10 +204,10 @@
   mGroup = std::move(group.value());
   mHub = std::make_unique<watch_hub>(
     watch_hub_hooks{ [this] {
-                       auto facts = mGroup->Facts();
-                       LeaveDocumentsOut(facts.second);
-                       return facts;
-                     },
+                      auto facts = mGroup->Facts();
+                      LeaveDocumentsOut(facts.second);
+                      return facts;
+                    },
                      [this](std::function<void(log_index)> aReply) {
                        mGroup->Confirm(std::move(aReply));
                      } });
@@ -567,14 +567,14 @@
   if (!mSettings.mPlatformDirectoryAddress.empty()) {
     http_server_config config;
     config.mAddress = mSettings.mPlatformDirectoryAddress;
-    auto front = http_server::Create(
-      mContext,
-      std::move(config),
-      platform::MakeDirectoryFront(
-        std::chrono::seconds(mSettings.mPlatformKeepListS),
-        { [this](const failure_domain_id& aNearby) {
-          return ListEntryHosts(aNearby);
-        } }));
+    auto front =
+      http_server::Create(mContext,
+                          std::move(config),
+                          platform::MakeDirectoryFront(
+                            std::chrono::seconds(mSettings.mPlatformKeepListS),
+                            { [this](const failure_domain_id& aNearby) {
+                              return ListEntryHosts(aNearby);
+                            } }));
     if (!front) {
       return Fail(role_error::CannotListen, front.error().mDetail);
     }
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -46,9 +46,11 @@
 /** Longest wait for sockets to go at the end of a stop. */
 constexpr milliseconds kCloseTime{ 3000 };
 /** Before a stop's grace time ends, so much is kept for running requests. */
-constexpr milliseconds kStopRunning{ 2000 };
+constexpr milliseconds kStopRunning{ 3300 };
 /** Before a stop's grace time ends, so much is kept for going itself. */
-constexpr milliseconds kStopClosing{ 700 };
+constexpr milliseconds kStopClosing{ 900 };
+/** How long requests that are given up at a stop may take to say so. */
+constexpr milliseconds kGiveUpTime{ 300 };
 /** Part of the shared budget that is used, so that hosts which just came and
  * are not in view yet fit in. */
 constexpr double kBudgetUse = 0.85;
@@ -80,8 +82,10 @@
   config.mFailureDomain.mValue = aSettings.mHostFailureDomain;
   config.mHandOver = HandOverTime(aSettings);
   config.mRamp = milliseconds(aSettings.mEntryRampMs);
-  config.mDomainDistance =
-    microseconds(aSettings.mEntryDomainDistanceUs);
+  config.mDomainDistance = microseconds(aSettings.mEntryDomainDistanceUs);
+  config.mConnectCost = microseconds(aSettings.mEntryConnectCostUs);
+  config.mSlowQuantile =
+    static_cast<double>(aSettings.mEntryHedgeQuantile) * kPercent;
   config.mColdAfterRefusals =
     static_cast<std::uint32_t>(aSettings.mEntryColdAfterRefusals);
   config.mSuspendsFailing = aSettings.mEntrySuspendFailing;
@@ -125,8 +129,8 @@
 result<std::unique_ptr<entry_role>, role_error>
 entry_role::Create(asio::io_context& aContext, const settings& aSettings)
 {
-  auto client = control_client::Create(aContext.get_executor(),
-                                       ControlHosts(aSettings));
+  auto client =
+    control_client::Create(aContext.get_executor(), ControlHosts(aSettings));
   if (!client) {
     return Fail(role_error::BadSettings, client.error().mDetail);
   }
@@ -153,8 +157,8 @@
 entry_role::SetUpBackendClient()
 {
   backend_client_config config;
-  config.mDialect = mSettings.IsOnPlatform() ? platform::MakeServerDialect()
-                                             : MakeOwnDialect();
+  config.mDialect =
+    mSettings.IsOnPlatform() ? platform::MakeServerDialect() : MakeOwnDialect();
   config.mAnswerBytes = static_cast<std::size_t>(mSettings.mEntryAnswerBytes);
   config.mIdleProbe = milliseconds(mSettings.mEntryIdleProbeMs);
   backend_client_hooks hooks;
@@ -235,6 +239,7 @@
 {
   scatter_hooks hooks = ScatterHooks();
   hooks.mUsesCanary = false;
+  hooks.mHedgePercent = static_cast<int>(mSettings.mEntryHedgeAtPercent);
   hooks.mIsConfirmed = [this](steady_time aNow) {
     return mSettings.mEntryServesUnconfirmed || mLease.IsConfirmed(aNow);
   };
@@ -554,12 +559,10 @@
   }
   http_server_config readiness;
   readiness.mAddress = mSettings.mPlatformReadinessAddress;
-  auto asked =
-    http_server::Create(mContext,
-                        std::move(readiness),
-                        platform::MakeReadinessFront([this] {
-                          return IsReady();
-                        }));
+  auto asked = http_server::Create(
+    mContext, std::move(readiness), platform::MakeReadinessFront([this] {
+      return IsReady();
+    }));
   if (!asked) {
     return Fail(role_error::CannotListen, asked.error().mDetail);
   }
@@ -770,6 +773,13 @@
     return mCallers->Active() == 0 &&
            (mClients == nullptr || mClients->Active() == 0);
   });
+  if (mClients != nullptr && mClients->Active() > 0) {
+    log_event("requests_given_up", log_event::severity::Warning)
+      .Add("count", mClients->Active());
+    mClients->GiveUpRunning();
+    mStopGate.WaitUntil(SteadyNow() + kGiveUpTime,
+                        [this] { return mClients->Active() == 0; });
+  }
   mStopGate.WaitUntil(
     end, [this] { return mRefusals.After(0, 1).mRefusals.empty(); });
   mIsStopping = true;
@@ -777,9 +787,8 @@
   mWatch->Stop();
   mClient.Stop();
   // Sockets must be gone before the contexts that they belong to.
-  steady_time closed = mSettings.IsOnPlatform()
-                         ? end + kStopClosing / 2
-                         : SteadyNow() + kCloseTime;
+  steady_time closed = mSettings.IsOnPlatform() ? end + kStopClosing / 2
+                                                : SteadyNow() + kCloseTime;
   mStopGate.WaitUntil(closed, [this] {
     return mCallers->Connections() == 0 &&
            (mClients == nullptr || mClients->Connections() == 0);
--- a/main/server_sponsor.h
+++ b/main/server_sponsor.h
@@ -18,10 +18,8 @@
   std::function<std::optional<server_record>(const server_id&)> mKnown;
   /** Servers that name this host as their sponsor and are not gone. */
   std::function<std::vector<server_id>()> mSponsored;
-  std::function<boost::asio::awaitable<std::optional<change_outcome>>(
-    record_change,
-    std::optional<log_index>,
-    steady_time)>
+  std::function<boost::asio::awaitable<std::optional<
+    change_outcome>>(record_change, std::optional<log_index>, steady_time)>
     mPropose;
   /** Waits until this host has applied the log up to an index. */
   std::function<boost::asio::awaitable<bool>(log_index, steady_time)>
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -98,6 +98,9 @@
   bool mEntryCanary = true;
   std::int64_t mEntryColdAfterRefusals = 8;
   std::int64_t mEntryDomainDistanceUs = 0;
+  std::int64_t mEntryConnectCostUs = 0;
+  std::int64_t mEntryHedgeQuantile = 95;
+  std::int64_t mEntryHedgeAtPercent = 100;
   std::int64_t mEntryObjectiveMarginMs = 10;
   std::int64_t mEntryExtraWindowS = 0;
   double mEntryExtraRatio = 0.2;
--- a/tests/controllers/backend_controller_test.cpp
+++ b/tests/controllers/backend_controller_test.cpp
@@ -40,7 +40,7 @@
      },
       [this](const server_id& aServer) { mCold.push_back(aServer); } }
   };
-  choice_request mChoice{ service_id{ "s" }, 1, {}, {}, false };
+  choice_request mChoice{ service_id{ "s" }, 1, {}, {}, false, 0, {} };
 
   void setup() override
   {
--- a/tests/decisions/control_state_test.cpp
+++ b/tests/decisions/control_state_test.cpp
@@ -140,6 +140,63 @@
   CheckVerdict(change_verdict::Stale, mDriven.Judge(gone));
 }
 
+TEST(control_state, ALaterServerTakesTheAddressOfOneThatEnded)
+{
+  auto first = Server("x", 100);
+  first.mAddress = "10.0.0.1:80";
+  first.mStartedAt = 100;
+  auto later = Server("y", 200);
+  later.mAddress = first.mAddress;
+  later.mStartedAt = 200;
+  mDriven.Judge(first);
+  CheckVerdict(change_verdict::Accepted, mDriven.Judge(later));
+  CHECK(mDriven.mState.Servers().at(server_id{ "x" }).mState ==
+        server_state::Gone);
+  // An announcement of the ended one that was held up on its way.
+  CheckVerdict(change_verdict::InUse, mDriven.Judge(first));
+  CHECK(mDriven.mState.Servers().at(server_id{ "y" }).mState ==
+        server_state::Ready);
+}
+
+TEST(control_state, AServerThatLeftIsNotRevivedByALateAnnouncement)
+{
+  mDriven.Judge(Server("x", 1));
+  auto left = Server("x", 1);
+  left.mState = server_state::Gone;
+  left.mHasLeft = true;
+  CheckVerdict(change_verdict::Accepted, mDriven.Judge(left));
+  CheckVerdict(change_verdict::Stale, mDriven.Judge(Server("x", 1)));
+  // A new run of it is another matter.
+  CheckVerdict(change_verdict::Accepted, mDriven.Judge(Server("x", 2)));
+}
+
+TEST(control_state, AServersCountOrdersItsAnnouncementsAcrossSponsors)
+{
+  auto draining = Server("x", 1);
+  draining.mState = server_state::Draining;
+  draining.mSequence = 9;
+  mDriven.Judge(draining);
+  auto late = Server("x", 1);
+  late.mSequence = 8;
+  late.mSponsor.mValue = "e2";
+  CheckVerdict(change_verdict::Stale, mDriven.Judge(late));
+}
+
+TEST(control_state, RunsOfAHostAreNotOrderedByTheirNumbers)
+{
+  entry_host_record host;
+  host.mHost.mValue = "e1";
+  host.mIncarnation = 900;
+  host.mState = entry_host_state::Joining;
+  mDriven.Judge(host);
+  // The next run drew a lower number, as after a clock that was set back.
+  host.mIncarnation = 5;
+  CheckVerdict(change_verdict::Accepted, mDriven.Judge(host));
+  host.mIncarnation = 900;
+  host.mState = entry_host_state::Silent;
+  CheckVerdict(change_verdict::Stale, mDriven.Judge(host));
+}
+
 TEST(control_state, AGoneServerIsRememberedForAWhile)
 {
   mDriven.Judge(Server("x", 1));
--- a/tests/decisions/raft_node_test.cpp
+++ b/tests/decisions/raft_node_test.cpp
@@ -512,6 +512,31 @@
   }
 }
 
+TEST(raft_node, ARepairNeverNeedsMoreVotersThanThereAreHosts)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    test_group group(seed);
+    group.mLosesMessages = false;
+    group.PassFor(milliseconds(3000));
+    std::size_t lost = (group.LeaderPlace() + 1) % 3;
+    group.LoseDisk(lost);
+    group.Start(lost);
+    // A second host may be lost at any moment of the repair.
+    for (int step = 0; step < 500; ++step) {
+      group.PassFor(milliseconds(10));
+      for (std::size_t place = 0; place < group.Count(); ++place) {
+        const auto& peers = group.Member(place).mNode->Peers();
+        auto voters =
+          std::count_if(peers.begin(), peers.end(), [](const auto& aPeer) {
+            return aPeer.mIsVoter;
+          });
+        CHECK(voters <= 3);
+      }
+    }
+    STRCMP_EQUAL("", group.Broken().c_str());
+  }
+}
+
 TEST(raft_node, AnEmptyDiskTakesNoPartInElectionsUntilItCaughtUp)
 {
   test_group group(7);
--- /dev/null
+++ b/tests/decisions/window_budget_test.cpp
@@ -0,0 +1,80 @@
+#include "decisions/server_health.h"
+#include "decisions/window_budget.h"
+
+#include <deque>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace hibiscusspool;
+
+const steady_time kStart{ std::chrono::hours(1) };
+
+}
+
+TEST_GROUP(window_budget){};
+
+TEST(window_budget, ExtrasStayWithinTheTermsInEverySlidingWindow)
+{
+  constexpr int kSeeds = 20;
+  for (int seed = 0; seed < kSeeds; ++seed) {
+    std::mt19937 random(seed);
+    budget_terms terms{ 0.2, 5, milliseconds(10'000) };
+    window_budget budget;
+    std::deque<std::pair<steady_time, bool>> events;
+    steady_time now = kStart;
+    for (int step = 0; step < 5000; ++step) {
+      now += milliseconds(random() % 40);
+      // Bursts of failures ask for far more than the budget holds.
+      if (random() % 3 == 0) {
+        budget.OnRegular(terms, now);
+        events.emplace_back(now, true);
+      } else if (budget.Spend(terms, now)) {
+        events.emplace_back(now, false);
+      }
+      while (now - events.front().first >= terms.mWindow) {
+        events.pop_front();
+      }
+      double regular = 0;
+      double extra = 0;
+      for (const auto& [time, isRegular] : events) {
+        (isRegular ? regular : extra) += 1;
+      }
+      // The oldest slot is counted whole, so that the budget may see up to
+      // one slot's regular attempts that the window has just lost.
+      constexpr double kSlotRegular = 40;
+      CHECK_TEXT(extra <=
+                   terms.mRatio * (regular + kSlotRegular) + terms.mSlack,
+                 ("seed " + std::to_string(seed)).c_str());
+    }
+  }
+}
+
+TEST(window_budget, ItComesBackWhenTheWindowHasPassed)
+{
+  budget_terms terms{ 0, 2, milliseconds(1000) };
+  window_budget budget;
+  CHECK(budget.Spend(terms, kStart));
+  CHECK(budget.Spend(terms, kStart));
+  CHECK_FALSE(budget.Spend(terms, kStart + milliseconds(500)));
+  CHECK(budget.Spend(terms, kStart + milliseconds(1100)));
+}
+
+TEST_GROUP(server_health){};
+
+TEST(server_health, FailuresInARowSuspendForATimeThatDoubles)
+{
+  server_health health;
+  health.OnFailure(kStart);
+  CHECK_FALSE(health.IsSuspended(kStart));
+  health.OnFailure(kStart);
+  CHECK(health.IsSuspended(kStart + milliseconds(249)));
+  CHECK_FALSE(health.IsSuspended(kStart + milliseconds(250)));
+  CHECK(health.IsOnTrial());
+  health.OnFailure(kStart + milliseconds(300));
+  CHECK(health.IsSuspended(kStart + milliseconds(799)));
+  health.OnAnswer();
+  CHECK_FALSE(health.IsOnTrial());
+}
--- /dev/null
+++ b/tests/platform/decoding_test.cpp
@@ -0,0 +1,139 @@
+#include "platform/configuration_json.h"
+#include "platform/heartbeat.h"
+#include "platform/server_dialect.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace hibiscusspool;
+
+const std::string kDocument =
+  R"({"version":7,"routes":[{"name":"r1","host":"a.example",)"
+  R"("path_prefix":"/x/","kind":"idempotent","timeout_ms":800,)"
+  R"("target_latency_ms":120,"priority":1,"fanout":["s1","s2"],)"
+  R"("max_attempts":2,"top_k":20,"min_shard_ratio":0.89},)"
+  R"({"name":"r2","host":"b.example","path_prefix":"/y/",)"
+  R"("kind":"non_idempotent","timeout_ms":3000,"service":"s3",)"
+  R"("max_attempts":1},)"
+  R"({"name":"r3","host":"b.example","path_prefix":"/z/",)"
+  R"("kind":"idempotent","timeout_ms":3000,"backends":)"
+  R"([{"service":"s1","weight":3},{"service":"s3","weight":1}]}],)"
+  R"("services":[{"name":"s1","max_conns":66,"warmup_s":3.0,)"
+  R"("warmup_per_s":0.0},{"name":"s2","max_conns":66},{"name":"s3"}],)"
+  R"("limits":{"max_header_bytes":16384,"max_body_bytes":262144,)"
+  R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+std::optional<service_profile>
+NoProfile(const service_id& /*aService*/)
+{
+  return std::nullopt;
+}
+
+result<server_record, platform::heartbeat_error>
+Beat(const std::string& aBody)
+{
+  return platform::DecodeHeartbeat("i-1", aBody, NoProfile);
+}
+
+server_reply
+Reply(unsigned aStatus, std::vector<header_field> aFields)
+{
+  return { aStatus, std::move(aFields), "" };
+}
+
+}
+
+TEST_GROUP(platform_decoding){};
+
+TEST(platform_decoding, ReadsAConfigurationWhole)
+{
+  auto decoded = platform::DecodeConfiguration(kDocument);
+  CHECK(decoded.has_value());
+  const configuration_record& record = decoded.value();
+  LONGS_EQUAL(7, record.mNumber);
+  LONGS_EQUAL(3, record.mRoutes.size());
+  LONGS_EQUAL(2, record.mRoutes[0].mShards.size());
+  LONGS_EQUAL(20, record.mRoutes[0].mTopRecords);
+  DOUBLES_EQUAL(0.89, record.mRoutes[0].mMinimumCoverage, 1e-9);
+  CHECK(record.mRoutes[1].mKind == route_kind::NonIdempotent);
+  DOUBLES_EQUAL(3, record.mRoutes[2].mBackends[0].mWeight, 1e-9);
+  LONGS_EQUAL(66, record.mServices[0].mConnections);
+  LONGS_EQUAL(3000, record.mServices[0].mWarmup.count());
+  CHECK(record.mDocument == kDocument);
+  CHECK(CheckConfiguration(record).has_value());
+}
+
+TEST(platform_decoding, EveryCutShortDocumentIsRefused)
+{
+  for (std::size_t length = 0; length < kDocument.size(); ++length) {
+    CHECK(!platform::DecodeConfiguration(kDocument.substr(0, length)));
+  }
+}
+
+TEST(platform_decoding, AKindThatIsNotKnownToRepeatRunsOnce)
+{
+  std::string document = kDocument;
+  std::string known =
+    "\"kind\":\"idempotent\",\"timeout_ms\":3000,\"backends\"";
+  std::size_t place = document.find(known);
+  document.replace(
+    place, known.size(), "\"kind\":\"keyed\",\"timeout_ms\":3000,\"backends\"");
+  auto decoded = platform::DecodeConfiguration(document);
+  CHECK(decoded.has_value());
+  CHECK(decoded.value().mRoutes[2].mKind == route_kind::NonIdempotent);
+}
+
+TEST(platform_decoding, AHeartbeatOfAnotherWriterNamesNoServer)
+{
+  const std::string good =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"a","version":"v1",)"
+    R"("slots":3,"state":"ready","warmup_left_ms":0,"seq":4,"born":17})";
+  auto record = Beat(good);
+  CHECK(record.has_value());
+  CHECK(record.value().mState == server_state::Ready);
+  LONGS_EQUAL(17, record.value().mIncarnation);
+  LONGS_EQUAL(4, record.value().mSequence);
+  for (const char* bad : {
+         "",
+         "[]",
+         "{}",
+         R"({"service":7,"address":"10.0.0.9:80","zone":"a","state":"ready"})",
+         R"({"service":"s","address":"10.0.0.9:80","zone":"a","state":"odd"})",
+         R"({"service":"s","address":"10.0.0.9:80","zone":"a"})",
+         R"({"service":"s","address":"10.0.0.9:80","zone":"a","state":"ready",)"
+         R"("seq":"four"})",
+         R"({"service":"s","address":"10.0.0.9:80","zone":"a","state":"ready",)"
+         R"("born":-3})",
+       }) {
+    CHECK_TEXT(!Beat(bad), bad);
+  }
+}
+
+TEST(platform_decoding, AServersAnswerIsJudgedByWhatItProves)
+{
+  backend_dialect dialect = platform::MakeServerDialect();
+  auto forwarded = std::make_shared<forwarded_request>();
+  forwarded->mFields = { { "X-Request-Id", "mine" } };
+  attempt_order order;
+  order.mForwarded = forwarded;
+  auto judge = [&](unsigned aStatus, std::vector<header_field> aFields) {
+    return dialect.mJudge(order, Reply(aStatus, std::move(aFields)));
+  };
+  header_field stamp{ "X-Server-Stamp", "abc" };
+  CHECK(judge(200, { stamp }) == attempt_status::Answered);
+  CHECK(judge(200, {}) == attempt_status::BadAnswer);
+  CHECK(judge(200, { stamp, { "Content-Encoding", "gzip" } }) ==
+        attempt_status::BadAnswer);
+  CHECK(judge(503, { { "X-Not-Executed", "1" } }) == attempt_status::Shed);
+  CHECK(judge(421, {}) == attempt_status::Shed);
+  // Without that word a failure may have run.
+  CHECK(judge(503, {}) == attempt_status::Failed);
+  CHECK(judge(404, { stamp }) == attempt_status::Answered);
+  order.mIsPart = true;
+  CHECK(judge(404, { stamp }) == attempt_status::Failed);
+
+  CHECK(dialect.mIsForeign(order, Reply(200, { { "x-request-id", "other" } })));
+  CHECK_FALSE(
+    dialect.mIsForeign(order, Reply(200, { { "x-request-id", "mine" } })));
+}
