Serve the directory on entry hosts, use shares at once on the platform

Change: entry hosts answer the directory; gained shares are used at once where a setting says so; the slack is divided among all known hosts and not used in a host's first window.

--- a/controllers/catalog_controller.cpp
+++ b/controllers/catalog_controller.cpp
@@ -102,16 +102,19 @@
 {
   std::vector<host_id> holders;
   std::uint32_t serving = 0;
+  std::uint32_t known = 0;
   mEntryHosts.ForEach(
     [&](const host_id& aHost, const entry_host_record& aRecord) {
       // A leaving host still finishes requests over its connections.
       if (aRecord.mState != entry_host_state::Silent) {
         holders.push_back(aHost);
       }
+      ++known;
       serving += aRecord.mState == entry_host_state::Serving ? 1 : 0;
     });
   std::sort(holders.begin(), holders.end());
   mServingHosts = std::max(1U, serving);
+  mKnownHosts = std::max(1U, known);
   mBackends.SetHosts(std::move(holders), aNow);
 }
 
--- a/controllers/catalog_controller.h
+++ b/controllers/catalog_controller.h
@@ -46,6 +46,7 @@
   sharded_map<std::string, std::optional<weighted_choice>> mChoices;
   std::atomic<log_index> mIndex{ 0 };
   std::atomic<std::uint32_t> mServingHosts{ 1 };
+  std::atomic<std::uint32_t> mKnownHosts{ 1 };
   /** Updates come from one stream at a time, but streams overlap at a switch.
    */
   std::mutex mApplyLock;
@@ -80,6 +81,8 @@
   [[nodiscard]] bool IsOut(const failure_domain_id& aDomain) const;
   /** Entry hosts that serve callers now, at least one. */
   [[nodiscard]] std::uint32_t ServingHosts() const { return mServingHosts; }
+  /** Entry hosts that are known, silent ones too; at least one. */
+  [[nodiscard]] std::uint32_t KnownHosts() const { return mKnownHosts; }
 };
 
 }
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -6,7 +6,6 @@
 #include "main/periodic.h"
 #include "main/role_support.h"
 #include "messages/control_codec.h"
-#include "platform/directory_front.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
@@ -24,7 +23,7 @@
 
 namespace {
 
-constexpr milliseconds kMembershipPause{ 500 };
+constexpr milliseconds kMembershipPause{ 250 };
 constexpr milliseconds kFormPause{ 300 };
 constexpr milliseconds kHandOverTime{ 2000 };
 /** How often the leases of servers are looked through. */
@@ -463,18 +462,6 @@
     });
 }
 
-std::vector<entry_host_record>
-control_role::ListEntryHosts(const failure_domain_id& aNearby) const
-{
-  return mGroup->Look([&](const control_state& aState) {
-    std::vector<entry_host_record> hosts;
-    for (const auto& [host, record] : aState.EntryHosts()) {
-      hosts.push_back(record);
-    }
-    return ServingHosts(std::move(hosts), aNearby);
-  });
-}
-
 server_sponsor_hooks
 control_role::SponsorHooks()
 {
@@ -564,22 +551,6 @@
     }
     mPlatformControl = std::make_unique<http_server>(std::move(front.value()));
   }
-  if (!mSettings.mPlatformDirectoryAddress.empty()) {
-    http_server_config config;
-    config.mAddress = mSettings.mPlatformDirectoryAddress;
-    auto front =
-      http_server::Create(mContext,
-                          std::move(config),
-                          platform::MakeDirectoryFront(
-                            std::chrono::seconds(mSettings.mPlatformKeepListS),
-                            { [this](const failure_domain_id& aNearby) {
-                              return ListEntryHosts(aNearby);
-                            } }));
-    if (!front) {
-      return Fail(role_error::CannotListen, front.error().mDetail);
-    }
-    mDirectory = std::make_unique<http_server>(std::move(front.value()));
-  }
   return boost::outcome_v2::success();
 }
 
@@ -595,7 +566,7 @@
     });
   }
   mIsStopping = true;
-  for (auto* front : { &mOperators, &mPlatformControl, &mDirectory }) {
+  for (auto* front : { &mOperators, &mPlatformControl }) {
     if (*front != nullptr) {
       (*front)->Stop();
     }
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -38,7 +38,6 @@
   std::unique_ptr<control_service> mService;
   std::unique_ptr<http_server> mOperators;
   std::unique_ptr<http_server> mPlatformControl;
-  std::unique_ptr<http_server> mDirectory;
   server_sponsor mSponsor;
   wait_gate mStopGate;
   membership mMembership;
@@ -66,8 +65,6 @@
   boost::asio::awaitable<bool> ConfirmRead(steady_time aDeadline);
   [[nodiscard]] std::optional<service_profile> Profile(
     const service_id& aService) const;
-  [[nodiscard]] std::vector<entry_host_record> ListEntryHosts(
-    const failure_domain_id& aNearby) const;
   void StartLoops();
   control_group_hooks GroupHooks();
   boost::asio::awaitable<void> FormGroup();
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -70,6 +70,9 @@
 milliseconds
 HandOverTime(const settings& aSettings)
 {
+  if (!aSettings.mEntryHandsSharesOver) {
+    return milliseconds(0);
+  }
   milliseconds sum(aSettings.mEntryLeaseMs + aSettings.mEntryLongestWaitMs);
   return sum + sum / 100;
 }
@@ -254,9 +257,13 @@
   }
   budget_terms terms;
   terms.mRatio = mSettings.mEntryExtraRatio * kBudgetUse;
-  terms.mSlack = mSettings.mEntryExtraSlack * kBudgetUse /
-                 static_cast<double>(mCatalog.ServingHosts());
   terms.mWindow = std::chrono::seconds(mSettings.mEntryExtraWindowS);
+  // What an earlier run of this host spent in the window is not known, and
+  // hosts that are down now may have spent their parts too.
+  bool isFirstWindow = SteadyNow() - mStartedAt < terms.mWindow;
+  terms.mSlack = isFirstWindow ? 0
+                               : mSettings.mEntryExtraSlack * kBudgetUse /
+                                   static_cast<double>(mCatalog.KnownHosts());
   return terms;
 }
 
@@ -513,8 +520,10 @@
 entry_role::ListEntryHosts(const failure_domain_id& aNearby) const
 {
   std::vector<entry_host_record> hosts = mCatalog.EntryHosts();
+  // On the platform a failure domain that is out takes callers all the same;
+  // only its servers get nothing.
   std::erase_if(hosts, [&](const entry_host_record& aHost) {
-    return mCatalog.IsOut(aHost.mFailureDomain);
+    return !mSettings.IsOnPlatform() && mCatalog.IsOut(aHost.mFailureDomain);
   });
   return ServingHosts(std::move(hosts), aNearby);
 }
@@ -530,9 +539,36 @@
   return servesLastState || mLease.IsConfirmed(SteadyNow());
 }
 
+result<void, role_error>
+entry_role::SetUpDirectory()
+{
+  if (mSettings.mPlatformDirectoryAddress.empty()) {
+    return boost::outcome_v2::success();
+  }
+  http_server_config config;
+  config.mAddress = mSettings.mPlatformDirectoryAddress;
+  auto front =
+    http_server::Create(mContext,
+                        std::move(config),
+                        platform::MakeDirectoryFront(
+                          std::chrono::seconds(mSettings.mPlatformKeepListS),
+                          { [this](const failure_domain_id& aNearby) {
+                            return ListEntryHosts(aNearby);
+                          } }));
+  if (!front) {
+    return Fail(role_error::CannotListen, front.error().mDetail);
+  }
+  mDirectory = std::make_unique<http_server>(std::move(front.value()));
+  return boost::outcome_v2::success();
+}
+
 result<void, role_error>
 entry_role::SetUpPlatform()
 {
+  auto directory = SetUpDirectory();
+  if (!directory) {
+    return directory.error();
+  }
   if (mSettings.mPlatformCallersAddress.empty()) {
     return boost::outcome_v2::success();
   }
@@ -735,7 +771,8 @@
 void
 entry_role::StopFronts()
 {
-  for (auto* front : { &mClients, &mCallers, &mAnnounce, &mReadiness }) {
+  for (auto* front :
+       { &mClients, &mCallers, &mAnnounce, &mReadiness, &mDirectory }) {
     if (*front != nullptr) {
       (*front)->Stop();
     }
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -17,6 +17,7 @@
 #include "filters/claim.h"
 #include "filters/quarantine.h"
 #include "main/role_error.h"
+#include "main/role_support.h"
 #include "main/server_sponsor.h"
 #include "main/wait_gate.h"
 #include "settings/settings.h"
@@ -55,7 +56,9 @@
   std::unique_ptr<http_server> mAnnounce;
   std::unique_ptr<http_server> mClients;
   std::unique_ptr<http_server> mReadiness;
+  std::unique_ptr<http_server> mDirectory;
   std::unique_ptr<watch_client> mWatch;
+  steady_time mStartedAt = SteadyNow();
   std::atomic<bool> mIsLeaving{ false };
   std::atomic<bool> mIsStopping{ false };
   std::atomic<std::uint64_t> mNextNumber{ 1 };
@@ -73,6 +76,7 @@
   result<void, role_error> SetUpFronts();
   result<void, role_error> SetUpAnnounceFront();
   result<void, role_error> SetUpPlatform();
+  result<void, role_error> SetUpDirectory();
   void SetUpWatch();
   void StartLoops();
 
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -268,6 +268,11 @@
            &settings::mEntrySuspendFailing,
            "Keep away for a while from servers whose answers fail, as long as "
            "others can answer."),
+    Switch("entry",
+           "hand_shares_over",
+           &settings::mEntryHandsSharesOver,
+           "Use a gained share of a server's connections only once its earlier "
+           "holder has surely let go; else at once."),
     Switch("entry",
            "canary",
            &settings::mEntryCanary,
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -95,6 +95,7 @@
   std::string mEntryAnnounceToken;
   bool mEntryServesUnconfirmed = false;
   bool mEntrySuspendFailing = false;
+  bool mEntryHandsSharesOver = true;
   bool mEntryCanary = true;
   std::int64_t mEntryColdAfterRefusals = 8;
   std::int64_t mEntryDomainDistanceUs = 0;
