--- a/filters/scatter.cpp
+++ b/filters/scatter.cpp
@@ -25,6 +25,8 @@
 
 constexpr int kMostReplans = 3;
 constexpr int kMostShedRounds = 20;
+/** Times that servers which refused a forwarded request are asked again. */
+constexpr int kMostRefusedRounds = 3;
 constexpr milliseconds kShedPause{ 5 };
 constexpr int kWhole = 100;
 /** Least time without an answer before a hedge is thought of. */
@@ -607,7 +609,8 @@
                    aStatus == attempt_status::WrongSnapshot ||
                    (aStatus == attempt_status::Shed && mForwarded == nullptr);
     bool mayTry = aStatus == attempt_status::NotSent || MayTryAgain(aService) ||
-                  !aService.mRefusedBy.empty();
+                  (!aService.mRefusedBy.empty() &&
+                   aService.mShedRounds < kMostRefusedRounds);
     if (!mayTry ||
         (!isCheap && !mBudgets.SpendRetry(aService.mService, mHooks.mNow()))) {
       GiveUp(aService, missing_reason::Failed);
