Send a lagging peer its entries once

Change: entries to a peer that refused go out one message at a time; old refusals are passed over; heartbeats name what surely matches meanwhile.

--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -12,6 +12,8 @@
 constexpr log_index kCaughtUpEntries = 64;
 constexpr milliseconds kSnapshotResend{ 2000 };
 constexpr milliseconds kJoinInterval{ 1000 };
+/** Entries to a peer that lacks some are sent again after so long. */
+constexpr milliseconds kFlightResend{ 1000 };
 /** Voters beyond these would only make commits slower. */
 constexpr std::size_t kMostVoters = 9;
 
@@ -237,8 +239,7 @@
   mProgress.clear();
   mPendingReads.clear();
   for (const raft_peer& peer : mPeers) {
-    mProgress[peer.mId] =
-      progress{ 0, LastIndex() + 1, aNow, steady_time{}, 0 };
+    mProgress[peer.mId] = MakeProgress(aNow);
   }
   // An empty entry of the new term commits what earlier terms left behind.
   AppendOwn({});
@@ -288,6 +289,22 @@
   StartPreVote(aNow);
 }
 
+raft_node::progress
+raft_node::MakeProgress(steady_time aNow) const
+{
+  progress fresh;
+  fresh.mNext = LastIndex() + 1;
+  fresh.mLastContact = aNow;
+  return fresh;
+}
+
+bool
+raft_node::IsInFlight(const progress& aState, steady_time aNow)
+{
+  return aState.mIsProbing && aState.mFlightEnd != 0 &&
+         aNow - aState.mFlightSentAt < kFlightResend;
+}
+
 void
 raft_node::SendAppend(const raft_peer_id& aPeer, steady_time aNow)
 {
@@ -300,12 +317,14 @@
   append.mKind = raft_message_kind::Append;
   append.mTo = aPeer;
   append.mTerm = mHardState.mTerm;
-  append.mIndex = state.mNext - 1;
+  bool waits = IsInFlight(state, aNow) && state.mMatch >= mSnapshot.mIndex;
+  // While entries are on their way, heartbeats name only what surely matches.
+  append.mIndex = waits ? state.mMatch : state.mNext - 1;
   append.mLogTerm = TermAt(append.mIndex).value_or(0);
   append.mCommit = mCommit;
   append.mNumber = mRound;
   std::size_t bytes = 0;
-  while (state.mNext <= LastIndex() &&
+  while (!waits && state.mNext <= LastIndex() &&
          append.mEntries.size() < kMostEntriesInAppend &&
          bytes < kMostBytesInAppend) {
     append.mEntries.push_back(EntryAt(state.mNext));
@@ -313,9 +332,32 @@
     // The entries are taken as received; a refusal turns this back.
     ++state.mNext;
   }
+  if (state.mIsProbing && !append.mEntries.empty()) {
+    state.mFlightBefore = append.mIndex;
+    state.mFlightEnd = append.mEntries.back().mIndex;
+    state.mFlightSentAt = aNow;
+  }
   Send(std::move(append));
 }
 
+void
+raft_node::OnAppendRefused(const raft_message& aMessage,
+                           progress& aState,
+                           steady_time aNow)
+{
+  // A refusal of an earlier message says nothing new: without this check each
+  // of them would send the same entries again.
+  bool isOld =
+    IsInFlight(aState, aNow) && aMessage.mIndex >= aState.mFlightBefore;
+  if (isOld) {
+    return;
+  }
+  aState.mIsProbing = true;
+  aState.mFlightEnd = 0;
+  aState.mNext = std::max(aState.mMatch, aMessage.mIndex) + 1;
+  SendAppend(aMessage.mFrom, aNow);
+}
+
 void
 raft_node::SendSnapshot(const raft_peer_id& aPeer, steady_time aNow)
 {
@@ -629,8 +671,7 @@
   AppendOwn(std::move(entry));
   for (const raft_peer& peer : mPeers) {
     if (!mProgress.contains(peer.mId)) {
-      mProgress[peer.mId] =
-        progress{ 0, LastIndex() + 1, aNow, steady_time{}, 0 };
+      mProgress[peer.mId] = MakeProgress(aNow);
     }
   }
   Broadcast(aNow);
@@ -982,14 +1023,17 @@
   state.mRound = std::max(state.mRound, aMessage.mNumber);
   ConfirmReads();
   if (aMessage.mIsRefused) {
-    state.mNext = std::max(state.mMatch, aMessage.mIndex) + 1;
-    SendAppend(aMessage.mFrom, aNow);
+    OnAppendRefused(aMessage, state, aNow);
     return;
   }
   state.mMatch = std::max(state.mMatch, aMessage.mIndex);
   state.mNext = std::max(state.mNext, state.mMatch + 1);
+  if (state.mIsProbing && state.mMatch >= state.mFlightEnd) {
+    state.mIsProbing = false;
+    state.mFlightEnd = 0;
+  }
   AdvanceCommit();
-  if (state.mNext <= LastIndex()) {
+  if (state.mNext <= LastIndex() && !IsInFlight(state, aNow)) {
     SendAppend(aMessage.mFrom, aNow);
   }
 }
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -70,6 +70,13 @@
     steady_time mLastContact;
     steady_time mSnapshotSentAt;
     std::uint64_t mRound = 0;
+    /** The peer lacks entries; they go out one message at a time. */
+    bool mIsProbing = false;
+    /** The entry before, and the last entry of, the message that is on its way
+     * to a probed peer; 0 for none. */
+    log_index mFlightBefore = 0;
+    log_index mFlightEnd = 0;
+    steady_time mFlightSentAt;
   };
 
   struct pending_read
@@ -134,7 +141,14 @@
   void AppendOwn(raft_entry aEntry);
   void FindPeers();
   void SendAppend(const raft_peer_id& aPeer, steady_time aNow);
+  /** What is known of a peer that was not heard yet. */
+  [[nodiscard]] progress MakeProgress(steady_time aNow) const;
+  [[nodiscard]] static bool IsInFlight(const progress& aState,
+                                       steady_time aNow);
   void SendSnapshot(const raft_peer_id& aPeer, steady_time aNow);
+  void OnAppendRefused(const raft_message& aMessage,
+                       progress& aState,
+                       steady_time aNow);
   void Broadcast(steady_time aNow);
   void AdvanceCommit();
   void HandOver();
--- a/tests/decisions/raft_node_test.cpp
+++ b/tests/decisions/raft_node_test.cpp
@@ -693,6 +693,36 @@
   }
 };
 
+TEST(raft_node, APeerThatLagsGetsItsEntriesOnceHoweverOftenItRefuses)
+{
+  raft_persisted disk;
+  disk.mHardState.mTerm = 3;
+  for (log_index index = 1; index <= 40; ++index) {
+    disk.mEntries.push_back({ 3, index, std::string(50'000, 'x'), {} });
+  }
+  lone_member member(disk);
+  member.Lead();
+  // The peer was away: heartbeats queue up, and it refuses each of them.
+  std::size_t sent = 0;
+  for (int beat = 0; beat < 10; ++beat) {
+    raft_message refusal;
+    refusal.mKind = raft_message_kind::AppendReply;
+    refusal.mTerm = member.mNode->Term();
+    refusal.mIsRefused = true;
+    refusal.mIndex = 0;
+    for (const raft_message& message : member.Take(refusal, 1).mMessages) {
+      sent += message.mTo.mHost.mValue == "b" ? message.mEntries.size() : 0;
+    }
+    member.mNow += milliseconds(100);
+    member.mNode->Tick(member.mNow);
+    for (const raft_message& message : member.mNode->TakeActions().mMessages) {
+      sent += message.mTo.mHost.mValue == "b" ? message.mEntries.size() : 0;
+    }
+  }
+  // One message holds up to 1 MB, and none is sent twice within the time.
+  CHECK(sent <= 41);
+}
+
 TEST(raft_node, WritesItsVoteDownBeforeItAnswers)
 {
   lone_member member({});
