Answer operators' reads again, and log connections that fail

Cause: the confirmed read was split in two, and g++ 12 built its early co_return so that the process read a frame that was gone: each list or status ended the control host. request_side/ARequestThatCrashesServersIsStopped- Everywhere failed 4 of 4 times; the fault came with the platform's fronts. Change: named variables in place of the early return; a connection that ends by an exception logs it.

--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -129,6 +129,25 @@
   std::shared_ptr<caller_presence> mPresence;
 };
 
+namespace {
+
+/** A connection that ends by an exception says so. */
+void
+LogProblem(const std::exception_ptr& aProblem)
+{
+  if (!aProblem) {
+    return;
+  }
+  try {
+    std::rethrow_exception(aProblem);
+  } catch (const std::exception& problem) {
+    log_event("connection_failed", log_event::severity::Error)
+      .Add("cause", problem.what());
+  }
+}
+
+}
+
 struct http_server::state
 {
   asio::io_context& mContext;
@@ -385,7 +404,8 @@
     ++aState->mCount;
     asio::co_spawn(connection->mStream.get_executor(),
                    aState->Serve(connection),
-                   [aState, number](const std::exception_ptr&) {
+                   [aState, number](const std::exception_ptr& aProblem) {
+                     LogProblem(aProblem);
                      aState->mConnections.Take(number);
                      --aState->mCount;
                      aState->NoteIdle();
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -424,10 +424,12 @@
 asio::awaitable<std::optional<std::vector<record_change>>>
 control_role::ConfirmedFacts(steady_time aDeadline)
 {
-  if (!co_await ConfirmRead(aDeadline)) {
-    co_return std::nullopt;
+  std::optional<std::vector<record_change>> facts;
+  bool isConfirmed = co_await ConfirmRead(aDeadline);
+  if (isConfirmed) {
+    facts = mGroup->Facts().second;
   }
-  co_return mGroup->Facts().second;
+  co_return facts;
 }
 
 asio::awaitable<std::optional<change_outcome>>
@@ -445,6 +447,19 @@
   co_return std::move(outcomes.value().front());
 }
 
+std::optional<std::string>
+control_role::Document() const
+{
+  return mGroup->Look(
+    [](const control_state& aState) -> std::optional<std::string> {
+      const auto& configuration = aState.Configuration();
+      if (!configuration) {
+        return std::nullopt;
+      }
+      return configuration->mDocument;
+    });
+}
+
 std::optional<service_profile>
 control_role::Profile(const service_id& aService) const
 {
@@ -513,15 +528,12 @@
   };
   hooks.mReadDocument =
     [this]() -> asio::awaitable<std::optional<std::optional<std::string>>> {
-    if (!co_await ConfirmRead(SteadyNow() + kPlatformAnswer)) {
-      co_return std::nullopt;
+    std::optional<std::optional<std::string>> document;
+    bool isConfirmed = co_await ConfirmRead(SteadyNow() + kPlatformAnswer);
+    if (isConfirmed) {
+      document = Document();
     }
-    co_return mGroup->Look(
-      [](const control_state& aState) -> std::optional<std::string> {
-        const auto& configuration = aState.Configuration();
-        return configuration ? std::optional(configuration->mDocument)
-                             : std::nullopt;
-      });
+    co_return document;
   };
   hooks.mAnnounce = [this](server_record aRecord) {
     return mSponsor.Take(std::move(aRecord));
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -63,6 +63,8 @@
     std::optional<log_index> aIfVersion,
     steady_time aDeadline);
   boost::asio::awaitable<bool> ConfirmRead(steady_time aDeadline);
+  /** The text of the configuration in force, if one was ever put. */
+  [[nodiscard]] std::optional<std::string> Document() const;
   [[nodiscard]] std::optional<service_profile> Profile(
     const service_id& aService) const;
   void StartLoops();
