--- /dev/null
+++ b/filters/coverage.cpp
@@ -0,0 +1,18 @@
+#include "filters/coverage.h"
+
+#include "decisions/snapshot_choice.h"
+
+namespace hibiscusspool {
+
+bool
+CountCoverage(request_context& aRequest)
+{
+  // The denominator is what the team may ask, never who happened to answer.
+  std::size_t inScope = aRequest.mServices.size();
+  std::size_t answered = aRequest.mAnswers.size();
+  aRequest.mCoverage =
+    static_cast<double>(answered) / static_cast<double>(inScope);
+  return answered >= NeededServices(inScope, aRequest.mPolicy.mMinimumCoverage);
+}
+
+}
--- a/filters/deliver.cpp
+++ b/filters/deliver.cpp
@@ -1,7 +1,7 @@
 #include "filters/deliver.h"
 
-#include "decisions/snapshot_choice.h"
 #include "decisions/top_records.h"
+#include "filters/coverage.h"
 
 namespace hibiscusspool {
 
@@ -27,7 +27,6 @@
 {
   if (!aRequest.mAnswers.empty()) {
     aRequest.mReply = std::move(aRequest.mAnswers.front().mReply);
-    aRequest.mCoverage = 1;
     return;
   }
   if (aRequest.mFailedReply) {
@@ -39,18 +38,14 @@
 }
 
 void
-DeliverMerged(request_context& aRequest)
+DeliverMerged(request_context& aRequest, bool aIsEnough)
 {
-  std::size_t shards = aRequest.mServices.size();
   std::size_t answered = aRequest.mAnswers.size();
-  aRequest.mCoverage =
-    static_cast<double>(answered) / static_cast<double>(shards);
-  std::size_t needed =
-    NeededServices(shards, aRequest.mPolicy.mMinimumCoverage);
-  if (answered == 0 || answered < needed) {
+  if (answered == 0 || !aIsEnough) {
     RefuseUnanswered(aRequest,
                      std::to_string(answered) + " of " +
-                       std::to_string(shards) + " shards answered.");
+                       std::to_string(aRequest.mServices.size()) +
+                       " shards answered.");
     return;
   }
   std::vector<std::string_view> parts;
@@ -72,8 +67,9 @@
   return { filter_name::Deliver,
            filter_when::Open,
            [](request_context& aRequest) -> boost::asio::awaitable<void> {
+             bool isEnough = CountCoverage(aRequest);
              if (aRequest.mIsMerged) {
-               DeliverMerged(aRequest);
+               DeliverMerged(aRequest, isEnough);
              } else {
                DeliverOne(aRequest);
              }
--- a/filters/gather.cpp
+++ b/filters/gather.cpp
@@ -1,6 +1,6 @@
 #include "filters/gather.h"
 
-#include "decisions/snapshot_choice.h"
+#include "filters/coverage.h"
 
 #include <algorithm>
 
@@ -11,11 +11,8 @@
 void
 Gather(request_context& aRequest)
 {
-  std::size_t inScope = aRequest.mServices.size();
   std::size_t answered = aRequest.mAnswers.size();
-  // The denominator is what the team may ask, never who happened to answer.
-  aRequest.mCoverage =
-    static_cast<double>(answered) / static_cast<double>(inScope);
+  bool isEnough = CountCoverage(aRequest);
   if (aRequest.mKind == request_kind::Run) {
     if (answered == 1) {
       aRequest.mRunAnswer = std::move(aRequest.mAnswers.front().mReply.mBody);
@@ -27,11 +24,11 @@
             [](const service_answer& aOne, const service_answer& aOther) {
               return aOne.mService < aOther.mService;
             });
-  double minimum = aRequest.mPolicy.mMinimumCoverage;
-  if (answered < NeededServices(inScope, minimum)) {
+  if (!isEnough) {
     aRequest.Refuse(refusal_reason::CoverageTooLow,
                     std::to_string(answered) + " of " +
-                      std::to_string(inScope) + " services answered.");
+                      std::to_string(aRequest.mServices.size()) +
+                      " services answered.");
   }
 }
 
