Choose the server dialect by the request, not by the process

Cause: on the platform every attempt was put in the platform's dialect, also those of queries and runs over our own interface, which carry no request to pass on: the host would have read through a null pointer. Found by reading. Change: DialectOf looks at the order; no setting is asked.

--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -177,6 +177,13 @@
            true };
 }
 
+const backend_dialect&
+DialectOf(const backend_client_config& aConfig, const attempt_order& aOrder)
+{
+  bool isForwarded = aOrder.mForwarded != nullptr;
+  return isForwarded ? aConfig.mForwardDialect : aConfig.mOwnDialect;
+}
+
 struct backend_client::state
 {
   asio::io_context& mContext;
@@ -265,8 +272,9 @@
                                            connection_pointer aConnection)
   {
     attempt_result ended;
+    const backend_dialect& dialect = DialectOf(mConfig, aOrder);
     attempt_request request =
-      MakeRequest(mConfig.mDialect, aOrder, std::chrono::steady_clock::now());
+      MakeRequest(dialect, aOrder, std::chrono::steady_clock::now());
     auto [writeError, written] =
       co_await http::async_write(aConnection->mSocket, request, kNoThrow);
     if (writeError) {
@@ -289,10 +297,10 @@
       }
       keeps = keeps && number == 0 && parser.keep_alive();
       ended.mReply = ToReply(parser.get());
-      isForeign = mConfig.mDialect.mIsForeign(aOrder, ended.mReply);
+      isForeign = dialect.mIsForeign(aOrder, ended.mReply);
     }
     ended.mStatus = isForeign ? attempt_status::BadAnswer
-                              : mConfig.mDialect.mJudge(aOrder, ended.mReply);
+                              : dialect.mJudge(aOrder, ended.mReply);
     bool isUsable = ended.mStatus != attempt_status::BadAnswer && keeps &&
                     aConnection->mBuffer.size() == 0;
     if (isUsable) {
@@ -411,7 +419,7 @@
     ended.mStatus = attempt_status::TimedOut;
   }
   if (ended.mStatus == attempt_status::Cancelled &&
-      kept->mConfig.mDialect.mSendsCancel) {
+      DialectOf(kept->mConfig, aOrder).mSendsCancel) {
     const server_id& server = aOrder.mPermit.mServer;
     auto borrowed = kept->mHooks.mBorrow(server);
     if (borrowed) {
--- a/drivers/backend_client.h
+++ b/drivers/backend_client.h
@@ -38,7 +38,10 @@
 
 struct backend_client_config
 {
-  backend_dialect mDialect;
+  /** For the requests of our own interface. */
+  backend_dialect mOwnDialect = MakeOwnDialect();
+  /** For requests that are passed on as they are. */
+  backend_dialect mForwardDialect;
   /** Largest answer taken, in bytes. */
   std::size_t mAnswerBytes = 16 << 20;
   /** A connection that was unused for longer is replaced. */
@@ -46,6 +49,10 @@
   milliseconds mConnectTimeout{ 1000 };
 };
 
+/** The dialect in which an attempt is put to its server. */
+const backend_dialect&
+DialectOf(const backend_client_config& aConfig, const attempt_order& aOrder);
+
 struct backend_client_hooks
 {
   /** An unused connection to send a cancellation on, if there is one. */
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -160,8 +160,7 @@
 entry_role::SetUpBackendClient()
 {
   backend_client_config config;
-  config.mDialect =
-    mSettings.IsOnPlatform() ? platform::MakeServerDialect() : MakeOwnDialect();
+  config.mForwardDialect = platform::MakeServerDialect();
   config.mAnswerBytes = static_cast<std::size_t>(mSettings.mEntryAnswerBytes);
   config.mIdleProbe = milliseconds(mSettings.mEntryIdleProbeMs);
   backend_client_hooks hooks;
