Read the platform's JSON with the project's reader

Cause: platform/ had a second reader beside messages/json_reader, two enums of the same two errors, and two constants for the same default. Change: json_reader learns decimals, lists and nested objects; platform/ turns its failures into one decode_error; the default of a service's connections stands in its record.

--- a/decisions/configuration.cpp
+++ b/decisions/configuration.cpp
@@ -31,7 +31,7 @@
   }
   if (!aRoute.mBackends.empty() && weights <= 0) {
     return Fail(configuration_error::NoWeight,
-                "The weights of route \"" + aRoute.mName + "\" add up to 0.");
+                "The weights of route \"" + aRoute.mName + "\" sum to 0.");
   }
   return boost::outcome_v2::success();
 }
--- a/decisions/configuration.h
+++ b/decisions/configuration.h
@@ -43,14 +43,14 @@
   std::string mName;
   /** The virtual host that callers name, without a port. */
   std::string mAuthority;
-  /** Begins and ends with a slash. */
+  /** Starts and ends with "/". */
   std::string mPathPrefix;
   route_kind mKind = route_kind::Idempotent;
-  /** The longest time a caller is kept waiting. */
+  /** Upper bound on the latency of a request. */
   milliseconds mTimeout{ 0 };
-  /** The time within which an answer is of full use. */
+  /** Latency objective. */
   milliseconds mObjective{ 0 };
-  /** 0 is the most urgent. */
+  /** Lower values are more urgent. */
   std::uint32_t mPriority = 0;
   /** Servers that one request may be sent to, for each shard. */
   std::uint32_t mMostAttempts = 1;
@@ -70,8 +70,11 @@
 struct service_profile
 {
   service_id mService;
+  /** Connections to a server where none is configured. */
+  static constexpr std::uint32_t kUnstatedConnections = 8;
+
   /** Connections that one server takes from all hosts together. */
-  std::uint32_t mConnections = 0;
+  std::uint32_t mConnections = kUnstatedConnections;
   /** Time for which a server is cold after its start. */
   milliseconds mWarmup{ 0 };
   /** Requests a second that a cold server bears; 0 where none is stated. */
--- a/decisions/top_records.h
+++ b/decisions/top_records.h
@@ -11,9 +11,9 @@
 inline constexpr std::size_t kRecordBytes = 16;
 
 /**
- * The greatest `aCount` records of the parts, the greatest first, compared
- * byte by byte. Equal records all count; a remainder shorter than a record is
- * none.
+ * The `aCount` largest records over all parts, in descending order of their
+ * unsigned bytes. Duplicates are kept; trailing bytes that don't fill a record
+ * are ignored.
  */
 std::string
 MergeTopRecords(const std::vector<std::string_view>& aParts,
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -445,21 +445,19 @@
     });
 }
 
-std::optional<service_profile>
+service_profile
 control_role::Profile(const service_id& aService) const
 {
-  return mGroup->Look(
-    [&](const control_state& aState) -> std::optional<service_profile> {
-      if (!aState.Configuration()) {
-        return std::nullopt;
-      }
+  return mGroup->Look([&](const control_state& aState) {
+    if (aState.Configuration()) {
       for (const service_profile& service : aState.Configuration()->mServices) {
         if (service.mService == aService) {
           return service;
         }
       }
-      return std::nullopt;
-    });
+    }
+    return service_profile{};
+  });
 }
 
 server_sponsor_hooks
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -61,8 +61,8 @@
   boost::asio::awaitable<bool> ConfirmRead(steady_time aDeadline);
   /** The text of the configuration in force, if one was ever put. */
   [[nodiscard]] std::optional<std::string> Document() const;
-  [[nodiscard]] std::optional<service_profile> Profile(
-    const service_id& aService) const;
+  /** A service as it is configured, or the default. */
+  [[nodiscard]] service_profile Profile(const service_id& aService) const;
   void StartLoops();
   control_group_hooks GroupHooks();
   boost::asio::awaitable<void> FormGroup();
--- a/messages/json_reader.cpp
+++ b/messages/json_reader.cpp
@@ -1,15 +1,17 @@
 #include "messages/json_reader.h"
 
+#include <cmath>
+
 namespace hibiscusspool {
 
 namespace json = boost::json;
 
 result<json_reader, json_error>
-json_reader::Create(const std::string& aText)
+json_reader::Create(const std::string& aText, std::size_t aMostDepth)
 {
   json::error_code error;
   json::parse_options options;
-  options.max_depth = 8;
+  options.max_depth = aMostDepth;
   json::value value = json::parse(aText, error, {}, options);
   if (error || !value.is_object()) {
     return Fail(json_error::Malformed, "The body must be one JSON object.");
@@ -97,6 +99,94 @@
   return numbers;
 }
 
+bool
+json_reader::Has(const std::string& aKey) const
+{
+  const json::value* found = mObject.if_contains(aKey);
+  return found != nullptr && !found->is_null();
+}
+
+double
+json_reader::Decimal(const std::string& aKey)
+{
+  const json::value* found = Find(aKey, true);
+  if (found == nullptr) {
+    return 0;
+  }
+  double number = found->is_number() ? found->to_number<double>() : -1;
+  if (!std::isfinite(number) || number < 0) {
+    FailAt(json_error::OutOfRange, aKey, "must be a number of 0 or more.");
+    return 0;
+  }
+  return number;
+}
+
+std::vector<std::string>
+json_reader::List(const std::string& aKey)
+{
+  std::vector<std::string> texts;
+  const json::value* found = Find(aKey, true);
+  if (found == nullptr) {
+    return texts;
+  }
+  if (!found->is_array()) {
+    FailAt(json_error::WrongType, aKey, "must be a list of strings.");
+    return texts;
+  }
+  for (const json::value& item : found->get_array()) {
+    if (!item.is_string()) {
+      FailAt(json_error::WrongType, aKey, "must be a list of strings.");
+      return texts;
+    }
+    texts.emplace_back(item.get_string());
+  }
+  return texts;
+}
+
+void
+json_reader::ReadObject(const std::string& aKey,
+                        json::value& aValue,
+                        const std::function<void(json_reader&)>& aBody)
+{
+  if (!aValue.is_object()) {
+    FailAt(json_error::WrongType, aKey, "must hold objects.");
+    return;
+  }
+  json_reader reader(std::move(aValue.get_object()));
+  aBody(reader);
+  if (!mFailure && reader.mFailure) {
+    mFailure = Fail(reader.mFailure->mCode,
+                    "In \"" + aKey + "\": " + reader.mFailure->mDetail);
+  }
+}
+
+void
+json_reader::ForEachObject(const std::string& aKey,
+                           const std::function<void(json_reader&)>& aBody)
+{
+  const json::value* found = Find(aKey, true);
+  if (found == nullptr) {
+    return;
+  }
+  if (!found->is_array()) {
+    FailAt(json_error::WrongType, aKey, "must be a list of objects.");
+    return;
+  }
+  for (json::value& item : mObject.at(aKey).get_array()) {
+    ReadObject(aKey, item, aBody);
+  }
+}
+
+void
+json_reader::WithObject(const std::string& aKey,
+                        const std::function<void(json_reader&)>& aBody)
+{
+  const json::value* found = Find(aKey, true);
+  if (found != nullptr) {
+    ReadObject(aKey, mObject.at(aKey), aBody);
+  }
+}
+
 std::optional<std::string>
 ScalarText(const json::value& aValue)
 {
--- a/messages/json_reader.h
+++ b/messages/json_reader.h
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -34,7 +35,7 @@
 
 /**
  * Reads one JSON object key by key and keeps the first failure, which names
- * the key. Keys that nobody asked for are a failure too.
+ * the key. `Finish` takes keys that nobody asked for as a failure too.
  */
 class json_reader
 {
@@ -51,25 +52,56 @@
   void FailAt(json_error aCode,
               const std::string& aKey,
               const std::string& aDetail);
+  void ReadObject(const std::string& aKey,
+                  boost::json::value& aValue,
+                  const std::function<void(json_reader&)>& aBody);
   void AddText(const std::string& aKey,
                const boost::json::value& aValue,
                std::map<std::string, std::string>& aTexts);
 
 public:
+  /** Levels of nesting that a text may have. */
+  static constexpr std::size_t kMostDepth = 8;
+
   /** Errors: `Malformed` when the text is not one JSON object. */
-  static result<json_reader, json_error> Create(const std::string& aText);
+  static result<json_reader, json_error> Create(
+    const std::string& aText,
+    std::size_t aMostDepth = kMostDepth);
+
+  /** True when the key is there. */
+  [[nodiscard]] bool Contains(const std::string& aKey) const
+  {
+    return mObject.contains(aKey);
+  }
+  /** True when the key is there and not null. */
+  [[nodiscard]] bool Has(const std::string& aKey) const;
 
   std::string Text(const std::string& aKey, bool aIsNeeded = true);
   std::uint64_t Number(const std::string& aKey,
                        std::uint64_t aHighest,
                        bool aIsNeeded = true);
   std::vector<std::uint64_t> Numbers(const std::string& aKey);
+  /** A number of zero or more, whole or not. */
+  double Decimal(const std::string& aKey);
+  /** A list of strings. */
+  std::vector<std::string> List(const std::string& aKey);
+  /** Runs `aBody` on each object of a list; their failures count here too. */
+  void ForEachObject(const std::string& aKey,
+                     const std::function<void(json_reader&)>& aBody);
+  /** Runs `aBody` on the object under a key; its failure counts here too. */
+  void WithObject(const std::string& aKey,
+                  const std::function<void(json_reader&)>& aBody);
   /** An object of scalars, each as text; lists as text with commas. */
   std::map<std::string, std::string> Texts(const std::string& aKey);
 
   /** All keys that were not asked for yet, each as text. */
   std::map<std::string, std::string> OtherTexts();
 
+  /** The first failure so far; keys that nobody asked for are none. */
+  [[nodiscard]] const std::optional<failure<json_error>>& Problem() const
+  {
+    return mFailure;
+  }
   /** The first failure, with unknown keys last. */
   std::optional<failure<json_error>> Finish();
 };
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -24,13 +24,13 @@
   R"("limits":{"max_header_bytes":16384,"max_body_bytes":262144,)"
   R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
-std::optional<service_profile>
+service_profile
 NoProfile(const service_id& /*aService*/)
 {
-  return std::nullopt;
+  return {};
 }
 
-result<server_record, platform::heartbeat_error>
+result<server_record, platform::decode_error>
 Beat(const std::string& aBody)
 {
   return platform::DecodeHeartbeat("i-1", aBody, NoProfile);
