--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -22,7 +22,7 @@
 enum class attempt_status
 {
   Answered,
-  /** The server said that it did not run the request. */
+  /** The server rejected the request before it began. */
   Shed,
   /** No byte was sent, so that it did not run. */
   NotSent,
--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -212,7 +212,7 @@
       return nullptr;
     }
     milliseconds longest = (*kept)->mLongestIdle;
-    if (!IsRepeatable(aOrder.mKind)) {
+    if (!IsIdempotent(aOrder.mKind)) {
       longest = std::min(longest, kFreshForRun);
     }
     bool isOld = aNow - (*kept)->mUsedAt > longest;
--- a/filters/forwarded_message.h
+++ b/filters/forwarded_message.h
@@ -18,7 +18,7 @@
 const header_field*
 FindField(const std::vector<header_field>& aFields, std::string_view aName);
 
-/** A request that is passed on to a server as it is, without its body. */
+/** A proxied request, without its body. */
 struct forwarded_request
 {
   std::string mMethod;
--- a/filters/request_context.h
+++ b/filters/request_context.h
@@ -18,13 +18,14 @@
 
 enum class request_kind
 {
-  /** Asks all services of the team; may run more than once. */
+  /** Asks all services of the team; idempotent. */
   Query,
   /** Runs at one server, at most once, under a key. */
   Run,
-  /** Passed on as it is; may run more than once. */
+  /** Proxied unchanged; idempotent. */
   Forward,
-  /** Passed on as it is; runs at most once for each arrival. */
+  /** Proxied unchanged; not idempotent, so that it is not resent after a
+   * server may have begun it. */
   ForwardOnce,
 };
 
@@ -36,9 +37,9 @@
   { request_kind::ForwardOnce, "forward_once" },
 } };
 
-/** True for requests that may run more than once. */
+/** True for requests that can be resent whatever became of them. */
 constexpr bool
-IsRepeatable(request_kind aKind)
+IsIdempotent(request_kind aKind)
 {
   return aKind == request_kind::Query || aKind == request_kind::Forward;
 }
--- a/filters/scatter.cpp
+++ b/filters/scatter.cpp
@@ -270,7 +270,7 @@
 
   void Hedge(service_progress& aService, steady_time aNow)
   {
-    bool mayHedge = IsRepeatable(mKind) && !aService.mWasHedged &&
+    bool mayHedge = IsIdempotent(mKind) && !aService.mWasHedged &&
                     aService.mFlying.size() == 1 && MayTryAgain(aService);
     if (!mayHedge || !mBudgets.SpendHedge(aService.mService, aNow)) {
       return;
@@ -548,7 +548,7 @@
              const attempt_permit& aPermit,
              attempt_result aAnswer)
   {
-    if (!IsRepeatable(mKind)) {
+    if (!IsIdempotent(mKind)) {
       JudgeRun(aService, aPermit, std::move(aAnswer));
       return;
     }
@@ -749,7 +749,7 @@
 
   [[nodiscard]] ran_answer RanOf(const request_context& aRequest) const
   {
-    if (!IsRepeatable(mKind)) {
+    if (!IsIdempotent(mKind)) {
       return mRan;
     }
     if (!aRequest.mAnswers.empty()) {
