Hold a split election again within one time-out

Change: a try that finds no majority is repeated after a third to five sixths of the time-out; pre-votes disturb no leader.

--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -163,6 +163,16 @@
   mElectionDue = aNow + mConfig.mElection + milliseconds(spread(mRandom));
 }
 
+void
+raft_node::SetRetryDue(steady_time aNow)
+{
+  // Nobody is known to lead, so that asking early disturbs no leader. The
+  // spread is wide against a round of votes, which keeps tries apart.
+  std::uniform_int_distribution<std::int64_t> spread(
+    0, mConfig.mElection.count() / 2);
+  mElectionDue = aNow + mConfig.mElection / 3 + milliseconds(spread(mRandom));
+}
+
 void
 raft_node::SetTerm(raft_term aTerm)
 {
@@ -193,7 +203,7 @@
   mRole = raft_role::PreCandidate;
   mLeader = {};
   mGrants = { mConfig.mSelf };
-  SetElectionDue(aNow);
+  SetRetryDue(aNow);
   if (mGrants.size() >= Quorum()) {
     StartElection(false, aNow);
     return;
@@ -210,7 +220,7 @@
   mRole = raft_role::Candidate;
   mLeader = {};
   mGrants = { mConfig.mSelf };
-  SetElectionDue(aNow);
+  SetRetryDue(aNow);
   if (mGrants.size() >= Quorum()) {
     BecomeLeader(aNow);
     return;
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -131,6 +131,8 @@
   void Send(raft_message aMessage);
   void Reply(const raft_message& aTo, raft_message aMessage);
   void SetElectionDue(steady_time aNow);
+  /** When to try again if this try finds no majority. */
+  void SetRetryDue(steady_time aNow);
   void SetTerm(raft_term aTerm);
   void BecomeFollower(raft_term aTerm,
                       const raft_peer_id& aLeader,
--- a/tests/decisions/raft_node_test.cpp
+++ b/tests/decisions/raft_node_test.cpp
@@ -655,7 +655,7 @@
   steady_time mNow{ std::chrono::hours(1) };
   std::unique_ptr<raft_node> mNode;
 
-  explicit lone_member(raft_persisted aDisk)
+  explicit lone_member(raft_persisted aDisk, std::uint64_t aSeed = 0)
   {
     for (const char* name : { "a", "b", "c" }) {
       mVoters.push_back({ { host_id{ name }, disk_id{ name } }, true });
@@ -665,6 +665,7 @@
     }
     raft_config config;
     config.mSelf = mVoters[0].mId;
+    config.mSeed = aSeed;
     config.mKnownHosts = { host_id{ "a" }, host_id{ "b" }, host_id{ "c" } };
     mNode = std::make_unique<raft_node>(
       std::move(raft_node::Create(config, std::move(aDisk), mNow).value()));
@@ -693,6 +694,23 @@
   }
 };
 
+TEST(raft_node, AnElectionThatWasSplitIsHeldAgainWithinOneTimeOut)
+{
+  raft_config defaults;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    lone_member member({}, seed);
+    // Nobody answers; each try is a first one of a group that has just started.
+    for (int attempt = 0; attempt < 5; ++attempt) {
+      steady_time triedAt = member.mNow;
+      do {
+        member.mNow = member.mNode->NextDue();
+        member.mNode->Tick(member.mNow);
+      } while (member.mNode->TakeActions().mMessages.empty());
+      CHECK(member.mNow - triedAt <= defaults.mElection);
+    }
+  }
+}
+
 TEST(raft_node, APeerThatLagsGetsItsEntriesOnceHoweverOftenItRefuses)
 {
   raft_persisted disk;
