Ask waiting reads again at a new leader, and wait for a full disk

Cause: a read that was asked for before a leader was known was repeated only after 400 ms, and left with the next event even then: entry hosts had their configuration 0.6 to 0.75 s after the first leader stood.

--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -10,6 +10,8 @@
 
 constexpr milliseconds kConfirmRetry{ 400 };
 constexpr milliseconds kTransferInterval{ 5000 };
+/** A full disk is tried again after this time; a write that fails is cheap. */
+constexpr milliseconds kDiskRetry{ 100 };
 
 }
 
@@ -65,7 +67,7 @@
 {
   {
     std::lock_guard guard(mQueueLock);
-    if (!mIsStopping && mQueue.size() < mConfig.mMostPending) {
+    if (!mIsStopping && !mIsStalled && mQueue.size() < mConfig.mMostPending) {
       mQueue.emplace_back(
         propose_event{ std::move(aCommand), std::move(aReply) });
       mQueueFilled.notify_one();
@@ -78,6 +80,13 @@
 void
 control_group::Receive(std::vector<raft_message> aMessages)
 {
+  {
+    std::lock_guard guard(mQueueLock);
+    if (mIsStalled) {
+      // Messages may be lost; their senders repeat what still matters.
+      return;
+    }
+  }
   Push(receive_event{ std::move(aMessages) });
 }
 
@@ -131,11 +140,17 @@
     }
     mNode.Tick(now);
     LeaveIfOut(now);
-    if (!Carry(mNode.TakeActions()) || !CompactIfLong()) {
-      return Fail(group_error::DiskFailed, "The data folder can't be written.");
+    RetryConfirms(now);
+    bool isCarried = Carry(mNode.TakeActions());
+    if (!isCarried && IsStopping()) {
+      break;
     }
+    if (!isCarried) {
+      return Fail(group_error::BadSnapshot,
+                  "The leader's snapshot can't be decoded.");
+    }
+    CompactIfLong();
     bool roleChanged = NoteRole();
-    RetryConfirms(now);
     UpdateStatus();
     if (roleChanged) {
       mHooks.mRoleChanged();
@@ -219,13 +234,82 @@
   mNode.TransferLeadership({}, aNow);
 }
 
+bool
+control_group::IsStopping()
+{
+  std::lock_guard guard(mQueueLock);
+  return mIsStopping;
+}
+
+void
+control_group::BeginStall()
+{
+  log_event("disk_stalled", log_event::severity::Error)
+    .Add("commit", mNode.CommitIndex());
+  std::vector<event> kept;
+  std::vector<propose_reply> refused;
+  {
+    std::lock_guard guard(mQueueLock);
+    mIsStalled = true;
+    for (event& next : std::exchange(mQueue, {})) {
+      if (auto* proposal = std::get_if<propose_event>(&next)) {
+        refused.push_back(std::move(proposal->mReply));
+      } else if (!std::holds_alternative<receive_event>(next)) {
+        kept.push_back(std::move(next));
+      }
+    }
+    mQueue = std::move(kept);
+  }
+  {
+    std::lock_guard guard(mStateLock);
+    mStatus.mRole = raft_role::Follower;
+    mStatus.mLeader = {};
+  }
+  for (const propose_reply& reply : refused) {
+    reply({ propose_status::Busy, {}, {} });
+  }
+  // What was appended may be committed later; its caller has to ask again.
+  FailProposals();
+}
+
+bool
+control_group::WriteUntilTaken(const std::function<bool()>& aWrite)
+{
+  if (aWrite()) {
+    return true;
+  }
+  steady_time since = mHooks.mSteadyNow();
+  BeginStall();
+  // Nothing may leave this host that rests on what isn't written, so that it
+  // is silent meanwhile and the others elect another leader.
+  bool isWritten = false;
+  while (!isWritten) {
+    {
+      std::unique_lock guard(mQueueLock);
+      if (mQueueFilled.wait_for(
+            guard, kDiskRetry, [&] { return mIsStopping; })) {
+        return false;
+      }
+    }
+    isWritten = aWrite();
+  }
+  {
+    std::lock_guard guard(mQueueLock);
+    mIsStalled = false;
+  }
+  auto lasted = std::chrono::duration_cast<milliseconds>(mHooks.mSteadyNow() -
+                                                         since);
+  log_event("disk_regained").Add("stalled_ms", lasted.count());
+  return true;
+}
+
 bool
 control_group::Carry(raft_actions aActions)
 {
   if (aActions.mInstall && !Install(*aActions.mInstall)) {
     return false;
   }
-  if (!mHooks.mPersist(aActions)) {
+  if (!WriteUntilTaken([&] { return mHooks.mPersist(aActions); })) {
     return false;
   }
   if (!aActions.mMessages.empty()) {
@@ -249,7 +333,9 @@
     return false;
   }
   // The tail comes with the actions that follow; the vote must not be lost.
-  if (!mHooks.mStoreSnapshot(aSnapshot, mNode.HardState(), {})) {
+  if (!WriteUntilTaken([&] {
+        return mHooks.mStoreSnapshot(aSnapshot, mNode.HardState(), {});
+      })) {
     return false;
   }
   {
@@ -357,9 +443,12 @@
 void
 control_group::RetryConfirms(steady_time aNow)
 {
+  // What was asked before this leader was known went nowhere.
+  bool isNewLeader = mNode.Leader() != mAskedLeader;
+  mAskedLeader = mNode.Leader();
   std::vector<std::uint64_t> stale;
   for (const auto& [token, confirm] : mConfirms) {
-    if (aNow - confirm.mAskedAt > kConfirmRetry) {
+    if (isNewLeader || aNow - confirm.mAskedAt > kConfirmRetry) {
       stale.push_back(token);
     }
   }
@@ -408,17 +497,19 @@
   mNode.TransferLeadership({}, aNow);
 }
 
-bool
+void
 control_group::CompactIfLong()
 {
   log_index applied = mState.Index();
   if (applied < mNode.Snapshot().mIndex + mConfig.mSnapshotEvery) {
-    return true;
+    return;
   }
   mNode.Compact(applied, mHooks.mEncodeState(mState));
-  log_event("snapshot_made").Add("index", applied);
-  return mHooks.mStoreSnapshot(
+  // Without it the disk still holds the log, which says the same.
+  bool isStored = mHooks.mStoreSnapshot(
     mNode.Snapshot(), mNode.HardState(), mNode.Log());
+  log_event(isStored ? "snapshot_made" : "snapshot_not_stored")
+    .Add("index", applied);
 }
 
 void
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -96,13 +96,13 @@
 enum class group_error
 {
   BadStart,
-  DiskFailed,
+  BadSnapshot,
 };
 
 template<>
 inline constexpr name_table<group_error, 2> kNames<group_error>{ {
   { group_error::BadStart, "bad_start" },
-  { group_error::DiskFailed, "disk_failed" },
+  { group_error::BadSnapshot, "bad_snapshot" },
 } };
 
 /**
@@ -155,6 +155,8 @@
   std::condition_variable mQueueFilled;
   std::vector<event> mQueue;
   bool mIsStopping = false;
+  /** The disk refuses writes: no proposals and no messages are taken. */
+  bool mIsStalled = false;
 
   mutable std::mutex mStateLock;
   control_state mState;
@@ -167,6 +169,8 @@
   std::multimap<log_index, confirm_reply> mReadyConfirms;
   std::multimap<std::string, propose_reply> mClaimWaiters;
   std::uint64_t mNextToken = 1;
+  /** The leader that the waiting confirmations were sent to. */
+  raft_peer_id mAskedLeader;
   bool mIsLeading = false;
   steady_time mTransferDue;
 
@@ -181,6 +185,10 @@
   void Handle(confirm_event& aEvent, steady_time aNow);
   void Handle(bootstrap_event& aEvent, steady_time aNow);
   void Handle(transfer_event& aEvent, steady_time aNow);
+  bool IsStopping();
+  void BeginStall();
+  /** Tries until the disk takes it; false when the group stops meanwhile. */
+  bool WriteUntilTaken(const std::function<bool()>& aWrite);
   bool Carry(raft_actions aActions);
   bool Install(const raft_snapshot& aSnapshot);
   void Apply(const raft_entry& aEntry);
@@ -194,7 +202,7 @@
   void AnswerAllAtEnd();
   void FailProposals();
   void LeaveIfOut(steady_time aNow);
-  bool CompactIfLong();
+  void CompactIfLong();
   void UpdateStatus();
 
 public:
@@ -216,7 +224,10 @@
   /** Hands leadership to another member, if this one has it. */
   void HandOver();
 
-  /** Runs until `Stop`; fails when the disk does. */
+  /**
+   * Runs until `Stop`, and waits while the disk refuses writes. Fails when a
+   * leader sends a snapshot that can't be decoded.
+   */
   result<void, group_error> Run();
   void Stop();
 
--- a/drivers/raft_disk.cpp
+++ b/drivers/raft_disk.cpp
@@ -77,6 +77,7 @@
   , mSegment(std::exchange(aOther.mSegment, -1))
   , mSegmentNumber(aOther.mSegmentNumber)
   , mSegmentBytes(aOther.mSegmentBytes)
+  , mHasTornTail(aOther.mHasTornTail)
   , mDisk(std::move(aOther.mDisk))
   , mPersisted(std::move(aOther.mPersisted))
 {
@@ -263,10 +264,28 @@
   }
 }
 
+result<void, disk_error>
+raft_disk::CutTornTail()
+{
+  if (!mHasTornTail) {
+    return boost::outcome_v2::success();
+  }
+  if (ftruncate(mSegment, static_cast<off_t>(mSegmentBytes)) != 0) {
+    return FailWithErrno(disk_error::CannotWrite, SegmentPath(mSegmentNumber));
+  }
+  mHasTornTail = false;
+  return boost::outcome_v2::success();
+}
+
 result<void, disk_error>
 raft_disk::StartSegment()
 {
   if (mSegment >= 0) {
+    // Only the last segment may end in a torn batch.
+    auto cut = CutTornTail();
+    if (!cut) {
+      return cut.error();
+    }
     close(mSegment);
   }
   ++mSegmentNumber;
@@ -287,11 +306,18 @@
 result<void, disk_error>
 raft_disk::WriteBatch(const std::string& aBatch)
 {
-  auto written = AppendSynced(mSegment, MakeFrame(aBatch));
+  auto cut = CutTornTail();
+  if (!cut) {
+    return cut.error();
+  }
+  std::string bytes = MakeFrame(aBatch);
+  mHasTornTail = true;
+  auto written = AppendSynced(mSegment, bytes);
   if (!written) {
     return FromFile(written.error());
   }
-  mSegmentBytes += aBatch.size();
+  mHasTornTail = false;
+  mSegmentBytes += bytes.size();
   return boost::outcome_v2::success();
 }
 
--- a/drivers/raft_disk.h
+++ b/drivers/raft_disk.h
@@ -31,6 +31,7 @@
  * frames, each one synced batch behind a checked header. A batch that was cut
  * short at the end of the last segment was never acknowledged, and is dropped;
  * any other fault is damage, and refuses to open with its file and offset.
+ * A write that failed may be tried again.
  */
 class raft_disk
 {
@@ -38,7 +39,10 @@
   int mLockFile = -1;
   int mSegment = -1;
   std::uint64_t mSegmentNumber = 0;
+  /** Bytes of whole batches in the segment that is written. */
   std::uint64_t mSegmentBytes = 0;
+  /** The segment may hold part of a batch after them. */
+  bool mHasTornTail = false;
   disk_id mDisk;
   raft_persisted mPersisted;
 
@@ -53,6 +57,7 @@
   result<void, disk_error> LoadSegments();
   result<void, disk_error> LoadSegment(std::uint64_t aNumber, bool aIsLast);
   void Take(const std::string& aBatch);
+  result<void, disk_error> CutTornTail();
   result<void, disk_error> StartSegment();
   result<void, disk_error> WriteBatch(const std::string& aBatch);
   void DropSegmentsBefore(std::uint64_t aNumber);
--- a/tests/drivers/raft_disk_test.cpp
+++ b/tests/drivers/raft_disk_test.cpp
@@ -3,8 +3,11 @@
 #include "drivers/refusal_store.h"
 #include "drivers/synced_file.h"
 
+#include <csignal>
 #include <fstream>
 
+#include <sys/resource.h>
+
 #include <CppUTest/TestHarness.h>
 
 namespace {
@@ -23,6 +26,31 @@
   return actions;
 }
 
+/** Files of this process can't grow beyond a size, as on a full disk. */
+class file_size_limit
+{
+  rlimit mBefore{};
+  sighandler_t mHandler;
+
+public:
+  explicit file_size_limit(std::uint64_t aBytes)
+    : mHandler(std::signal(SIGXFSZ, SIG_IGN))
+  {
+    getrlimit(RLIMIT_FSIZE, &mBefore);
+    rlimit limit{ aBytes, mBefore.rlim_max };
+    setrlimit(RLIMIT_FSIZE, &limit);
+  }
+  ~file_size_limit()
+  {
+    Lift();
+    std::signal(SIGXFSZ, mHandler);
+  }
+  file_size_limit(const file_size_limit&) = delete;
+  file_size_limit& operator=(const file_size_limit&) = delete;
+
+  void Lift() const { setrlimit(RLIMIT_FSIZE, &mBefore); }
+};
+
 }
 
 TEST_GROUP(raft_disk)
@@ -66,6 +94,53 @@
   LONGS_EQUAL(2, kept.mEntries[3].mTerm);
 }
 
+TEST(raft_disk, ABatchThatAFullDiskCutShortIsWrittenAgainWhole)
+{
+  {
+    auto disk = raft_disk::Create(mFolder, "a");
+    CHECK(disk.value().Persist(Entries(1, 3, 1)).has_value());
+    auto full = std::filesystem::file_size(mFolder / "log-1") + 20;
+    file_size_limit limit(full);
+    CHECK(!disk.value().Persist(Entries(4, 6, 1)).has_value());
+    CHECK(!disk.value().Persist(Entries(4, 6, 1)).has_value());
+    limit.Lift();
+    CHECK(disk.value().Persist(Entries(4, 6, 1)).has_value());
+    CHECK(disk.value().Persist(Entries(7, 7, 1)).has_value());
+  }
+  auto disk = raft_disk::Create(mFolder, "a");
+  CHECK(disk.has_value());
+  LONGS_EQUAL(7, disk.value().TakePersisted().mEntries.size());
+}
+
+TEST(raft_disk, ASnapshotThatDidNotFitLeavesTheLogWhole)
+{
+  {
+    auto disk = raft_disk::Create(mFolder, "a");
+    CHECK(disk.value().Persist(Entries(1, 10, 1)).has_value());
+    raft_snapshot snapshot;
+    snapshot.mIndex = 5;
+    snapshot.mTerm = 1;
+    snapshot.mState = std::string(200, 's');
+    raft_actions tail = Entries(6, 10, 1);
+    std::deque<raft_entry> entries(tail.mAppend.begin(), tail.mAppend.end());
+    entries.back().mPayload = std::string(400, 'e');
+    // The snapshot fits, the log that follows it does not.
+    file_size_limit limit(300);
+    CHECK(
+      !disk.value().StoreSnapshot(snapshot, { 1, {} }, entries).has_value());
+    limit.Lift();
+    CHECK(disk.value().Persist(Entries(11, 11, 1)).has_value());
+    CHECK(
+      disk.value().StoreSnapshot(snapshot, { 1, {} }, entries).has_value());
+    CHECK(disk.value().Persist(Entries(11, 11, 1)).has_value());
+  }
+  auto disk = raft_disk::Create(mFolder, "a");
+  CHECK(disk.has_value());
+  raft_persisted kept = disk.value().TakePersisted();
+  LONGS_EQUAL(5, kept.mSnapshot.mIndex);
+  LONGS_EQUAL(6, kept.mEntries.size());
+}
+
 TEST(raft_disk, ASecondProcessIsKeptOut)
 {
   auto first = raft_disk::Create(mFolder, "a");
