Choose servers that fail part of their attempts less often

Cause: a server that refuses two of five requests never fails often enough in a row to stay suspended, and was chosen like the others, which spent the shared budget of repeats.

--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -325,14 +325,18 @@
 
 replica_candidate
 backend_controller::ToCandidate(const backend& aBackend,
-                                std::size_t aPlace) const
+                                std::size_t aPlace,
+                                steady_time aNow) const
 {
+  double failureCost = static_cast<double>(mConfig.mFailureCost.count()) *
+                       aBackend.mHealth.FailedShare(aNow);
   return { aPlace,
            aBackend.mOutstanding,
            aBackend.mServiceTime.Mean(),
            aBackend.mRecord.mFailureDomain == mConfig.mFailureDomain,
            !aBackend.mIdle.empty(),
-           DistanceTo(aBackend) };
+           DistanceTo(aBackend),
+           microseconds(static_cast<std::int64_t>(failureCost)) };
 }
 
 std::optional<std::size_t>
@@ -355,7 +359,7 @@
         !IsCandidate(entry, aRequest, aDomainsOut, aNow)) {
       continue;
     }
-    replica_candidate drawn = ToCandidate(entry, place);
+    replica_candidate drawn = ToCandidate(entry, place, aNow);
     if (first) {
       return IsBetter(drawn, *first) ? place : first->mPlace;
     }
@@ -379,11 +383,12 @@
       continue;
     }
     if (IsKeptFrom(entry, aNow)) {
-      failing.push_back(ToCandidate(entry, place));
+      failing.push_back(ToCandidate(entry, place, aNow));
       continue;
     }
     bool isAvoided = entry.mRecord.mFailureDomain == aRequest.mAvoidedDomain;
-    (isAvoided ? candidates : elsewhere).push_back(ToCandidate(entry, place));
+    (isAvoided ? candidates : elsewhere).push_back(
+      ToCandidate(entry, place, aNow));
   }
   if (candidates.empty() && elsewhere.empty()) {
     return PickReplica(failing, aPool.mRandom);
@@ -443,7 +448,7 @@
     aBackend.mLimit.OnAnswer(aBackend.mOutstanding);
     aPool.mTail.Add(aReport.mTook);
     aBackend.mRefusedInRow = 0;
-    aBackend.mHealth.OnAnswer();
+    aBackend.mHealth.OnAnswer(aNow);
     return;
   }
   if (aReport.mStatus == attempt_status::Cancelled) {
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -105,6 +105,9 @@
   microseconds mDomainDistance{ 0 };
   /** What a connection that is still to be opened counts for. */
   microseconds mConnectCost{ 0 };
+  /** What an attempt that fails counts for, against a server by its failures
+   * of late. */
+  microseconds mFailureCost{ 0 };
   /** Share of the answers after which an attempt counts as slow. */
   double mSlowQuantile = 0.95;
   /** Refusals in a row after which a ready server is taken for a cold one; 0
@@ -206,7 +209,8 @@
   /** What a server counts as farther than the nearest. */
   [[nodiscard]] microseconds DistanceTo(const backend& aBackend) const;
   [[nodiscard]] replica_candidate ToCandidate(const backend& aBackend,
-                                              std::size_t aPlace) const;
+                                              std::size_t aPlace,
+                                              steady_time aNow) const;
   /** The better of two random candidates, if a few draws find two. */
   std::optional<std::size_t> PickFromSample(
     service_pool& aPool,
--- a/decisions/replica_choice.cpp
+++ b/decisions/replica_choice.cpp
@@ -7,7 +7,7 @@
 microseconds
 ExpectedTime(const replica_candidate& aCandidate)
 {
-  return aCandidate.mDistance +
+  return aCandidate.mDistance + aCandidate.mFailureCost +
          aCandidate.mServiceTime *
            static_cast<std::int64_t>(aCandidate.mOutstanding + 1);
 }
--- a/decisions/replica_choice.h
+++ b/decisions/replica_choice.h
@@ -22,6 +22,8 @@
   bool mHasConnection = false;
   /** What the way to another failure domain counts for, in time. */
   microseconds mDistance{ 0 };
+  /** What the chance that the attempt fails counts for, in time. */
+  microseconds mFailureCost{ 0 };
 };
 
 /** Expected time until an attempt sent now is answered. */
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -86,6 +86,7 @@
   config.mHandOver = HandOverTime(aSettings);
   config.mRamp = milliseconds(aSettings.mEntryRampMs);
   config.mDomainDistance = microseconds(aSettings.mEntryDomainDistanceUs);
+  config.mFailureCost = microseconds(aSettings.mEntryFailureCostUs);
   config.mConnectCost = microseconds(aSettings.mEntryConnectCostUs);
   config.mSlowQuantile =
     static_cast<double>(aSettings.mEntryHedgeQuantile) * kPercent;
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -285,6 +285,14 @@
            1000,
            "Refusals in a row after which a ready server is taken for a cold "
            "one; 0 for never."),
+    Number("entry",
+           "failure_cost_us",
+           type::Count,
+           &settings::mEntryFailureCostUs,
+           0,
+           1'000'000,
+           "Microseconds that a server whose attempts all failed lately counts "
+           "as slower when one is chosen; in proportion when some did."),
     Number("entry",
            "domain_distance_us",
            type::Count,
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -99,6 +99,7 @@
   bool mEntryCanary = true;
   std::int64_t mEntryColdAfterRefusals = 8;
   std::int64_t mEntryDomainDistanceUs = 0;
+  std::int64_t mEntryFailureCostUs = 0;
   std::int64_t mEntryConnectCostUs = 0;
   std::int64_t mEntryHedgeQuantile = 95;
   std::int64_t mEntryHedgeAtPercent = 100;
--- a/tests/controllers/backend_controller_test.cpp
+++ b/tests/controllers/backend_controller_test.cpp
@@ -57,6 +57,42 @@
   }
 };
 
+TEST(backend_controller, AServerThatRefusesPartOfItsRequestsGetsFewer)
+{
+  backend_config config{ host_id{ "e1" }, failure_domain_id{ "x" }, kHandOver };
+  config.mFailureCost = milliseconds(60);
+  backend_controller backends(
+    config,
+    { [](const std::vector<connection_id>& /*aConnections*/) {},
+      [](const server_id& /*aServer*/) {} });
+  backends.SetHosts({ host_id{ "e1" } }, kNow);
+  for (const char* name : { "a", "b", "c" }) {
+    backends.Put(Server(name), true, kNow);
+  }
+  // One attempt each 50 ms; the first server refuses two of five.
+  constexpr int kAttempts = 600;
+  int refused = 0;
+  int toRefusing = 0;
+  steady_time now = kNow;
+  for (int attempt = 0; attempt < kAttempts; ++attempt) {
+    now += milliseconds(50);
+    auto permit = backends.Choose(mChoice, now);
+    bool isRefusing = permit->mServer.mValue == "a";
+    toRefusing += isRefusing ? 1 : 0;
+    bool refuses = isRefusing && toRefusing % 5 < 2;
+    refused += refuses ? 1 : 0;
+    backends.Finish(
+      *permit,
+      { refuses ? attempt_status::Shed : attempt_status::Answered,
+        milliseconds(11),
+        1 },
+      now + milliseconds(11));
+  }
+  // Chosen at random it would get a third, and refuse two fifths of that.
+  CHECK(refused < kAttempts / 20);
+  CHECK(toRefusing > 0);
+}
+
 TEST(backend_controller, KeepsToItsShareOfConnections)
 {
   mBackends.Put(Server("a"), true, kNow);
--- a/tests/decisions/window_budget_test.cpp
+++ b/tests/decisions/window_budget_test.cpp
@@ -64,6 +64,22 @@
 
 TEST_GROUP(server_health){};
 
+TEST(server_health, TheFailedShareFollowsTheAttemptsAndIsForgotten)
+{
+  server_health health;
+  DOUBLES_EQUAL(0, health.FailedShare(kStart), 0);
+  for (int attempt = 0; attempt < 100; ++attempt) {
+    if (attempt % 2 == 0) {
+      health.OnFailure(kStart);
+    } else {
+      health.OnAnswer(kStart);
+    }
+  }
+  DOUBLES_EQUAL(0.5, health.FailedShare(kStart), 0.1);
+  CHECK(health.FailedShare(kStart + std::chrono::seconds(3)) < 0.25);
+  CHECK(health.FailedShare(kStart + std::chrono::seconds(30)) < 0.01);
+}
+
 TEST(server_health, FailuresInARowSuspendForATimeThatDoubles)
 {
   server_health health;
@@ -75,6 +91,6 @@
   CHECK(health.IsOnTrial());
   health.OnFailure(kStart + milliseconds(300));
   CHECK(health.IsSuspended(kStart + milliseconds(799)));
-  health.OnAnswer();
+  health.OnAnswer(kStart + milliseconds(300));
   CHECK_FALSE(health.IsOnTrial());
 }
