Let refusals count in the failed share alone

Cause: two refusals in a row suspended a server, which moved its load to the others of its shard until they refused too. Change: a refusal counts in the share of failed attempts; only failures that cost time or a run suspend.

--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -463,7 +463,11 @@
     }
     return;
   }
-  aBackend.mHealth.OnFailure(aNow);
+  if (aReport.mStatus == attempt_status::Shed) {
+    aBackend.mHealth.OnRefusal(aNow);
+  } else {
+    aBackend.mHealth.OnFailure(aNow);
+  }
   if (!IsOverload(aReport.mStatus)) {
     return;
   }
--- a/decisions/server_health.h
+++ b/decisions/server_health.h
@@ -33,6 +33,8 @@
   static constexpr milliseconds kForgetting{ 3000 };
 
   void OnAnswer(steady_time aNow);
+  /** A refusal counts in the failed share alone: the server has no room. */
+  void OnRefusal(steady_time aNow) { NoteOutcome(1, aNow); }
   void OnFailure(steady_time aNow);
   [[nodiscard]] bool IsSuspended(steady_time aNow) const
   {
