--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -9,6 +9,7 @@
 #include "decisions/share.h"
 #include "decisions/snapshot_choice.h"
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -180,6 +181,15 @@
   std::shared_ptr<const std::set<failure_domain_id>> mDomainsOut =
     std::make_shared<const std::set<failure_domain_id>>();
 
+  template<typename pool>
+  static auto FindBackend(pool& aPool, const server_id& aServer)
+  {
+    return std::find_if(aPool.mBackends.begin(),
+                        aPool.mBackends.end(),
+                        [&](const backend& aBackend) {
+                          return aBackend.mRecord.mServer == aServer;
+                        });
+  }
   [[nodiscard]] std::vector<host_id> Hosts() const;
   [[nodiscard]] std::shared_ptr<const std::set<failure_domain_id>> DomainsOut()
     const;
--- a/decisions/control_state.cpp
+++ b/decisions/control_state.cpp
@@ -1,5 +1,6 @@
 #include "decisions/control_state.h"
 
+#include "decisions/judgement.h"
 #include "decisions/team_policy.h"
 
 #include <algorithm>
@@ -8,46 +9,6 @@
 
 namespace {
 
-change_outcome
-Refuse(change_verdict aVerdict, log_index aVersion, std::string aDetail)
-{
-  change_outcome outcome;
-  outcome.mVerdict = aVerdict;
-  outcome.mVersion = aVersion;
-  outcome.mDetail = std::move(aDetail);
-  return outcome;
-}
-
-change_outcome
-Accept(log_index aVersion)
-{
-  change_outcome outcome;
-  outcome.mVersion = aVersion;
-  return outcome;
-}
-
-template<typename records, typename id>
-log_index
-CurrentVersion(const records& aRecords, const id& aId)
-{
-  auto found = aRecords.find(aId);
-  return found == aRecords.end() ? 0 : found->second.mVersion;
-}
-
-bool
-Matches(const std::optional<log_index>& aIfVersion, log_index aCurrent)
-{
-  return !aIfVersion || *aIfVersion == aCurrent;
-}
-
-change_outcome
-VersionConflict(log_index aCurrent)
-{
-  return Refuse(change_verdict::Conflict,
-                aCurrent,
-                "The record has version " + std::to_string(aCurrent) + " now.");
-}
-
 template<typename records>
 void
 CopyFacts(const records& aRecords, std::vector<record_change>& aFacts)
@@ -59,34 +20,6 @@
 
 }
 
-std::string
-ClaimName(const team_id& aTeam, const idempotency_key& aKey)
-{
-  // A team's name holds no slash, so that two pairs never share a name.
-  return aTeam.mValue + "/" + aKey.mValue;
-}
-
-change_outcome
-OutcomeOf(const claim_record& aClaim)
-{
-  change_outcome outcome;
-  outcome.mVersion = aClaim.mVersion;
-  outcome.mRecordedOutcome = aClaim.mOutcome;
-  switch (aClaim.mState) {
-    case claim_state::Done:
-      outcome.mVerdict = change_verdict::AlreadyDone;
-      break;
-    case claim_state::Unknown:
-      outcome.mVerdict = change_verdict::AlreadyUnknown;
-      break;
-    case claim_state::Claimed:
-    case claim_state::Released:
-      outcome.mVerdict = change_verdict::InProgress;
-      break;
-  }
-  return outcome;
-}
-
 change_effects
 control_state::Apply(log_index aIndex, const change_command& aCommand)
 {
@@ -203,121 +136,6 @@
   return Accept(mIndex);
 }
 
-change_outcome
-control_state::Put(const entry_host_record& aWish,
-                   const std::optional<log_index>& /*aIfVersion*/,
-                   change_effects& aEffects)
-{
-  auto found = mEntryHosts.find(aWish.mHost);
-  if (found != mEntryHosts.end()) {
-    const entry_host_record& known = found->second;
-    // Runs of a host are told apart by random numbers: no clock orders them.
-    bool isLate = aWish.mIncarnation != known.mIncarnation &&
-                  aWish.mState != entry_host_state::Joining;
-    if (isLate) {
-      return Refuse(change_verdict::Stale,
-                    known.mVersion,
-                    "Another run of this host has joined.");
-    }
-    bool sameRun = aWish.mIncarnation == known.mIncarnation;
-    // A host that has gone over to another control host is not silent.
-    if (aWish.mState == entry_host_state::Silent &&
-        aWish.mSponsor != known.mSponsor) {
-      return Refuse(change_verdict::Stale,
-                    known.mVersion,
-                    "Another control host hears this host.");
-    }
-    if (!sameRun || aWish.mState == entry_host_state::Silent) {
-      LoseClaimsOf(known.mHost, known.mIncarnation, aEffects);
-    }
-    bool backFromLeaving = sameRun &&
-                           known.mState == entry_host_state::Leaving &&
-                           aWish.mState == entry_host_state::Serving;
-    if (backFromLeaving) {
-      return Refuse(change_verdict::Stale,
-                    known.mVersion,
-                    "This run of the host is leaving.");
-    }
-  }
-  entry_host_record& kept = mEntryHosts[aWish.mHost];
-  kept = aWish;
-  kept.mVersion = mIndex;
-  aEffects.mFacts.emplace_back(kept);
-  return Accept(mIndex);
-}
-
-change_outcome
-control_state::Put(const server_record& aWish,
-                   const std::optional<log_index>& aIfVersion,
-                   change_effects& aEffects)
-{
-  log_index current = CurrentVersion(mServers, aWish.mServer);
-  // A transition that was overtaken on its way must not undo the later one.
-  if (!Matches(aIfVersion, current)) {
-    return VersionConflict(current);
-  }
-  auto found = mServers.find(aWish.mServer);
-  if (found != mServers.end()) {
-    const server_record& known = found->second;
-    bool olderRun = aWish.mIncarnation < known.mIncarnation;
-    bool sameRun = aWish.mIncarnation == known.mIncarnation;
-    // Sponsors agree on the order of a server's announcements only if it
-    // counts them itself.
-    bool isOrdered = aWish.mSponsor == known.mSponsor || aWish.mSequence != 0;
-    bool overtaken = sameRun && isOrdered && aWish.mSequence < known.mSequence;
-    bool hasLeft = sameRun && known.mHasLeft && !aWish.mHasLeft;
-    if (olderRun || overtaken || hasLeft) {
-      return Refuse(change_verdict::Stale,
-                    known.mVersion,
-                    "A later announcement of this server is in force.");
-    }
-  }
-  if (aWish.mState == server_state::Gone) {
-    // Only the present sponsor may say that a server is gone: an earlier one
-    // whose renewals went elsewhere must not take the record away.
-    if (found == mServers.end()) {
-      return Accept(mIndex);
-    }
-    if (found->second.mSponsor != aWish.mSponsor) {
-      return Refuse(change_verdict::Stale,
-                    found->second.mVersion,
-                    "Another entry host sponsors this server.");
-    }
-    found->second.mHasLeft = found->second.mHasLeft || aWish.mHasLeft;
-    RetireServer(found->second, aEffects);
-    return Accept(mIndex);
-  }
-  auto holder = mServerAddresses.find(aWish.mAddress);
-  bool isHeld =
-    holder != mServerAddresses.end() && holder->second != aWish.mServer;
-  if (isHeld) {
-    server_record& present = mServers[holder->second];
-    bool isLater =
-      present.mStartedAt != 0 && aWish.mStartedAt > present.mStartedAt;
-    if (isLater) {
-      // The address was given to another server after this one had ended.
-      RetireServer(present, aEffects);
-      isHeld = false;
-    }
-  }
-  if (isHeld) {
-    return Refuse(change_verdict::InUse,
-                  0,
-                  "Address " + aWish.mAddress + " belongs to server \"" +
-                    holder->second.mValue + "\".");
-  }
-  if (found != mServers.end()) {
-    mServerAddresses.erase(found->second.mAddress);
-    mGoneServers.erase({ found->second.mGoneAt, aWish.mServer });
-  }
-  server_record& kept = mServers[aWish.mServer];
-  kept = aWish;
-  kept.mVersion = mIndex;
-  mServerAddresses[aWish.mAddress] = aWish.mServer;
-  aEffects.mFacts.emplace_back(kept);
-  return Accept(mIndex);
-}
-
 change_outcome
 control_state::Put(const quarantine_record& aWish,
                    const std::optional<log_index>& /*aIfVersion*/,
@@ -369,45 +187,6 @@
   return Accept(mIndex);
 }
 
-change_outcome
-control_state::Put(const claim_record& aWish,
-                   const std::optional<log_index>& /*aIfVersion*/,
-                   change_effects& aEffects)
-{
-  std::string name = ClaimName(aWish.mTeam, aWish.mKey);
-  auto found = mClaims.find(name);
-  if (found != mClaims.end() && found->second.mAttempt == aWish.mAttempt) {
-    return SettleClaim(found->second, aWish, aEffects);
-  }
-  bool isFree =
-    found == mClaims.end() || found->second.mState == claim_state::Released;
-  if (aWish.mState == claim_state::Released && isFree) {
-    claim_record& kept = mClaims[name];
-    kept = aWish;
-    Settle(kept, claim_state::Released, aEffects);
-    return Accept(mIndex);
-  }
-  if (aWish.mState != claim_state::Claimed) {
-    return Refuse(change_verdict::NotFound, 0, "The claim is not held.");
-  }
-  if (isFree) {
-    if (found == mClaims.end() && mClaims.size() >= mLimits.mMostClaims) {
-      return Refuse(change_verdict::TableFull, 0, "The claims table is full.");
-    }
-    claim_record& kept = mClaims[name];
-    kept = aWish;
-    kept.mVersion = mIndex;
-    return Accept(mIndex);
-  }
-  const claim_record& known = found->second;
-  if (known.mFingerprint != aWish.mFingerprint) {
-    return Refuse(change_verdict::KeyReused,
-                  known.mVersion,
-                  "The key was used with another body.");
-  }
-  return OutcomeOf(known);
-}
-
 change_outcome
 control_state::Put(const configuration_record& aWish,
                    const std::optional<log_index>& /*aIfVersion*/,
@@ -437,86 +216,6 @@
   return Accept(mIndex);
 }
 
-change_outcome
-control_state::SettleClaim(claim_record& aClaim,
-                           const claim_record& aWish,
-                           change_effects& aEffects)
-{
-  // A lost claim that turns out to be done is settled anew: the truth counts.
-  bool settled = aClaim.mState == claim_state::Done;
-  if (aClaim.mState == claim_state::Released) {
-    return Refuse(
-      change_verdict::Stale, aClaim.mVersion, "The claim was released.");
-  }
-  if (aWish.mState == claim_state::Claimed || settled) {
-    if (aClaim.mState == claim_state::Unknown) {
-      return Refuse(change_verdict::AlreadyUnknown,
-                    aClaim.mVersion,
-                    "The claim's owner was lost.");
-    }
-    return Accept(aClaim.mVersion);
-  }
-  aClaim.mOutcome = aWish.mOutcome;
-  Settle(aClaim, aWish.mState, aEffects);
-  return Accept(mIndex);
-}
-
-void
-control_state::Settle(claim_record& aClaim,
-                      claim_state aState,
-                      change_effects& aEffects)
-{
-  std::string name = ClaimName(aClaim.mTeam, aClaim.mKey);
-  aClaim.mState = aState;
-  aClaim.mVersion = mIndex;
-  aClaim.mSettledAt = mTime;
-  bool isReleased = aState == claim_state::Released;
-  (isReleased ? mReleasedClaims : mSettledClaims).emplace_back(mTime, name);
-  aEffects.mSettledClaims.push_back(name);
-}
-
-void
-control_state::LoseClaimsOf(const host_id& aOwner,
-                            incarnation_number aOwnerIncarnation,
-                            change_effects& aEffects)
-{
-  for (auto& [name, claim] : mClaims) {
-    bool lost = claim.mState == claim_state::Claimed &&
-                claim.mOwner == aOwner &&
-                claim.mOwnerIncarnation <= aOwnerIncarnation;
-    if (lost) {
-      Settle(claim, claim_state::Unknown, aEffects);
-    }
-  }
-}
-
-void
-control_state::RetireServer(server_record& aServer, change_effects& aEffects)
-{
-  if (aServer.mState == server_state::Gone) {
-    return;
-  }
-  mServerAddresses.erase(aServer.mAddress);
-  aServer.mState = server_state::Gone;
-  aServer.mGoneAt = mTime;
-  aServer.mVersion = mIndex;
-  mGoneServers.insert({ mTime, aServer.mServer });
-  aEffects.mFacts.emplace_back(aServer);
-}
-
-void
-control_state::ForgetGoneServers(change_effects& aEffects)
-{
-  wall_ms oldest = mTime - mLimits.mGoneServerKept.count();
-  while (!mGoneServers.empty() && mGoneServers.begin()->first < oldest) {
-    server_id server = mGoneServers.begin()->second;
-    mGoneServers.erase(mGoneServers.begin());
-    mServers.erase(server);
-    aEffects.mFacts.emplace_back(
-      record_removal{ record_kind::Server, server.mValue });
-  }
-}
-
 log_index
 control_state::VersionOf(const record_removal& aName) const
 {
@@ -608,23 +307,6 @@
   return Accept(mIndex);
 }
 
-void
-control_state::ForgetClaims(std::deque<std::pair<wall_ms, std::string>>& aEnded,
-                            milliseconds aKept)
-{
-  wall_ms oldest = mTime - aKept.count();
-  while (!aEnded.empty() && aEnded.front().first < oldest) {
-    auto [settledAt, name] = aEnded.front();
-    aEnded.pop_front();
-    auto found = mClaims.find(name);
-    // A claim that was settled again, or made anew, is not meant.
-    if (found != mClaims.end() && found->second.mSettledAt == settledAt &&
-        found->second.mState != claim_state::Claimed) {
-      mClaims.erase(found);
-    }
-  }
-}
-
 void
 control_state::Forget(change_effects& aEffects)
 {
@@ -659,13 +341,6 @@
   mJudgedOrder.push_back(aCommand.mChange);
 }
 
-const claim_record*
-control_state::FindClaim(const std::string& aName) const
-{
-  auto found = mClaims.find(aName);
-  return found == mClaims.end() ? nullptr : &found->second;
-}
-
 std::vector<record_change>
 control_state::Facts() const
 {
@@ -682,16 +357,6 @@
   return facts;
 }
 
-std::vector<claim_record>
-control_state::Claims() const
-{
-  std::vector<claim_record> claims;
-  for (const auto& [name, claim] : mClaims) {
-    claims.push_back(claim);
-  }
-  return claims;
-}
-
 std::vector<judged_change>
 control_state::JudgedChanges() const
 {
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -87,6 +87,9 @@
     std::uint64_t mRound = 0;
   };
 
+  /** Pause between two requests of a host that is not a member yet. */
+  static constexpr milliseconds kJoinInterval{ 1000 };
+
   raft_config mConfig;
   std::mt19937_64 mRandom;
   raft_hard_state mHardState;
--- a/drivers/control_service.cpp
+++ b/drivers/control_service.cpp
@@ -3,6 +3,7 @@
 #include "core/log_event.h"
 #include "drivers/grpc_settings.h"
 #include "messages/control_codec.h"
+#include "messages/raft_codec.h"
 #include "messages/refusal_codec.h"
 
 #include <mutex>
--- a/drivers/raft_disk.cpp
+++ b/drivers/raft_disk.cpp
@@ -2,7 +2,7 @@
 
 #include "core/log_event.h"
 #include "drivers/synced_file.h"
-#include "messages/control_codec.h"
+#include "messages/raft_codec.h"
 
 #include <algorithm>
 #include <cerrno>
--- a/drivers/raft_transport.cpp
+++ b/drivers/raft_transport.cpp
@@ -2,7 +2,7 @@
 
 #include "drivers/grpc_settings.h"
 #include "drivers/host_address.h"
-#include "messages/control_codec.h"
+#include "messages/raft_codec.h"
 
 #include <condition_variable>
 #include <deque>
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -6,6 +6,7 @@
 #include "main/periodic.h"
 #include "main/role_support.h"
 #include "messages/control_codec.h"
+#include "messages/raft_codec.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
--- a/messages/control_codec.h
+++ b/messages/control_codec.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "core/failure.h"
 #include "decisions/control_state.h"
-#include "decisions/raft_node.h"
+#include "messages/codec_error.h"
 
 #include <string>
 
@@ -10,18 +9,6 @@
 
 namespace hibiscusspool {
 
-enum class codec_error
-{
-  Malformed,
-  UnknownName,
-};
-
-template<>
-inline constexpr name_table<codec_error, 2> kNames<codec_error>{ {
-  { codec_error::Malformed, "malformed" },
-  { codec_error::UnknownName, "unknown_name" },
-} };
-
 // Each Write fills a message of the wire, and each Read takes one in. Reading
 // fails when a message lacks a part or names something that doesn't exist.
 
@@ -45,31 +32,6 @@
 result<change_outcome, codec_error>
 ReadOutcome(const wire::Outcome& aIn);
 
-void
-WriteMessage(const raft_message& aMessage, wire::RaftMessage& aOut);
-result<raft_message, codec_error>
-ReadMessage(const wire::RaftMessage& aIn);
-
-void
-WriteEntry(const raft_entry& aEntry, wire::Entry& aOut);
-raft_entry
-ReadEntry(const wire::Entry& aIn);
-
-void
-WriteHardState(const raft_hard_state& aState, wire::HardState& aOut);
-raft_hard_state
-ReadHardState(const wire::HardState& aIn);
-
-void
-WriteSnapshot(const raft_snapshot& aSnapshot, wire::Snapshot& aOut);
-raft_snapshot
-ReadSnapshot(const wire::Snapshot& aIn);
-
-void
-WritePeerId(const raft_peer_id& aPeer, wire::PeerId& aOut);
-raft_peer_id
-ReadPeerId(const wire::PeerId& aIn);
-
 /** A command as a payload of the log. */
 std::string
 EncodeCommand(const change_command& aCommand);
--- a/tests/fuzz/fuzz_input.cpp
+++ b/tests/fuzz/fuzz_input.cpp
@@ -5,6 +5,7 @@
 #include "drivers/synced_file.h"
 #include "messages/control_codec.h"
 #include "messages/operator_json.h"
+#include "messages/raft_codec.h"
 #include "settings/settings.h"
 
 namespace fuzz {
