--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -297,8 +297,8 @@
     std::lock_guard guard(mQueueLock);
     mIsStalled = false;
   }
-  auto lasted = std::chrono::duration_cast<milliseconds>(mHooks.mSteadyNow() -
-                                                         since);
+  auto lasted =
+    std::chrono::duration_cast<milliseconds>(mHooks.mSteadyNow() - since);
   log_event("disk_regained").Add("stalled_ms", lasted.count());
   return true;
 }
@@ -506,8 +506,8 @@
   }
   mNode.Compact(applied, mHooks.mEncodeState(mState));
   // Without it the disk still holds the log, which says the same.
-  bool isStored = mHooks.mStoreSnapshot(
-    mNode.Snapshot(), mNode.HardState(), mNode.Log());
+  bool isStored =
+    mHooks.mStoreSnapshot(mNode.Snapshot(), mNode.HardState(), mNode.Log());
   log_event(isStored ? "snapshot_made" : "snapshot_not_stored")
     .Add("index", applied);
 }
--- a/tests/controllers/backend_controller_test.cpp
+++ b/tests/controllers/backend_controller_test.cpp
@@ -81,12 +81,11 @@
     toRefusing += isRefusing ? 1 : 0;
     bool refuses = isRefusing && toRefusing % 5 < 2;
     refused += refuses ? 1 : 0;
-    backends.Finish(
-      *permit,
-      { refuses ? attempt_status::Shed : attempt_status::Answered,
-        milliseconds(11),
-        1 },
-      now + milliseconds(11));
+    backends.Finish(*permit,
+                    { refuses ? attempt_status::Shed : attempt_status::Answered,
+                      milliseconds(11),
+                      1 },
+                    now + milliseconds(11));
   }
   // Chosen at random it would get a third, and refuse two fifths of that.
   CHECK(refused < kAttempts / 20);
--- a/tests/controllers/control_group_test.cpp
+++ b/tests/controllers/control_group_test.cpp
@@ -155,9 +155,8 @@
 {
   running_group member({ "a" },
                        [] { return std::chrono::steady_clock::now(); });
-  CHECK(running_group::Becomes([&] {
-    return member.mGroup->Status().mRole == raft_role::Leader;
-  }));
+  CHECK(running_group::Becomes(
+    [&] { return member.mGroup->Status().mRole == raft_role::Leader; }));
   member.mIsDiskFull = true;
   member.mGroup->Propose({}, [](propose_answer /*aAnswer*/) {});
   CHECK(running_group::Becomes([&] { return member.mFailedWrites >= 2; }));
--- a/tests/drivers/raft_disk_test.cpp
+++ b/tests/drivers/raft_disk_test.cpp
@@ -130,8 +130,7 @@
       !disk.value().StoreSnapshot(snapshot, { 1, {} }, entries).has_value());
     limit.Lift();
     CHECK(disk.value().Persist(Entries(11, 11, 1)).has_value());
-    CHECK(
-      disk.value().StoreSnapshot(snapshot, { 1, {} }, entries).has_value());
+    CHECK(disk.value().StoreSnapshot(snapshot, { 1, {} }, entries).has_value());
     CHECK(disk.value().Persist(Entries(11, 11, 1)).has_value());
   }
   auto disk = raft_disk::Create(mFolder, "a");
