Always look at a server of the own failure domain

Change: the better of two random servers of the own domain is compared with the better of two others; services of up to 16 servers are looked at as a whole. The new test fails on the old choice.

--- a/controllers/backend_choice.cpp
+++ b/controllers/backend_choice.cpp
@@ -10,6 +10,9 @@
 constexpr int kSilentFactor = 3;
 /** Random servers that are looked at before all are. */
 constexpr int kSampleDraws = 4;
+/** Services of more servers than these are sampled; all servers of smaller
+ * ones are looked at. */
+constexpr std::size_t kMostLookedAt = 16;
 
 bool
 IsOverload(attempt_status aStatus)
@@ -110,7 +113,8 @@
   const std::set<failure_domain_id>& aDomainsOut,
   steady_time aNow) const
 {
-  if (aPool.mBackends.empty() || !aRequest.mAvoidedDomain.IsEmpty()) {
+  if (aPool.mBackends.size() <= kMostLookedAt ||
+      !aRequest.mAvoidedDomain.IsEmpty()) {
     return std::nullopt;
   }
   std::uniform_int_distribution<std::size_t> any(0, aPool.mBackends.size() - 1);
@@ -155,9 +159,10 @@
       .push_back(ToCandidate(entry, place, aNow));
   }
   if (candidates.empty() && elsewhere.empty()) {
-    return PickReplica(failing, aPool.mRandom);
+    return PickReplica(std::move(failing), aPool.mRandom);
   }
-  return PickReplica(elsewhere.empty() ? candidates : elsewhere, aPool.mRandom);
+  auto& chosen = elsewhere.empty() ? candidates : elsewhere;
+  return PickReplica(std::move(chosen), aPool.mRandom);
 }
 
 std::optional<attempt_permit>
--- a/decisions/replica_choice.cpp
+++ b/decisions/replica_choice.cpp
@@ -1,9 +1,36 @@
 #include "decisions/replica_choice.h"
 
+#include <algorithm>
+#include <span>
 #include <tuple>
 
 namespace hibiscusspool {
 
+namespace {
+
+/** The better of two random ones; none if there are none. */
+const replica_candidate*
+PickOfTwo(std::span<const replica_candidate> aCandidates,
+          std::mt19937_64& aRandom)
+{
+  if (aCandidates.empty()) {
+    return nullptr;
+  }
+  if (aCandidates.size() == 1) {
+    return &aCandidates.front();
+  }
+  std::uniform_int_distribution<std::size_t> first(0, aCandidates.size() - 1);
+  std::uniform_int_distribution<std::size_t> second(0, aCandidates.size() - 2);
+  std::size_t one = first(aRandom);
+  std::size_t other = second(aRandom);
+  // Skips the first choice, so that two different ones are compared.
+  other += other >= one ? 1 : 0;
+  bool isOne = IsBetter(aCandidates[one], aCandidates[other]);
+  return &aCandidates[isOne ? one : other];
+}
+
+}
+
 microseconds
 ExpectedTime(const replica_candidate& aCandidate)
 {
@@ -24,23 +51,24 @@
 }
 
 std::optional<std::size_t>
-PickReplica(const std::vector<replica_candidate>& aCandidates,
+PickReplica(std::vector<replica_candidate> aCandidates,
             std::mt19937_64& aRandom)
 {
-  if (aCandidates.empty()) {
+  auto others = std::partition(
+    aCandidates.begin(), aCandidates.end(), [](const replica_candidate& aOne) {
+      return aOne.mIsOwnDomain;
+    });
+  const replica_candidate* own =
+    PickOfTwo({ aCandidates.begin(), others }, aRandom);
+  const replica_candidate* other =
+    PickOfTwo({ others, aCandidates.end() }, aRandom);
+  if (own == nullptr && other == nullptr) {
     return std::nullopt;
   }
-  if (aCandidates.size() == 1) {
-    return aCandidates.front().mPlace;
+  if (own == nullptr || other == nullptr) {
+    return (own != nullptr ? own : other)->mPlace;
   }
-  std::uniform_int_distribution<std::size_t> first(0, aCandidates.size() - 1);
-  std::uniform_int_distribution<std::size_t> second(0, aCandidates.size() - 2);
-  std::size_t one = first(aRandom);
-  std::size_t other = second(aRandom);
-  // Skips the first choice, so that two different ones are compared.
-  other += other >= one ? 1 : 0;
-  bool isOne = IsBetter(aCandidates[one], aCandidates[other]);
-  return aCandidates[isOne ? one : other].mPlace;
+  return (IsBetter(*other, *own) ? other : own)->mPlace;
 }
 
 }
--- a/decisions/replica_choice.h
+++ b/decisions/replica_choice.h
@@ -38,11 +38,12 @@
 IsBetter(const replica_candidate& aOne, const replica_candidate& aOther);
 
 /**
- * Picks the better of two random candidates by expected time. The own failure
- * domain and an open connection decide between equals only.
+ * Picks the better of two random candidates of the own failure domain, and of
+ * two of the others, and of these two the better by expected time. So the own
+ * domain is always looked at, and nobody sends all to the one best server.
  */
 std::optional<std::size_t>
-PickReplica(const std::vector<replica_candidate>& aCandidates,
+PickReplica(std::vector<replica_candidate> aCandidates,
             std::mt19937_64& aRandom);
 
 }
--- a/tests/decisions/choices_test.cpp
+++ b/tests/decisions/choices_test.cpp
@@ -68,6 +68,26 @@
   LONGS_EQUAL(0, *PickReplica(candidates, random));
 }
 
+TEST(replica_choice, AServerOfTheOwnFailureDomainIsAlwaysLookedAt)
+{
+  std::mt19937_64 random(5);
+  constexpr microseconds kTime{ 10'000 };
+  constexpr microseconds kFar{ 6'000 };
+  std::vector<replica_candidate> candidates{
+    { 0, 0, kTime, false, true, kFar, {} },
+    { 1, 0, kTime, true, true, {}, {} },
+    { 2, 0, kTime, false, true, kFar, {} },
+  };
+  for (int draw = 0; draw < 200; ++draw) {
+    LONGS_EQUAL(1, PickReplica(candidates, random).value());
+  }
+  // One attempt under way there costs more than the way to another domain.
+  candidates[1].mOutstanding = 1;
+  for (int draw = 0; draw < 200; ++draw) {
+    CHECK(PickReplica(candidates, random).value() != 1);
+  }
+}
+
 TEST(replica_choice, SpreadsOverEqualServers)
 {
   std::mt19937_64 random(1);
