--- a/drivers/raft_transport.cpp
+++ b/drivers/raft_transport.cpp
@@ -1,5 +1,6 @@
 #include "drivers/raft_transport.h"
 
+#include "core/log_event.h"
 #include "drivers/grpc_settings.h"
 #include "drivers/host_address.h"
 #include "messages/raft_codec.h"
@@ -25,8 +26,28 @@
   std::shared_ptr<grpc::Channel> mChannel;
   std::deque<raft_message> mQueue;
   bool mIsCalling = false;
+  /** The latest call failed. */
+  bool mIsLost = false;
 };
 
+/** One line when a peer is lost, and one when it is heard again. */
+void
+NoteCall(peer_link& aLink, const host_id& aHost, const grpc::Status& aStatus)
+{
+  if (aLink.mIsLost == !aStatus.ok()) {
+    return;
+  }
+  aLink.mIsLost = !aStatus.ok();
+  if (aStatus.ok()) {
+    log_event("peer_regained").Add("peer", aHost.mValue);
+    return;
+  }
+  log_event("peer_lost", log_event::severity::Warning)
+    .Add("peer", aHost.mValue)
+    .Add("code", static_cast<int>(aStatus.error_code()))
+    .Add("cause", aStatus.error_message());
+}
+
 struct delivery
 {
   grpc::ClientContext mContext;
@@ -151,6 +172,7 @@
     [aState, aHost, call](const grpc::Status& aStatus) {
       aState->mLinks.Update(aHost, [&](peer_link& aLink) {
         aLink.mIsCalling = false;
+        NoteCall(aLink, aHost, aStatus);
         // The connection went silent: the next call opens a fresh one.
         if (aStatus.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
           aLink.mChannel.reset();
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -127,6 +127,18 @@
   return role;
 }
 
+bool
+control_role::NoteDisk(const result<void, disk_error>& aDone)
+{
+  // A write that fails is tried again and again; its cause is told once.
+  std::string cause = aDone ? std::string() : aDone.error().mDetail;
+  if (!aDone && cause != mDiskCause) {
+    log_event("disk_failed", log_event::severity::Error).Add("cause", cause);
+  }
+  mDiskCause = std::move(cause);
+  return aDone.has_value();
+}
+
 control_group_hooks
 control_role::GroupHooks()
 {
@@ -149,22 +161,12 @@
     return state ? std::optional(std::move(state.value())) : std::nullopt;
   };
   hooks.mPersist = [this](const raft_actions& aActions) {
-    auto done = mDisk.Persist(aActions);
-    if (!done) {
-      log_event("disk_failed", log_event::severity::Error)
-        .Add("cause", done.error().mDetail);
-    }
-    return done.has_value();
+    return NoteDisk(mDisk.Persist(aActions));
   };
   hooks.mStoreSnapshot = [this](const raft_snapshot& aSnapshot,
                                 const raft_hard_state& aHardState,
                                 const std::deque<raft_entry>& aTail) {
-    auto done = mDisk.StoreSnapshot(aSnapshot, aHardState, aTail);
-    if (!done) {
-      log_event("disk_failed", log_event::severity::Error)
-        .Add("cause", done.error().mDetail);
-    }
-    return done.has_value();
+    return NoteDisk(mDisk.StoreSnapshot(aSnapshot, aHardState, aTail));
   };
   hooks.mSend = [this](std::vector<raft_message> aMessages) {
     mTransport.Send(std::move(aMessages));
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -30,6 +30,9 @@
   boost::asio::io_context& mContext;
   settings mSettings;
   raft_disk mDisk;
+  /** Why the latest write failed, or empty; the group's thread alone uses it.
+   */
+  std::string mDiskCause;
   refusal_store mRefusals;
   raft_transport mTransport;
   control_client mClient;
@@ -64,6 +67,8 @@
   /** A service as it is configured, or the default. */
   [[nodiscard]] service_profile Profile(const service_id& aService) const;
   void StartLoops();
+  /** Logs a write that failed; true when it succeeded. */
+  bool NoteDisk(const result<void, disk_error>& aDone);
   control_group_hooks GroupHooks();
   boost::asio::awaitable<void> FormGroup();
   boost::asio::awaitable<void> TendMembership();
