--- a/tests/controllers/control_group_test.cpp
+++ b/tests/controllers/control_group_test.cpp
@@ -27,7 +27,7 @@
   std::thread mThread;
   std::atomic<bool> mHasEndedWell{ false };
 
-  running_group(std::vector<std::string> aVoters,
+  running_group(const std::vector<std::string>& aVoters,
                 std::function<steady_time()> aNow)
     : mNow(std::move(aNow))
   {
@@ -90,7 +90,7 @@
       mSent.notify_all();
     };
     hooks.mPublish = [](log_index /*aIndex*/,
-                        std::vector<record_change> /*aFacts*/) {};
+                        const std::vector<record_change>& /*aFacts*/) {};
     hooks.mReplaced = [](log_index /*aIndex*/) {};
     hooks.mRoleChanged = [] {};
     return hooks;
@@ -111,7 +111,7 @@
   propose_status Propose()
   {
     auto judged = std::make_shared<std::promise<propose_status>>();
-    mGroup->Propose({}, [judged](propose_answer aAnswer) {
+    mGroup->Propose({}, [judged](const propose_answer& aAnswer) {
       judged->set_value(aAnswer.mStatus);
     });
     auto answer = judged->get_future();
@@ -158,7 +158,7 @@
   CHECK(running_group::Becomes(
     [&] { return member.mGroup->Status().mRole == raft_role::Leader; }));
   member.mIsDiskFull = true;
-  member.mGroup->Propose({}, [](propose_answer /*aAnswer*/) {});
+  member.mGroup->Propose({}, [](const propose_answer& /*aAnswer*/) {});
   CHECK(running_group::Becomes([&] { return member.mFailedWrites >= 2; }));
   // Nobody is to send it work that it can't write down.
   CHECK(!member.mGroup->KnowsLeader());
