--- a/controllers/backend_choice.cpp
+++ b/controllers/backend_choice.cpp
@@ -78,16 +78,18 @@
 }
 
 microseconds
-backend_controller::DistanceTo(const backend& aBackend) const
+backend_controller::HandicapOf(const backend& aBackend, steady_time aNow) const
 {
-  microseconds distance{ 0 };
+  double failures = static_cast<double>(mConfig.mFailureCost.count()) *
+                    aBackend.mHealth.FailedShare(aNow);
+  microseconds handicap(static_cast<std::int64_t>(failures));
   if (aBackend.mRecord.mFailureDomain != mConfig.mFailureDomain) {
-    distance += mConfig.mDomainDistance;
+    handicap += mConfig.mDomainDistance;
   }
   if (aBackend.mIdle.empty()) {
-    distance += mConfig.mConnectCost;
+    handicap += mConfig.mConnectCost;
   }
-  return distance;
+  return handicap;
 }
 
 replica_candidate
@@ -95,15 +97,12 @@
                                 std::size_t aPlace,
                                 steady_time aNow) const
 {
-  double failureCost = static_cast<double>(mConfig.mFailureCost.count()) *
-                       aBackend.mHealth.FailedShare(aNow);
   return { aPlace,
            aBackend.mOutstanding,
            aBackend.mServiceTime.Mean(),
            aBackend.mRecord.mFailureDomain == mConfig.mFailureDomain,
            !aBackend.mIdle.empty(),
-           DistanceTo(aBackend),
-           microseconds(static_cast<std::int64_t>(failureCost)) };
+           HandicapOf(aBackend, aNow) };
 }
 
 std::optional<std::size_t>
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -216,8 +216,9 @@
                                  steady_time aNow) const;
   [[nodiscard]] bool IsKeptFrom(const backend& aBackend,
                                 steady_time aNow) const;
-  /** What a server counts as farther than the nearest. */
-  [[nodiscard]] microseconds DistanceTo(const backend& aBackend) const;
+  /** What a server counts as slower than its answers say. */
+  [[nodiscard]] microseconds HandicapOf(const backend& aBackend,
+                                        steady_time aNow) const;
   [[nodiscard]] replica_candidate ToCandidate(const backend& aBackend,
                                               std::size_t aPlace,
                                               steady_time aNow) const;
--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -80,14 +80,12 @@
 void
 control_group::Receive(std::vector<raft_message> aMessages)
 {
-  {
-    std::lock_guard guard(mQueueLock);
-    if (mIsStalled) {
-      // Messages may be lost; their senders repeat what still matters.
-      return;
-    }
+  std::lock_guard guard(mQueueLock);
+  // Messages may be lost; their senders repeat what still matters.
+  if (!mIsStalled) {
+    mQueue.emplace_back(receive_event{ std::move(aMessages) });
+    mQueueFilled.notify_one();
   }
-  Push(receive_event{ std::move(aMessages) });
 }
 
 void
--- a/decisions/control_servers.cpp
+++ b/decisions/control_servers.cpp
@@ -40,11 +40,7 @@
                     "This run of the host is leaving.");
     }
   }
-  entry_host_record& kept = mEntryHosts[aWish.mHost];
-  kept = aWish;
-  kept.mVersion = mIndex;
-  aEffects.mFacts.emplace_back(kept);
-  return Accept(mIndex);
+  return Keep(mEntryHosts[aWish.mHost], aWish, mIndex, aEffects);
 }
 
 change_outcome
@@ -111,12 +107,8 @@
     mServerAddresses.erase(found->second.mAddress);
     mGoneServers.erase({ found->second.mGoneAt, aWish.mServer });
   }
-  server_record& kept = mServers[aWish.mServer];
-  kept = aWish;
-  kept.mVersion = mIndex;
   mServerAddresses[aWish.mAddress] = aWish.mServer;
-  aEffects.mFacts.emplace_back(kept);
-  return Accept(mIndex);
+  return Keep(mServers[aWish.mServer], aWish, mIndex, aEffects);
 }
 
 void
--- a/decisions/control_state.cpp
+++ b/decisions/control_state.cpp
@@ -87,11 +87,7 @@
                       "\" would not fit: " + filled.error().mDetail);
     }
   }
-  template_record& kept = mTemplates[aWish.mTemplate];
-  kept = aWish;
-  kept.mVersion = mIndex;
-  aEffects.mFacts.emplace_back(kept);
-  return Accept(mIndex);
+  return Keep(mTemplates[aWish.mTemplate], aWish, mIndex, aEffects);
 }
 
 change_outcome
@@ -113,11 +109,7 @@
   if (!filled) {
     return Refuse(change_verdict::Invalid, current, filled.error().mDetail);
   }
-  team_record& kept = mTeams[aWish.mTeam];
-  kept = aWish;
-  kept.mVersion = mIndex;
-  aEffects.mFacts.emplace_back(kept);
-  return Accept(mIndex);
+  return Keep(mTeams[aWish.mTeam], aWish, mIndex, aEffects);
 }
 
 change_outcome
@@ -129,11 +121,7 @@
   if (!Matches(aIfVersion, current)) {
     return VersionConflict(current);
   }
-  failure_domain_record& kept = mFailureDomains[aWish.mFailureDomain];
-  kept = aWish;
-  kept.mVersion = mIndex;
-  aEffects.mFacts.emplace_back(kept);
-  return Accept(mIndex);
+  return Keep(mFailureDomains[aWish.mFailureDomain], aWish, mIndex, aEffects);
 }
 
 change_outcome
--- a/decisions/judgement.h
+++ b/decisions/judgement.h
@@ -27,6 +27,20 @@
   return outcome;
 }
 
+/** Keeps an accepted wish as the record in force, and tells of it. */
+template<typename record>
+change_outcome
+Keep(record& aKept,
+     const record& aWish,
+     log_index aIndex,
+     change_effects& aEffects)
+{
+  aKept = aWish;
+  aKept.mVersion = aIndex;
+  aEffects.mFacts.emplace_back(aKept);
+  return Accept(aIndex);
+}
+
 template<typename records, typename id>
 log_index
 CurrentVersion(const records& aRecords, const id& aId)
--- a/decisions/raft_election.cpp
+++ b/decisions/raft_election.cpp
@@ -1,7 +1,5 @@
 #include "decisions/raft_node.h"
 
-#include <algorithm>
-
 namespace hibiscusspool {
 
 bool
@@ -24,21 +22,18 @@
 }
 
 void
-raft_node::SetElectionDue(steady_time aNow)
+raft_node::SetElectionDue(milliseconds aLeast, steady_time aNow)
 {
-  std::uniform_int_distribution<std::int64_t> spread(0,
-                                                     mConfig.mElection.count());
-  mElectionDue = aNow + mConfig.mElection + milliseconds(spread(mRandom));
+  // The spread keeps members from asking together.
+  std::uniform_int_distribution<std::int64_t> spread(0, aLeast.count());
+  mElectionDue = aNow + aLeast + milliseconds(spread(mRandom));
 }
 
 void
 raft_node::SetRetryDue(steady_time aNow)
 {
-  // Nobody is known to lead, and a pre-vote disturbs no leader, so that it can
-  // be asked for soon; the spread keeps members from asking together.
-  std::uniform_int_distribution<std::int64_t> spread(
-    0, mConfig.mElection.count() / 4);
-  mElectionDue = aNow + mConfig.mElection / 4 + milliseconds(spread(mRandom));
+  // A pre-vote disturbs no leader, so that it can be asked for soon.
+  SetElectionDue(mConfig.mElection / 4, aNow);
 }
 
 void
@@ -51,7 +46,7 @@
   mLeader = aLeader;
   mGrants.clear();
   mPendingReads.clear();
-  SetElectionDue(aNow);
+  SetElectionDue(mConfig.mElection, aNow);
 }
 
 void
@@ -174,7 +169,7 @@
   if (isGranted) {
     mHardState.mVote = aMessage.mFrom;
     mActions.mHardState = mHardState;
-    SetElectionDue(aNow);
+    SetElectionDue(mConfig.mElection, aNow);
   }
   raft_message answer;
   answer.mKind = raft_message_kind::VoteReply;
--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -298,7 +298,7 @@
   }
   if (!IsVoter(mConfig.mSelf)) {
     mLeader = {};
-    SetElectionDue(aNow);
+    SetElectionDue(mConfig.mElection, aNow);
     return;
   }
   StartPreVote(aNow);
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -139,7 +139,8 @@
 
   void Send(raft_message aMessage);
   void Reply(const raft_message& aTo, raft_message aMessage);
-  void SetElectionDue(steady_time aNow);
+  /** Sets the next try to once to twice this time from now. */
+  void SetElectionDue(milliseconds aLeast, steady_time aNow);
   /** Sets the time of the next try while no leader is known. */
   void SetRetryDue(steady_time aNow);
   void SetTerm(raft_term aTerm);
@@ -179,6 +180,8 @@
   void OnPreVote(const raft_message& aMessage, steady_time aNow);
   void OnVote(const raft_message& aMessage, steady_time aNow);
   void OnVoteReply(const raft_message& aMessage, steady_time aNow);
+  /** Follows the sender of what only a leader sends. */
+  void HearLeader(const raft_message& aMessage, steady_time aNow);
   void OnAppend(const raft_message& aMessage, steady_time aNow);
   void StoreEntries(const raft_message& aMessage);
   void OnAppendReply(const raft_message& aMessage, steady_time aNow);
--- a/decisions/raft_replication.cpp
+++ b/decisions/raft_replication.cpp
@@ -138,13 +138,19 @@
 }
 
 void
-raft_node::OnAppend(const raft_message& aMessage, steady_time aNow)
+raft_node::HearLeader(const raft_message& aMessage, steady_time aNow)
 {
   if (mRole != raft_role::Follower || mLeader != aMessage.mFrom) {
     BecomeFollower(aMessage.mTerm, aMessage.mFrom, aNow);
   }
   mLeaderSeenAt = aNow;
-  SetElectionDue(aNow);
+  SetElectionDue(mConfig.mElection, aNow);
+}
+
+void
+raft_node::OnAppend(const raft_message& aMessage, steady_time aNow)
+{
+  HearLeader(aMessage, aNow);
   raft_message answer;
   answer.mKind = raft_message_kind::AppendReply;
   answer.mNumber = aMessage.mNumber;
@@ -217,11 +223,7 @@
 void
 raft_node::OnSnapshot(const raft_message& aMessage, steady_time aNow)
 {
-  if (mRole != raft_role::Follower || mLeader != aMessage.mFrom) {
-    BecomeFollower(aMessage.mTerm, aMessage.mFrom, aNow);
-  }
-  mLeaderSeenAt = aNow;
-  SetElectionDue(aNow);
+  HearLeader(aMessage, aNow);
   const raft_snapshot& offered = *aMessage.mSnapshot;
   if (offered.mIndex > mCommit) {
     bool keepsTail = TermAt(offered.mIndex) == offered.mTerm;
--- a/decisions/replica_choice.cpp
+++ b/decisions/replica_choice.cpp
@@ -34,7 +34,7 @@
 microseconds
 ExpectedTime(const replica_candidate& aCandidate)
 {
-  return aCandidate.mDistance + aCandidate.mFailureCost +
+  return aCandidate.mHandicap +
          aCandidate.mServiceTime *
            static_cast<std::int64_t>(aCandidate.mOutstanding + 1);
 }
--- a/decisions/replica_choice.h
+++ b/decisions/replica_choice.h
@@ -20,10 +20,8 @@
   bool mIsOwnDomain = false;
   /** A connection is open and unused. */
   bool mHasConnection = false;
-  /** What the way to another failure domain counts for, in time. */
-  microseconds mDistance{ 0 };
-  /** What the chance that the attempt fails counts for, in time. */
-  microseconds mFailureCost{ 0 };
+  /** What the way there and the chance of a failure count for, in time. */
+  microseconds mHandicap{ 0 };
 };
 
 /** Expected time until an attempt sent now is answered. */
--- a/messages/json_reader.cpp
+++ b/messages/json_reader.cpp
@@ -1,5 +1,6 @@
 #include "messages/json_reader.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace hibiscusspool {
@@ -75,27 +76,37 @@
   return number;
 }
 
+void
+json_reader::ForEachItem(const std::string& aKey,
+                         const std::string& aItems,
+                         const std::function<bool(json::value&)>& aTake)
+{
+  if (Find(aKey, true) == nullptr) {
+    return;
+  }
+  json::value& found = mObject.at(aKey);
+  bool isTaken = found.is_array() &&
+                 std::all_of(found.get_array().begin(),
+                             found.get_array().end(),
+                             [&](json::value& aItem) { return aTake(aItem); });
+  if (!isTaken) {
+    FailAt(json_error::WrongType, aKey, "must be a list of " + aItems + ".");
+  }
+}
+
 std::vector<std::uint64_t>
 json_reader::Numbers(const std::string& aKey)
 {
   std::vector<std::uint64_t> numbers;
-  const json::value* found = Find(aKey, true);
-  if (found == nullptr) {
-    return numbers;
-  }
-  if (!found->is_array()) {
-    FailAt(json_error::WrongType, aKey, "must be a list of whole numbers.");
-    return numbers;
-  }
-  for (const json::value& item : found->get_array()) {
+  ForEachItem(aKey, "whole numbers", [&](const json::value& aItem) {
     json::error_code error;
-    auto number = item.to_number<std::uint64_t>(error);
-    if (error || item.is_double()) {
-      FailAt(json_error::WrongType, aKey, "must be a list of whole numbers.");
-      return numbers;
+    auto number = aItem.to_number<std::uint64_t>(error);
+    if (error || aItem.is_double()) {
+      return false;
     }
     numbers.push_back(number);
-  }
+    return true;
+  });
   return numbers;
 }
 
@@ -125,21 +136,13 @@
 json_reader::List(const std::string& aKey)
 {
   std::vector<std::string> texts;
-  const json::value* found = Find(aKey, true);
-  if (found == nullptr) {
-    return texts;
-  }
-  if (!found->is_array()) {
-    FailAt(json_error::WrongType, aKey, "must be a list of strings.");
-    return texts;
-  }
-  for (const json::value& item : found->get_array()) {
-    if (!item.is_string()) {
-      FailAt(json_error::WrongType, aKey, "must be a list of strings.");
-      return texts;
+  ForEachItem(aKey, "strings", [&](const json::value& aItem) {
+    if (!aItem.is_string()) {
+      return false;
     }
-    texts.emplace_back(item.get_string());
-  }
+    texts.emplace_back(aItem.get_string());
+    return true;
+  });
   return texts;
 }
 
@@ -164,17 +167,10 @@
 json_reader::ForEachObject(const std::string& aKey,
                            const std::function<void(json_reader&)>& aBody)
 {
-  const json::value* found = Find(aKey, true);
-  if (found == nullptr) {
-    return;
-  }
-  if (!found->is_array()) {
-    FailAt(json_error::WrongType, aKey, "must be a list of objects.");
-    return;
-  }
-  for (json::value& item : mObject.at(aKey).get_array()) {
-    ReadObject(aKey, item, aBody);
-  }
+  ForEachItem(aKey, "objects", [&](json::value& aItem) {
+    ReadObject(aKey, aItem, aBody);
+    return true;
+  });
 }
 
 void
--- a/messages/json_reader.h
+++ b/messages/json_reader.h
@@ -52,6 +52,10 @@
   void FailAt(json_error aCode,
               const std::string& aKey,
               const std::string& aDetail);
+  /** Hands on each item of a list, until one isn't taken. */
+  void ForEachItem(const std::string& aKey,
+                   const std::string& aItems,
+                   const std::function<bool(boost::json::value&)>& aTake);
   void ReadObject(const std::string& aKey,
                   boost::json::value& aValue,
                   const std::function<void(json_reader&)>& aBody);
--- a/tests/decisions/choices_test.cpp
+++ b/tests/decisions/choices_test.cpp
@@ -74,9 +74,9 @@
   constexpr microseconds kTime{ 10'000 };
   constexpr microseconds kFar{ 6'000 };
   std::vector<replica_candidate> candidates{
-    { 0, 0, kTime, false, true, kFar, {} },
-    { 1, 0, kTime, true, true, {}, {} },
-    { 2, 0, kTime, false, true, kFar, {} },
+    { 0, 0, kTime, false, true, kFar },
+    { 1, 0, kTime, true, true, {} },
+    { 2, 0, kTime, false, true, kFar },
   };
   for (int draw = 0; draw < 200; ++draw) {
     LONGS_EQUAL(1, PickReplica(candidates, random).value());
