Divide connections by ring, the server's own domain first

Cause: shares were allocated by ranking all hosts for each server, at each change of a host's record; with 291 hosts and 405 servers that took most of an entry host's processor time while hosts came and went, and the remainder went to hosts of any failure domain. Change: a share ring, built once for each change of the hosts. A server's remainder goes to the hosts of its own domain, then to an arc of the others. The hosts of one watch update are taken over together.

--- a/controllers/backend_connections.cpp
+++ b/controllers/backend_connections.cpp
@@ -33,8 +33,9 @@
 }
 
 void
-backend_controller::ReallocateShares(service_pool& aPool,
-                                     const std::vector<host_id>& aHosts,
+backend_controller::ReallocateShares(const service_id& aService,
+                                     service_pool& aPool,
+                                     const share_ring& aRing,
                                      const server_id& aNewServer,
                                      steady_time aNow) const
 {
@@ -42,11 +43,13 @@
   std::vector<server_capacity> coldSlots;
   for (const backend& entry : aPool.mBackends) {
     const server_record& record = entry.mRecord;
-    connections.push_back({ record.mServer, record.mConnections });
-    coldSlots.push_back({ record.mServer, record.mColdSlots });
+    connections.push_back(
+      { record.mServer, record.mConnections, record.mFailureDomain });
+    coldSlots.push_back(
+      { record.mServer, record.mColdSlots, record.mFailureDomain });
   }
-  auto shares = AllocateShares(connections, aHosts, mConfig.mSelf);
-  auto coldShares = AllocateShares(coldSlots, aHosts, mConfig.mSelf);
+  auto shares = aRing.Allocate(aService, connections);
+  auto coldShares = aRing.Allocate(aService, coldSlots);
   for (std::size_t index = 0; index < aPool.mBackends.size(); ++index) {
     backend& entry = aPool.mBackends[index];
     if (entry.mRecord.mServer == aNewServer) {
--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -6,11 +6,11 @@
 
 namespace hibiscusspool {
 
-std::vector<host_id>
-backend_controller::Hosts() const
+std::shared_ptr<const share_ring>
+backend_controller::Ring() const
 {
   std::lock_guard guard(mTopologyLock);
-  return mHosts;
+  return mRing;
 }
 
 std::shared_ptr<const std::set<failure_domain_id>>
@@ -21,18 +21,22 @@
 }
 
 void
-backend_controller::SetHosts(std::vector<host_id> aHosts, steady_time aNow)
+backend_controller::SetHosts(std::vector<share_holder> aHosts, steady_time aNow)
 {
+  std::sort(aHosts.begin(), aHosts.end());
+  auto ring = std::make_shared<const share_ring>(
+    share_ring::Create(aHosts, mConfig.mSelf));
   {
     std::lock_guard guard(mTopologyLock);
     if (mHosts == aHosts) {
       return;
     }
-    mHosts = aHosts;
+    mHosts = std::move(aHosts);
+    mRing = ring;
   }
   std::vector<connection_id> surplus;
-  mServices.ForEach([&](const service_id& /*aName*/, service_pool& aPool) {
-    ReallocateShares(aPool, aHosts, {}, aNow);
+  mServices.ForEach([&](const service_id& aName, service_pool& aPool) {
+    ReallocateShares(aName, aPool, *ring, {}, aNow);
     std::vector<connection_id> taken = TakeSurplus(aPool, aNow);
     surplus.insert(surplus.end(), taken.begin(), taken.end());
   });
@@ -53,14 +57,14 @@
                                     const server_id& aServer,
                                     steady_time aNow)
 {
-  std::vector<host_id> hosts = Hosts();
+  auto ring = Ring();
   std::vector<connection_id> idle;
   mServices.UpdateIfPresent(aService, [&](service_pool& aPool) {
     auto found = FindBackend(aPool, aServer);
     if (found != aPool.mBackends.end()) {
       idle = std::move(found->mIdleConnections);
       aPool.mBackends.erase(found);
-      ReallocateShares(aPool, hosts, {}, aNow);
+      ReallocateShares(aService, aPool, *ring, {}, aNow);
       std::vector<connection_id> surplus = TakeSurplus(aPool, aNow);
       idle.insert(idle.end(), surplus.begin(), surplus.end());
     }
@@ -78,7 +82,7 @@
     DropFromService(*known, aRecord.mServer, aNow);
   }
   mServiceOf.Set(aRecord.mServer, aRecord.mService);
-  std::vector<host_id> hosts = Hosts();
+  auto ring = Ring();
   std::vector<connection_id> closed;
   std::vector<std::function<void()>> waiters;
   mServices.Update(aRecord.mService, [&](service_pool& aPool) {
@@ -128,8 +132,11 @@
     found->mRecord = aRecord;
     if (isNewIncarnation || capacityChanges) {
       bool isFirstSeen = isNewIncarnation && aIsFirstSeen;
-      ReallocateShares(
-        aPool, hosts, isFirstSeen ? aRecord.mServer : server_id{}, aNow);
+      ReallocateShares(aRecord.mService,
+                       aPool,
+                       *ring,
+                       isFirstSeen ? aRecord.mServer : server_id{},
+                       aNow);
     }
     if (!CanAnswer(*found, {})) {
       // Idle connections must not keep a leaving server from shutting down.
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -180,7 +180,10 @@
   sharded_map<server_id, service_id> mServiceOf;
 
   mutable std::mutex mTopologyLock;
-  std::vector<host_id> mHosts;
+  /** The hosts that divide the servers' connections, sorted. */
+  std::vector<share_holder> mHosts;
+  std::shared_ptr<const share_ring> mRing =
+    std::make_shared<const share_ring>();
   /** The failure domains in the state `Out`; their servers get no attempts. */
   std::shared_ptr<const std::set<failure_domain_id>> mDomainsOut =
     std::make_shared<const std::set<failure_domain_id>>();
@@ -194,7 +197,7 @@
                           return aBackend.mRecord.mServer == aServer;
                         });
   }
-  [[nodiscard]] std::vector<host_id> Hosts() const;
+  [[nodiscard]] std::shared_ptr<const share_ring> Ring() const;
   [[nodiscard]] std::shared_ptr<const std::set<failure_domain_id>> DomainsOut()
     const;
   [[nodiscard]] std::uint32_t ConcurrencyLimit(const backend& aBackend,
@@ -202,8 +205,9 @@
   [[nodiscard]] std::uint32_t Share(const backend& aBackend,
                                     steady_time aNow) const;
   /** Recomputes the shares; `aNewServer` is a server that no host has used. */
-  void ReallocateShares(service_pool& aPool,
-                        const std::vector<host_id>& aHosts,
+  void ReallocateShares(const service_id& aService,
+                        service_pool& aPool,
+                        const share_ring& aRing,
                         const server_id& aNewServer,
                         steady_time aNow) const;
   [[nodiscard]] std::vector<connection_id> TakeSurplus(backend& aBackend,
@@ -255,7 +259,7 @@
   }
 
   /** Sets the entry hosts among which each server's connections are divided. */
-  void SetHosts(std::vector<host_id> aHosts, steady_time aNow);
+  void SetHosts(std::vector<share_holder> aHosts, steady_time aNow);
   void SetDomainsOut(std::set<failure_domain_id> aDomains);
   /**
    * Adds or updates a server. `aIsFirstSeen` means that the record came as a
--- a/controllers/catalog_controller.cpp
+++ b/controllers/catalog_controller.cpp
@@ -33,7 +33,7 @@
   void operator()(const entry_host_record& aRecord) const
   {
     mCatalog.mEntryHosts.Set(aRecord.mHost, aRecord);
-    mCatalog.RefreshHosts(mNow);
+    mCatalog.mHaveHostsChanged = true;
   }
   void operator()(const server_record& aRecord) const
   {
@@ -71,6 +71,9 @@
   for (const record_change& change : aUpdate.mRecordChanges) {
     std::visit(apply, change);
   }
+  if (std::exchange(mHaveHostsChanged, false)) {
+    RefreshHosts(aNow);
+  }
   mIndex = aUpdate.mIndex;
 }
 
@@ -102,19 +105,18 @@
 void
 catalog_controller::RefreshHosts(steady_time aNow)
 {
-  std::vector<host_id> shareHolders;
+  std::vector<share_holder> shareHolders;
   std::uint32_t serving = 0;
   std::uint32_t known = 0;
   mEntryHosts.ForEach(
     [&](const host_id& aHost, const entry_host_record& aRecord) {
       // A leaving host still uses its connections to finish requests.
       if (aRecord.mState != entry_host_state::Silent) {
-        shareHolders.push_back(aHost);
+        shareHolders.push_back({ aHost, aRecord.mFailureDomain });
       }
       ++known;
       serving += aRecord.mState == entry_host_state::Serving ? 1 : 0;
     });
-  std::sort(shareHolders.begin(), shareHolders.end());
   mServingHosts = std::max(1U, serving);
   mKnownHosts = std::max(1U, known);
   mBackends.SetHosts(std::move(shareHolders), aNow);
@@ -150,7 +152,7 @@
       return;
     case record_kind::EntryHost:
       mEntryHosts.Take(host_id{ aRemoval.mName });
-      RefreshHosts(aNow);
+      mHaveHostsChanged = true;
       return;
     case record_kind::Server:
       mBackends.Remove(server_id{ aRemoval.mName }, aNow);
--- a/controllers/catalog_controller.h
+++ b/controllers/catalog_controller.h
@@ -51,6 +51,8 @@
   /** Updates come from one stream at a time, but two streams overlap while the
    * daemon switches between them. */
   std::mutex mApplyLock;
+  /** The update in progress changed entry hosts; guarded by `mApplyLock`. */
+  bool mHaveHostsChanged = false;
 
   void UpdatePolicy(const team_id& aTeam);
   void RefreshHosts(steady_time aNow);
--- a/decisions/share.cpp
+++ b/decisions/share.cpp
@@ -1,6 +1,7 @@
 #include "decisions/share.h"
 
 #include <algorithm>
+#include <string>
 #include <tuple>
 
 #include <xxhash.h>
@@ -9,78 +10,101 @@
 
 namespace {
 
-std::uint64_t
-Weight(const server_id& aServer, const host_id& aHost)
+/** A number in [0, 1) that depends on the name only. */
+double
+FractionOf(const std::string& aName)
 {
-  std::uint64_t seed =
-    XXH3_64bits(aServer.mValue.data(), aServer.mValue.size());
-  return XXH3_64bits_withSeed(aHost.mValue.data(), aHost.mValue.size(), seed);
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(XXH3_64bits(aName.data(), aName.size())) / kRange;
 }
 
+/** The position at a fraction of a ring of `aCount` places. */
+std::size_t
+PositionAt(double aFraction, std::size_t aCount)
+{
+  auto position =
+    static_cast<std::size_t>(aFraction * static_cast<double>(aCount));
+  return std::min(position, aCount - 1);
 }
 
-namespace {
+}
 
-/** Allocates each of a server's remaining units to a different host. */
-void
-AllocateRemainder(const server_id& aServer,
-                  std::uint32_t aRemainder,
-                  const std::vector<host_id>& aHosts,
-                  std::vector<std::uint32_t>& aAllocated,
-                  std::vector<std::size_t>& aChosen)
+share_ring
+share_ring::Create(std::vector<share_holder> aHosts, const host_id& aSelf)
 {
-  struct rank
-  {
-    std::uint32_t mAllocated = 0;
-    std::uint64_t mWeight = 0;
-    std::size_t mHostIndex = 0;
-  };
-  std::vector<rank> ranks;
-  ranks.reserve(aHosts.size());
-  for (std::size_t index = 0; index < aHosts.size(); ++index) {
-    ranks.push_back(
-      { aAllocated[index], Weight(aServer, aHosts[index]), index });
-  }
-  auto last = ranks.begin() + static_cast<std::ptrdiff_t>(aRemainder);
-  std::partial_sort(
-    ranks.begin(), last, ranks.end(), [](const rank& aOne, const rank& aOther) {
-      return std::tuple(aOne.mAllocated, ~aOne.mWeight, aOne.mHostIndex) <
-             std::tuple(aOther.mAllocated, ~aOther.mWeight, aOther.mHostIndex);
-    });
-  aChosen.clear();
-  for (auto chosen = ranks.begin(); chosen != last; ++chosen) {
-    ++aAllocated[chosen->mHostIndex];
-    aChosen.push_back(chosen->mHostIndex);
+  std::sort(aHosts.begin(),
+            aHosts.end(),
+            [](const share_holder& aOne, const share_holder& aOther) {
+              return std::tie(aOne.mFailureDomain, aOne.mHost) <
+                     std::tie(aOther.mFailureDomain, aOther.mHost);
+            });
+  share_ring ring;
+  ring.mHostCount = aHosts.size();
+  for (std::size_t position = 0; position < aHosts.size(); ++position) {
+    const share_holder& holder = aHosts[position];
+    auto [entry, isNew] =
+      ring.mSegments.try_emplace(holder.mFailureDomain, segment{ position, 0 });
+    ++entry->second.mCount;
+    if (holder.mHost == aSelf) {
+      ring.mOwnPosition = position;
+      ring.mOwnDomain = holder.mFailureDomain;
+    }
   }
+  return ring;
 }
 
+bool
+share_ring::HasRemainderUnit(const server_capacity& aServer,
+                             std::size_t aRemainder,
+                             double aArcStart) const
+{
+  segment home;
+  auto found = mSegments.find(aServer.mFailureDomain);
+  if (found != mSegments.end()) {
+    home = found->second;
+  }
+  std::size_t own = *mOwnPosition;
+  if (home.mCount > 0 && mOwnDomain == aServer.mFailureDomain) {
+    std::size_t start = PositionAt(aArcStart, home.mCount);
+    std::size_t distance =
+      (own - home.mBegin + home.mCount - start) % home.mCount;
+    return distance < aRemainder;
+  }
+  if (aRemainder <= home.mCount) {
+    return false;
+  }
+  // The number of hosts outside the server's domain before a position.
+  auto othersBefore = [&](std::size_t aPosition) {
+    std::size_t passed =
+      aPosition > home.mBegin ? aPosition - home.mBegin : std::size_t(0);
+    return aPosition - std::min(passed, home.mCount);
+  };
+  std::size_t others = mHostCount - home.mCount;
+  std::size_t start = PositionAt(aArcStart, mHostCount);
+  std::size_t distance =
+    (othersBefore(own) + others - othersBefore(start)) % others;
+  return distance < aRemainder - home.mCount;
 }
 
 std::vector<std::uint32_t>
-AllocateShares(const std::vector<server_capacity>& aServers,
-               const std::vector<host_id>& aHosts,
-               const host_id& aSelf)
+share_ring::Allocate(const service_id& aService,
+                     const std::vector<server_capacity>& aServers) const
 {
   std::vector<std::uint32_t> shares(aServers.size(), 0);
-  auto self = std::find(aHosts.begin(), aHosts.end(), aSelf);
-  if (self == aHosts.end()) {
+  if (!mOwnPosition) {
     return shares;
   }
-  auto ownIndex = static_cast<std::size_t>(self - aHosts.begin());
-  auto hosts = static_cast<std::uint32_t>(aHosts.size());
-  std::vector<std::uint32_t> allocated(aHosts.size(), 0);
-  std::vector<std::size_t> chosen;
+  double start = FractionOf(aService.mValue);
   for (std::size_t index = 0; index < aServers.size(); ++index) {
     const server_capacity& server = aServers[index];
-    shares[index] = server.mUnits / hosts;
-    std::uint32_t remainder = server.mUnits % hosts;
-    if (remainder == 0) {
-      continue;
-    }
-    AllocateRemainder(server.mServer, remainder, aHosts, allocated, chosen);
-    bool isOwn =
-      std::find(chosen.begin(), chosen.end(), ownIndex) != chosen.end();
-    shares[index] += isOwn ? 1 : 0;
+    std::size_t remainder = server.mUnits % mHostCount;
+    double arcStart =
+      start + static_cast<double>(index) / static_cast<double>(shares.size());
+    arcStart -= arcStart >= 1 ? 1 : 0;
+    bool hasUnit =
+      remainder > 0 && HasRemainderUnit(server, remainder, arcStart);
+    shares[index] = static_cast<std::uint32_t>(server.mUnits / mHostCount) +
+                    (hasUnit ? 1 : 0);
   }
   return shares;
 }
--- a/tests/bench/bench.cpp
+++ b/tests/bench/bench.cpp
@@ -53,9 +53,9 @@
     { [](const std::vector<connection_id>&) {}, [](const server_id&) {} });
   // At the planned size, a daemon holds shares of two or three replicas of each
   // service. Here 24 hosts share the servers, so that every replica is usable.
-  std::vector<host_id> hosts;
+  std::vector<share_holder> hosts;
   for (int number = 0; number < 24; ++number) {
-    hosts.push_back(host_id{ "entry-" + std::to_string(number) });
+    hosts.push_back({ host_id{ "entry-" + std::to_string(number) }, {} });
   }
   backends.SetHosts(hosts, now);
   std::vector<choice_request> choices;
@@ -102,14 +102,18 @@
   for (int replica = 0; replica < kReplicas; ++replica) {
     servers.push_back({ MakeServer(0, replica).mServer, 55 });
   }
-  std::vector<host_id> hosts;
+  std::vector<share_holder> hosts;
   for (int number = 0; number < kDaemons; ++number) {
-    hosts.push_back(host_id{ "entry-" + std::to_string(number) });
+    hosts.push_back({ host_id{ "entry-" + std::to_string(number) }, {} });
   }
-  steady_time started = std::chrono::steady_clock::now();
   constexpr int kRounds = 50;
-  for (int round = 0; round < kRounds; ++round) {
-    AllocateShares(servers, hosts, hosts[static_cast<std::size_t>(round)]);
+  std::vector<share_ring> rings;
+  for (std::size_t round = 0; round < kRounds; ++round) {
+    rings.push_back(share_ring::Create(hosts, hosts[round].mHost));
+  }
+  steady_time started = std::chrono::steady_clock::now();
+  for (const share_ring& ring : rings) {
+    ring.Allocate(service_id{ "service" }, servers);
   }
   std::printf("shares of one service of %d servers allocated to %d hosts: "
               "%.2f ms\n",
--- a/tests/controllers/backend_controller_test.cpp
+++ b/tests/controllers/backend_controller_test.cpp
@@ -46,7 +46,9 @@
 
   void setup() override
   {
-    mBackends.SetHosts({ host_id{ "e1" }, host_id{ "e2" } }, kNow);
+    mBackends.SetHosts({ share_holder{ host_id{ "e1" }, {} },
+                         share_holder{ host_id{ "e2" }, {} } },
+                       kNow);
   }
 
   void Finish(const attempt_permit& aPermit,
@@ -69,7 +71,7 @@
     config,
     { [](const std::vector<connection_id>& /*aConnections*/) {},
       [](const server_id& /*aServer*/) {} });
-  backends.SetHosts({ host_id{ "e1" } }, kNow);
+  backends.SetHosts({ share_holder{ host_id{ "e1" }, {} } }, kNow);
   for (const char* name : { "a", "b", "c" }) {
     backends.Put(Server(name), true, kNow);
   }
@@ -110,11 +112,15 @@
     Finish(permit, attempt_status::Answered, number++);
   }
   // A third host joins: the share drops to two, and one connection is closed.
-  mBackends.SetHosts({ host_id{ "e1" }, host_id{ "e2" }, host_id{ "e3" } },
+  mBackends.SetHosts({ share_holder{ host_id{ "e1" }, {} },
+                       share_holder{ host_id{ "e2" }, {} },
+                       share_holder{ host_id{ "e3" }, {} } },
                      kNow);
   LONGS_EQUAL(1, mClosed.size());
   // It leaves: the share grows again only after the handover delay.
-  mBackends.SetHosts({ host_id{ "e1" }, host_id{ "e2" } }, kNow);
+  mBackends.SetHosts({ share_holder{ host_id{ "e1" }, {} },
+                       share_holder{ host_id{ "e2" }, {} } },
+                     kNow);
   LONGS_EQUAL(2, mBackends.Statuses(kNow)[0].mShare);
   LONGS_EQUAL(3, mBackends.Statuses(kNow + kHandoverDelay)[0].mShare);
 }
@@ -133,7 +139,7 @@
   mBackends.Put(Server("a"), true, kNow);
   mBackends.Put(Server("a", server_state::Gone), true, kNow);
   CHECK(!mBackends.Choose(mChoice, kNow));
-  mBackends.SetHosts({ host_id{ "e1" } }, kNow);
+  mBackends.SetHosts({ share_holder{ host_id{ "e1" }, {} } }, kNow);
   mBackends.Put(Server("a"), true, kNow);
   LONGS_EQUAL(3, mBackends.Statuses(kNow)[0].mShare);
 }
--- a/tests/decisions/share_test.cpp
+++ b/tests/decisions/share_test.cpp
@@ -23,6 +23,52 @@
 /** The lease plus the maximum run time of 3 s, plus 1 % for clock drift. */
 constexpr milliseconds kHandoverDelay{ 7070 };
 
+/** The shares of one host where failure domains play no part. */
+std::vector<std::uint32_t>
+AllocateShares(const std::vector<server_capacity>& aServers,
+               const std::vector<host_id>& aHosts,
+               const host_id& aSelf)
+{
+  std::vector<share_holder> holders;
+  for (const host_id& host : aHosts) {
+    holders.push_back({ host, {} });
+  }
+  return share_ring::Create(std::move(holders), aSelf)
+    .Allocate(service_id{ "service" }, aServers);
+}
+
+/** Hosts of five failure domains of different sizes. */
+std::vector<share_holder>
+HostsOfFiveDomains()
+{
+  std::vector<share_holder> holders;
+  int domain = 0;
+  for (int count : { 53, 65, 58, 59, 56 }) {
+    for (int number = 0; number < count; ++number) {
+      std::string name =
+        "e" + std::to_string(domain) + "-" + std::to_string(100 + number);
+      holders.push_back(
+        { host_id{ name }, failure_domain_id{ std::to_string(domain) } });
+    }
+    ++domain;
+  }
+  return holders;
+}
+
+/** Three servers of one service in neighbouring domains. */
+std::vector<server_capacity>
+ServersFrom(int aFirstDomain, std::uint32_t aUnits)
+{
+  std::vector<server_capacity> servers;
+  for (int number = 0; number < 3; ++number) {
+    servers.push_back(
+      { server_id{ "s" + std::to_string(number) },
+        aUnits,
+        failure_domain_id{ std::to_string((aFirstDomain + number) % 5) } });
+  }
+  return servers;
+}
+
 /**
  * A simulated entry host: it learns of each view after a delay of at most its
  * lease, and finishes each request within the maximum run time.
@@ -117,6 +163,74 @@
   CHECK(moved < 150);
 }
 
+TEST(share, HostsGetTheServerOfTheirOwnDomainFirst)
+{
+  auto holders = HostsOfFiveDomains();
+  for (int service = 0; service < 90; ++service) {
+    service_id name{ "service" + std::to_string(service) };
+    auto servers = ServersFrom(service % 5, 193);
+    std::vector<std::uint32_t> sums(servers.size(), 0);
+    for (const share_holder& holder : holders) {
+      auto shares =
+        share_ring::Create(holders, holder.mHost).Allocate(name, servers);
+      std::uint32_t sum = 0;
+      for (std::size_t index = 0; index < shares.size(); ++index) {
+        sums[index] += shares[index];
+        sum += shares[index];
+        bool isHome = servers[index].mFailureDomain == holder.mFailureDomain;
+        CHECK(!isHome || shares[index] == 1);
+      }
+      // 579 units for 291 hosts are enough for one each.
+      CHECK(sum >= 1);
+    }
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+      LONGS_EQUAL(servers[index].mUnits, sums[index]);
+    }
+  }
+}
+
+TEST(share, UnitsFewerThanTheHostsOfADomainStayInIt)
+{
+  auto holders = HostsOfFiveDomains();
+  auto servers = ServersFrom(0, 20);
+  std::vector<std::uint32_t> sums(servers.size(), 0);
+  for (const share_holder& holder : holders) {
+    auto shares = share_ring::Create(holders, holder.mHost)
+                    .Allocate(service_id{ "service" }, servers);
+    for (std::size_t index = 0; index < shares.size(); ++index) {
+      sums[index] += shares[index];
+      bool isHome = servers[index].mFailureDomain == holder.mFailureDomain;
+      CHECK(isHome || shares[index] == 0);
+    }
+  }
+  for (std::uint32_t sum : sums) {
+    LONGS_EQUAL(20, sum);
+  }
+}
+
+TEST(share, ALostHostMovesFewUnitsBetweenDomains)
+{
+  auto before = HostsOfFiveDomains();
+  auto after = before;
+  after.erase(after.begin() + 70);
+  int moved = 0;
+  for (int service = 0; service < 90; ++service) {
+    service_id name{ "service" + std::to_string(service) };
+    auto servers = ServersFrom(service % 5, 193);
+    for (const share_holder& holder : after) {
+      auto one =
+        share_ring::Create(before, holder.mHost).Allocate(name, servers);
+      auto other =
+        share_ring::Create(after, holder.mHost).Allocate(name, servers);
+      for (std::size_t index = 0; index < one.size(); ++index) {
+        moved += one[index] != other[index] ? 1 : 0;
+      }
+    }
+  }
+  // 90 services of three servers with two ends of an arc each.
+  CHECK(moved <= 90 * 3 * 2);
+}
+
 TEST(share, AnIncreaseWaitsForItsHandoverAndADecreaseDoesNot)
 {
   server_share share;
--- a/tests/filters/scatter_test.cpp
+++ b/tests/filters/scatter_test.cpp
@@ -60,7 +60,7 @@
 
   void setup() override
   {
-    mBackends.SetHosts({ host_id{ "e" } }, Now());
+    mBackends.SetHosts({ share_holder{ host_id{ "e" }, {} } }, Now());
     mRequest.mKind = request_kind::Forward;
     mRequest.mForwarded = std::make_shared<forwarded_request>();
     mRequest.mReceivedAt = Now();
