Spread the watch streams, resume them and encode changes once

Cause: after the leader's host was lost, some 200 of 291 streams reopened at one control host, each time with a full state encoded anew, and never settled; entry hosts ran on old routes and servers. Change: each daemon ranks the control hosts by a rendezvous hash and learns all of them from the stream; a host that failed is avoided for a time that doubles; reopening is jittered. A stream resumes from the index that the daemon holds. Record changes are encoded once for all streams and those that follow each other within 50 ms are sent together; a full state is encoded once and followed by the changes since.

--- a/controllers/watch_hub.cpp
+++ b/controllers/watch_hub.cpp
@@ -1,5 +1,7 @@
 #include "controllers/watch_hub.h"
 
+#include <algorithm>
+
 namespace hibiscusspool {
 
 namespace {
@@ -11,25 +13,48 @@
 }
 
 void
-watch_hub::Publish(log_index aIndex, std::vector<record_change> aChanges)
+watch_hub::Publish(log_index aIndex,
+                   std::vector<record_change> aChanges,
+                   steady_time aNow)
 {
-  bool hasChanges = !aChanges.empty();
+  if (aChanges.empty()) {
+    std::lock_guard guard(mBacklogLock);
+    mApplied = aIndex;
+    return;
+  }
+  auto encoded = std::make_shared<const std::string>(mHooks.mEncode(aChanges));
+  bool isDue = false;
+  bool isScheduled = false;
+  steady_time nextFlush;
   {
     std::lock_guard guard(mBacklogLock);
     mApplied = aIndex;
-    if (hasChanges) {
-      mBacklog.push_back({ aIndex,
-                           std::make_shared<const std::vector<record_change>>(
-                             std::move(aChanges)) });
-    }
+    mBacklog.push_back({ aIndex, std::move(encoded) });
     if (mBacklog.size() > kMaxBatches) {
       mBacklogStart = mBacklog.front().mIndex;
       mBacklog.pop_front();
     }
+    isDue = aNow >= mNextFlushAt;
+    isScheduled = !isDue && !std::exchange(mIsFlushScheduled, true);
+    nextFlush = mNextFlushAt;
   }
-  if (hasChanges) {
-    WakeAll();
+  if (isDue) {
+    Flush(aNow);
+  } else if (isScheduled) {
+    mHooks.mScheduleFlush(nextFlush);
+  }
+}
+
+void
+watch_hub::Flush(steady_time aNow)
+{
+  {
+    std::lock_guard guard(mBacklogLock);
+    mIsFlushScheduled = false;
+    mFlushed = mApplied;
+    mNextFlushAt = aNow + mConfig.mFlushInterval;
   }
+  WakeAll();
 }
 
 void
@@ -38,12 +63,28 @@
   {
     std::lock_guard guard(mBacklogLock);
     mBacklog.clear();
+    mFullState = {};
     mApplied = aIndex;
+    mFlushed = aIndex;
     mBacklogStart = aIndex;
   }
   WakeAll();
 }
 
+void
+watch_hub::SetControlHosts(std::vector<host_id> aHosts)
+{
+  {
+    std::lock_guard guard(mBacklogLock);
+    if (mControlHosts == aHosts) {
+      return;
+    }
+    mControlHosts = std::move(aHosts);
+    ++mHostsVersion;
+  }
+  WakeAll();
+}
+
 void
 watch_hub::WakeAll()
 {
@@ -58,6 +99,7 @@
 
 stream_id
 watch_hub::Open(entry_host_record aHost,
+                log_index aAppliedIndex,
                 std::function<void()> aCallback,
                 steady_time aNow)
 {
@@ -66,6 +108,8 @@
   opened.mHost = std::move(aHost);
   opened.mLastMessageAt = aNow;
   opened.mWake = std::move(aCallback);
+  opened.mNeedsFullState = aAppliedIndex == 0;
+  opened.mSentIndex = aAppliedIndex;
   mStreams.Set(id, std::move(opened));
   return id;
 }
@@ -149,56 +193,98 @@
   }
 }
 
-std::optional<watch_update>
+void
+watch_hub::AppendBacklog(log_index aFrom,
+                         log_index aTo,
+                         watch_message& aMessage) const
+{
+  auto batch =
+    std::upper_bound(mBacklog.begin(),
+                     mBacklog.end(),
+                     aFrom,
+                     [](log_index aIndex, const record_batch& aBatch) {
+                       return aIndex < aBatch.mIndex;
+                     });
+  for (; batch != mBacklog.end() && batch->mIndex <= aTo; ++batch) {
+    aMessage.mChanges.push_back(batch->mChanges);
+  }
+}
+
+void
+watch_hub::SetFullState(watch_message& aMessage)
+{
+  aMessage.mIsFullState = true;
+  {
+    std::lock_guard guard(mBacklogLock);
+    bool isReusable = mFullState.mChanges != nullptr &&
+                      mFullState.mIndex >= mBacklogStart &&
+                      mFullState.mIndex <= mApplied;
+    if (isReusable) {
+      aMessage.mIndex = mApplied;
+      aMessage.mChanges = { mFullState.mChanges };
+      AppendBacklog(mFullState.mIndex, mApplied, aMessage);
+      return;
+    }
+  }
+  auto [index, changes] = mHooks.mReadState();
+  record_batch state{
+    index, std::make_shared<const std::string>(mHooks.mEncode(changes))
+  };
+  aMessage.mIndex = index;
+  aMessage.mChanges = { state.mChanges };
+  std::lock_guard guard(mBacklogLock);
+  mFullState = std::move(state);
+}
+
+std::optional<watch_message>
 watch_hub::Next(stream_id aStream)
 {
   auto current = mStreams.Get(aStream);
   if (!current) {
     return std::nullopt;
   }
+  watch_message message;
+  message.mIndex = current->mSentIndex;
   // Before the first confirmation this host may be behind the daemon, as after
   // a restart, and must not send it an older state.
-  if (current->mNeedsFullState && current->mConfirmedMark == 0) {
-    return std::nullopt;
-  }
-  watch_update update;
+  bool mayChange = current->mConfirmedMark != 0;
   // The mark is read before the changes, so that the changes sent with it are
   // at least as new as the index it confirms.
   if (current->mConfirmedMark != current->mSentMark) {
-    update.mConfirmedMark = current->mConfirmedMark;
+    message.mConfirmedMark = current->mConfirmedMark;
   }
   bool needsFullState = false;
+  std::uint64_t hostsVersion = 0;
   {
     std::lock_guard guard(mBacklogLock);
-    needsFullState =
-      current->mNeedsFullState || current->mSentIndex < mBacklogStart;
-    update.mIndex = mApplied;
-    for (const record_batch& batch : mBacklog) {
-      if (!needsFullState && batch.mIndex > current->mSentIndex) {
-        update.mRecordChanges.insert(update.mRecordChanges.end(),
-                                     batch.mRecordChanges->begin(),
-                                     batch.mRecordChanges->end());
-      }
+    hostsVersion = mHostsVersion;
+    if (current->mSentHostsVersion != mHostsVersion) {
+      message.mControlHosts = mControlHosts;
+    }
+    needsFullState = mayChange && (current->mNeedsFullState ||
+                                   current->mSentIndex < mBacklogStart);
+    if (mayChange && !needsFullState) {
+      log_index upTo = message.mConfirmedMark != 0 ? mApplied : mFlushed;
+      message.mIndex = std::max(current->mSentIndex, upTo);
+      AppendBacklog(current->mSentIndex, message.mIndex, message);
     }
   }
   if (needsFullState) {
-    auto [index, changes] = mHooks.mReadState();
-    update.mIsFullState = true;
-    update.mIndex = index;
-    update.mRecordChanges = std::move(changes);
+    SetFullState(message);
   }
-  if (!needsFullState && update.mRecordChanges.empty() &&
-      update.mConfirmedMark == 0) {
+  if (message.mChanges.empty() && message.mConfirmedMark == 0 &&
+      message.mControlHosts.empty()) {
     return std::nullopt;
   }
   mStreams.UpdateIfPresent(aStream, [&](stream& aEntry) {
-    aEntry.mNeedsFullState = false;
-    aEntry.mSentIndex = update.mIndex;
-    if (update.mConfirmedMark != 0) {
-      aEntry.mSentMark = update.mConfirmedMark;
+    aEntry.mNeedsFullState = aEntry.mNeedsFullState && !message.mIsFullState;
+    aEntry.mSentIndex = message.mIndex;
+    aEntry.mSentHostsVersion = hostsVersion;
+    if (message.mConfirmedMark != 0) {
+      aEntry.mSentMark = message.mConfirmedMark;
     }
   });
-  return update;
+  return message;
 }
 
 std::vector<daemon_status>
--- a/controllers/watch_hub.h
+++ b/controllers/watch_hub.h
@@ -29,7 +29,7 @@
   bool mHasShares = false;
 };
 
-/** The next message to a daemon. */
+/** An update as a daemon receives it. */
 struct watch_update
 {
   /** The changes are the full state and replace all that the daemon has. */
@@ -37,6 +37,21 @@
   std::vector<record_change> mRecordChanges;
   log_index mIndex = 0;
   std::uint64_t mConfirmedMark = 0;
+  /** The control hosts that serve watch streams; empty if unchanged. */
+  std::vector<host_id> mControlHosts;
+};
+
+/** Encoded record changes, shared by all streams that send them. */
+using encoded_changes = std::shared_ptr<const std::string>;
+
+/** The next message of a stream. */
+struct watch_message
+{
+  bool mIsFullState = false;
+  std::vector<encoded_changes> mChanges;
+  log_index mIndex = 0;
+  std::uint64_t mConfirmedMark = 0;
+  std::vector<host_id> mControlHosts;
 };
 
 /** State of one daemon, as shown by `status`. */
@@ -55,11 +70,22 @@
   /** Starts a linearizable read; calls back once this host has applied its
    * index. */
   std::function<void(std::function<void(log_index)>)> mReadBarrier;
+  std::function<std::string(const std::vector<record_change>&)> mEncode;
+  /** Calls `Flush` at the given time. */
+  std::function<void(steady_time)> mScheduleFlush;
+};
+
+struct watch_hub_config
+{
+  /** Minimum time between two flushes of record changes to the streams. */
+  milliseconds mFlushInterval{ 50 };
 };
 
 /**
  * The watch streams of the daemons connected to this control host. Applied
- * changes go to each stream in order. Marks are confirmed in rounds: one
+ * changes go to each stream in order. They are encoded once, and changes that
+ * follow each other closely are sent together, so that the cost for a stream
+ * does not grow with the rate of changes. Marks are confirmed in rounds: one
  * linearizable read confirms all marks that arrived before it.
  */
 class watch_hub
@@ -67,7 +93,7 @@
   struct record_batch
   {
     log_index mIndex = 0;
-    std::shared_ptr<const std::vector<record_change>> mRecordChanges;
+    encoded_changes mChanges;
   };
 
   struct stream
@@ -85,9 +111,12 @@
     std::uint64_t mNextMarkRound = 0;
     std::uint64_t mConfirmedMark = 0;
     std::uint64_t mSentMark = 0;
+    /** Version of the list of control hosts that was sent. */
+    std::uint64_t mSentHostsVersion = 0;
     std::function<void()> mWake;
   };
 
+  watch_hub_config mConfig;
   watch_hub_hooks mHooks;
   sharded_map<stream_id, stream> mStreams;
   std::atomic<stream_id> mNextStream{ 1 };
@@ -98,6 +127,14 @@
   /** Index of the latest change that is no longer in the backlog; a stream that
    * has not received it needs the full state. */
   log_index mBacklogStart = 0;
+  /** Index up to which changes may be sent without a confirmed mark. */
+  log_index mFlushed = 0;
+  steady_time mNextFlushAt;
+  bool mIsFlushScheduled = false;
+  /** The latest full state that was sent, with its index. */
+  record_batch mFullState;
+  std::vector<host_id> mControlHosts;
+  std::uint64_t mHostsVersion = 0;
 
   std::mutex mRoundLock;
   /** The active round, or the next one if none is active. */
@@ -109,27 +146,46 @@
   void StartRound();
   void EndRound(std::uint64_t aRound);
   void WakeAll();
+  /** Adds the backlog after `aFrom` and up to `aTo`; needs the backlog's lock.
+   */
+  void AppendBacklog(log_index aFrom,
+                     log_index aTo,
+                     watch_message& aMessage) const;
+  /** Sets a full state and the changes since it. */
+  void SetFullState(watch_message& aMessage);
 
 public:
-  explicit watch_hub(watch_hub_hooks aHooks)
-    : mHooks(std::move(aHooks))
+  watch_hub(watch_hub_config aConfig, watch_hub_hooks aHooks)
+    : mConfig(aConfig)
+    , mHooks(std::move(aHooks))
   {
   }
 
   /** Adds the record changes of one applied entry. */
-  void Publish(log_index aIndex, std::vector<record_change> aChanges);
+  void Publish(log_index aIndex,
+               std::vector<record_change> aChanges,
+               steady_time aNow);
+  /** Lets the streams send all changes that were published. */
+  void Flush(steady_time aNow);
   /** Makes all streams restart from the full state. */
   void ResetStreams(log_index aIndex);
-
-  /** Opens a stream; `aCallback` is called when `Next` may have an update. */
+  /** Sets the control hosts among which daemons choose, sorted. */
+  void SetControlHosts(std::vector<host_id> aHosts);
+
+  /**
+   * Opens a stream; `aCallback` is called when `Next` may have an update. A
+   * daemon that has all changes up to `aAppliedIndex` gets only later ones, if
+   * they are still known here.
+   */
   stream_id Open(entry_host_record aHost,
+                 log_index aAppliedIndex,
                  std::function<void()> aCallback,
                  steady_time aNow);
   void Close(stream_id aStream);
   /** Stores a daemon's report and starts confirming its mark, if any. */
   void Report(stream_id aStream, watch_report aReport, steady_time aNow);
-  /** The next update to send on a stream, if any. */
-  std::optional<watch_update> Next(stream_id aStream);
+  /** The next message to send on a stream, if any. */
+  std::optional<watch_message> Next(stream_id aStream);
 
   [[nodiscard]] std::vector<daemon_status> Daemons() const;
 };
--- /dev/null
+++ b/decisions/control_host_choice.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/ids.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace hibiscusspool {
+
+/**
+ * The control host that serves this daemon's watch stream. Each daemon ranks
+ * the control hosts by a rendezvous hash, so that the daemons are spread over
+ * all of them, and those of a lost host over all others.
+ */
+class control_host_choice
+{
+  struct candidate
+  {
+    std::uint64_t mWeight = 0;
+    /** The host is in the list of current hosts. Others are used only while
+     * all of those are avoided. */
+    bool mIsListed = true;
+    /** The host is avoided until then, since it did not serve a stream. */
+    steady_time mAvoidUntil;
+    milliseconds mAvoidance{ 0 };
+  };
+
+  std::uint64_t mSeed = 0;
+  std::vector<host_id> mInitialHosts;
+  std::map<host_id, candidate> mCandidates;
+
+  void Add(const host_id& aHost);
+
+public:
+  /** `aHosts` are used until the control hosts are known; at least one.
+   * `aSeed` differs for each daemon. */
+  static control_host_choice Create(const std::vector<host_id>& aHosts,
+                                    std::uint64_t aSeed);
+
+  /** Sets the current hosts; those of the creation stay as a last resort. */
+  void SetHosts(const std::vector<host_id>& aHosts);
+  /** The host to connect to: the first by rank that is not avoided, else the
+   * one that is avoided for the shortest time. */
+  [[nodiscard]] host_id Preferred(steady_time aNow) const;
+  /** A stream to this host failed; it is avoided for longer each time. */
+  void OnFailure(const host_id& aHost, steady_time aNow);
+  void OnSuccess(const host_id& aHost);
+};
+
+}
--- a/drivers/control_client.cpp
+++ b/drivers/control_client.cpp
@@ -104,15 +104,21 @@
     return next->first;
   }
 
-  void SetLeader(host_id aLeader)
+  /** Adds a host that is named by its address; needs the lock. */
+  void Learn(const host_id& aHost)
   {
-    std::lock_guard guard(mLock);
-    bool isNew = !aLeader.IsEmpty() && !mAddresses.contains(aLeader) &&
+    bool isNew = !aHost.IsEmpty() && !mAddresses.contains(aHost) &&
                  mAddresses.size() < kMaxHosts;
-    if (isNew && AddressOf(mAddresses, aLeader)) {
-      mAddresses[aLeader] = aLeader.mValue;
-      log_event("control_host_learned").Add("host", aLeader.mValue);
+    if (isNew && AddressOf(mAddresses, aHost)) {
+      mAddresses[aHost] = aHost.mValue;
+      log_event("control_host_learned").Add("host", aHost.mValue);
     }
+  }
+
+  void SetLeader(host_id aLeader)
+  {
+    std::lock_guard guard(mLock);
+    Learn(aLeader);
     mLeader = std::move(aLeader);
   }
 
@@ -186,6 +192,15 @@
   mState->mCallEnded.wait(guard, [&] { return mState->mCalls.empty(); });
 }
 
+void
+control_client::LearnHosts(const std::vector<host_id>& aHosts)
+{
+  std::lock_guard guard(mState->mLock);
+  for (const host_id& host : aHosts) {
+    mState->Learn(host);
+  }
+}
+
 std::vector<host_id>
 control_client::Hosts() const
 {
--- a/drivers/control_client.h
+++ b/drivers/control_client.h
@@ -83,6 +83,10 @@
   /** Cancels all calls and waits until they have ended. */
   void Stop();
 
+  /** Adds control hosts that are named by their addresses and are not known
+   * yet. */
+  void LearnHosts(const std::vector<host_id>& aHosts);
+
   [[nodiscard]] std::vector<host_id> Hosts() const;
 };
 
--- a/drivers/control_service.cpp
+++ b/drivers/control_service.cpp
@@ -10,6 +10,7 @@
 
 #include <control.grpc.pb.h>
 #include <grpcpp/grpcpp.h>
+#include <grpcpp/support/byte_buffer.h>
 
 namespace hibiscusspool {
 
@@ -21,12 +22,39 @@
   return { grpc::StatusCode::INVALID_ARGUMENT, aError.mDetail };
 }
 
+/**
+ * The encoded message of a watch stream. The changes are encoded already; in
+ * the encoding, concatenated messages are one message with the fields of all.
+ */
+grpc::ByteBuffer
+ToBytes(const watch_message& aMessage)
+{
+  wire::WatchDown head;
+  head.set_replace(aMessage.mIsFullState);
+  head.set_index(aMessage.mIndex);
+  head.set_confirmed_mark(aMessage.mConfirmedMark);
+  for (const host_id& host : aMessage.mControlHosts) {
+    head.add_control_hosts(host.mValue);
+  }
+  std::vector<grpc::Slice> slices{ grpc::Slice(head.SerializeAsString()) };
+  for (const encoded_changes& changes : aMessage.mChanges) {
+    // The slice shares the bytes and keeps them alive.
+    auto* owner = new encoded_changes(changes);
+    slices.emplace_back(
+      const_cast<char*>(changes->data()),
+      changes->size(),
+      [](void* aOwner) { delete static_cast<encoded_changes*>(aOwner); },
+      owner);
+  }
+  return { slices.data(), slices.size() };
+}
+
 /**
  * The server's end of a daemon's watch stream. It receives callbacks from gRPC
  * and wake-ups from the watch hub, and deletes itself when the stream is done.
  */
 class watch_reactor
-  : public grpc::ServerBidiReactor<wire::WatchUp, wire::WatchDown>
+  : public grpc::ServerBidiReactor<grpc::ByteBuffer, grpc::ByteBuffer>
 {
   /** Makes wake-ups after the end of the stream have no effect. */
   struct wake_gate
@@ -37,8 +65,9 @@
 
   const control_service_hooks& mHooks;
   std::shared_ptr<wake_gate> mGate = std::make_shared<wake_gate>();
+  grpc::ByteBuffer mReceived;
+  grpc::ByteBuffer mSent;
   wire::WatchUp mUp;
-  wire::WatchDown mDown;
   stream_id mStream = 0;
   bool mIsWriting = false;
   bool mIsFinished = false;
@@ -63,7 +92,8 @@
       return false;
     }
     std::weak_ptr<wake_gate> gate = mGate;
-    mStream = mHooks.mOpenStream(hello.value(), [gate] { Wake(gate); });
+    mStream = mHooks.mOpenStream(
+      hello.value(), mUp.held_index(), [gate] { Wake(gate); });
     return true;
   }
 
@@ -85,19 +115,13 @@
     if (mIsWriting || mIsFinished || mStream == 0) {
       return;
     }
-    auto update = mHooks.mNextUpdate(mStream);
-    if (!update) {
+    auto message = mHooks.mNextMessage(mStream);
+    if (!message) {
       return;
     }
-    mDown.Clear();
-    mDown.set_replace(update->mIsFullState);
-    mDown.set_index(update->mIndex);
-    mDown.set_confirmed_mark(update->mConfirmedMark);
-    for (const record_change& change : update->mRecordChanges) {
-      WriteChange(change, *mDown.add_facts());
-    }
+    mSent = ToBytes(*message);
     mIsWriting = true;
-    StartWrite(&mDown);
+    StartWrite(&mSent);
   }
 
 public:
@@ -105,7 +129,7 @@
     : mHooks(aHooks)
   {
     mGate->mReactor = this;
-    StartRead(&mUp);
+    StartRead(&mReceived);
   }
 
   void OnReadDone(bool aIsOk) override
@@ -114,6 +138,13 @@
       FinishOnce(grpc::Status::OK);
       return;
     }
+    mUp.Clear();
+    if (!grpc::SerializationTraits<wire::WatchUp>::Deserialize(&mReceived, &mUp)
+           .ok()) {
+      FinishOnce({ grpc::StatusCode::INVALID_ARGUMENT,
+                   "A message of the watch stream can't be decoded." });
+      return;
+    }
     if (mStream == 0 && !OpenStream()) {
       FinishOnce({ grpc::StatusCode::INVALID_ARGUMENT,
                    "The first message of a watch stream must contain the "
@@ -126,7 +157,7 @@
                             milliseconds(mUp.confirmed_age_ms()),
                             mUp.usable() });
     Wake(mGate);
-    StartRead(&mUp);
+    StartRead(&mReceived);
   }
 
   void OnWriteDone(bool aIsOk) override
@@ -151,7 +182,16 @@
   }
 };
 
-class control_callback_service : public wire::Control::CallbackService
+using callback_service = wire::Control::WithRawCallbackMethod_Watch<
+  wire::Control::WithCallbackMethod_Deliver<
+    wire::Control::WithCallbackMethod_Probe<
+      wire::Control::WithCallbackMethod_Propose<
+        wire::Control::WithCallbackMethod_Status<
+          wire::Control::WithCallbackMethod_StoreRefusals<
+            wire::Control::WithCallbackMethod_ReadRefusals<
+              wire::Control::Service>>>>>>>;
+
+class control_callback_service : public callback_service
 {
   control_service_hooks mHooks;
 
@@ -217,7 +257,7 @@
     return reactor;
   }
 
-  grpc::ServerBidiReactor<wire::WatchUp, wire::WatchDown>* Watch(
+  grpc::ServerBidiReactor<grpc::ByteBuffer, grpc::ByteBuffer>* Watch(
     grpc::CallbackServerContext* /*aContext*/) override
   {
     return new watch_reactor(mHooks);
--- a/drivers/control_service.h
+++ b/drivers/control_service.h
@@ -36,11 +36,12 @@
   std::function<void(std::vector<raft_message>)> mReceiveMessages;
   std::function<probe_result()> mProbe;
   std::function<void(change_command, propose_callback)> mPropose;
-  /** Opens a daemon's stream; calls back when `mNextUpdate` has an update. */
-  std::function<stream_id(entry_host_record, std::function<void()>)>
+  /** Opens the stream of a daemon that has all changes up to an index; calls
+   * back when `mNextMessage` has a message. */
+  std::function<stream_id(entry_host_record, log_index, std::function<void()>)>
     mOpenStream;
   std::function<void(stream_id, watch_report)> mReceiveReport;
-  std::function<std::optional<watch_update>(stream_id)> mNextUpdate;
+  std::function<std::optional<watch_message>(stream_id)> mNextMessage;
   std::function<void(stream_id)> mCloseStream;
   std::function<control_group_status()> mStatus;
   std::function<std::vector<daemon_status>()> mDaemons;
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -2,10 +2,12 @@
 
 #include "core/log_event.h"
 #include "drivers/grpc_settings.h"
+#include "drivers/host_address.h"
 #include "messages/control_codec.h"
 
 #include <condition_variable>
 #include <mutex>
+#include <random>
 
 #include <control.grpc.pb.h>
 #include <grpcpp/grpcpp.h>
@@ -14,7 +16,10 @@
 
 namespace {
 
-constexpr milliseconds kReconnectDelay{ 100 };
+/** Delays before another stream is opened; drawn at random, so that daemons
+ * that lost the same control host don't return at once. */
+constexpr milliseconds kMinReconnectDelay{ 50 };
+constexpr milliseconds kMaxReconnectDelay{ 300 };
 
 }
 
@@ -25,12 +30,29 @@
   std::mutex mLock;
   std::condition_variable mChanged;
   bool mIsStopping = false;
+  control_host_choice mChoice;
+  std::mt19937_64 mRandom;
 
   bool IsStopping()
   {
     std::lock_guard guard(mLock);
     return mIsStopping;
   }
+
+  host_id PreferredHost()
+  {
+    std::lock_guard guard(mLock);
+    return mChoice.Preferred(std::chrono::steady_clock::now());
+  }
+
+  void SetControlHosts(const std::vector<host_id>& aHosts)
+  {
+    {
+      std::lock_guard guard(mLock);
+      mChoice.SetHosts(aHosts);
+    }
+    mHooks.mOnControlHosts(aHosts);
+  }
 };
 
 namespace {
@@ -52,15 +74,20 @@
   std::uint64_t mNextMark = 1;
   bool mIsWriting = false;
   bool mIsDone = false;
+  bool mIsConfirmed = false;
   steady_time mLastMessageAt;
+  std::function<void(const std::vector<host_id>&)> mOnControlHosts;
 
 public:
-  stream_reactor(const watch_client_hooks& aHooks,
-                 const std::string& aAddress,
-                 steady_time aNow)
+  stream_reactor(
+    const watch_client_hooks& aHooks,
+    const std::string& aAddress,
+    std::function<void(const std::vector<host_id>&)> aOnControlHosts,
+    steady_time aNow)
     : mHooks(aHooks)
     , mStub(wire::Control::NewStub(OpenChannel(aAddress)))
     , mLastMessageAt(aNow)
+    , mOnControlHosts(std::move(aOnControlHosts))
   {
     mStub->async()->Watch(&mContext, this);
     StartRead(&mDown);
@@ -112,11 +139,20 @@
   }
 
   /** Waits until `aTime`; false if the stream has ended or timed out. */
-  bool WaitUntil(steady_time aTime, milliseconds aTimeout)
+  bool WaitUntil(steady_time aTime, const watch_client_config& aConfig)
   {
     std::unique_lock guard(mLock);
     mChanged.wait_until(guard, aTime, [&] { return mIsDone; });
-    return !mIsDone && aTime - mLastMessageAt < aTimeout;
+    milliseconds timeout =
+      mIsConfirmed ? aConfig.mSilenceTimeout : aConfig.mOpenTimeout;
+    return !mIsDone && aTime - mLastMessageAt < timeout;
+  }
+
+  /** True once a mark was confirmed. */
+  bool IsConfirmed()
+  {
+    std::lock_guard guard(mLock);
+    return mIsConfirmed;
   }
 
   void CancelAndWait()
@@ -144,11 +180,19 @@
       }
       update.mRecordChanges.push_back(std::move(read.value()));
     }
+    for (const std::string& host : mDown.control_hosts()) {
+      update.mControlHosts.push_back(host_id{ host });
+    }
     mHooks.mApplyUpdate(update, aNow);
+    if (!update.mControlHosts.empty()) {
+      mOnControlHosts(update.mControlHosts);
+    }
     std::optional<steady_time> sentAt;
     {
       std::lock_guard guard(mLock);
-      mLastMessageAt = aNow;
+      mIsConfirmed = mIsConfirmed || update.mConfirmedMark != 0;
+      // Until a mark is confirmed, the list of control hosts proves nothing.
+      mLastMessageAt = mIsConfirmed ? aNow : mLastMessageAt;
       auto mark = mMarks.find(update.mConfirmedMark);
       if (mark != mMarks.end()) {
         sentAt = mark->second;
@@ -182,6 +226,12 @@
   auto made = std::make_shared<state>();
   made->mConfig = std::move(aConfig);
   made->mHooks = std::move(aHooks);
+  std::vector<host_id> hosts;
+  for (const auto& [host, address] : made->mConfig.mAddresses) {
+    hosts.push_back(host);
+  }
+  made->mChoice = control_host_choice::Create(hosts, made->mConfig.mSeed);
+  made->mRandom.seed(made->mConfig.mSeed);
   return watch_client(std::move(made));
 }
 
@@ -201,35 +251,60 @@
 void
 watch_client::Run(const std::shared_ptr<state>& aState)
 {
-  const auto& addresses = aState->mConfig.mAddresses;
-  std::uint64_t nextHost = aState->mConfig.mSeed;
+  std::uniform_int_distribution<milliseconds::rep> delay(
+    kMinReconnectDelay.count(), kMaxReconnectDelay.count());
   while (!aState->IsStopping()) {
-    auto host = addresses.begin();
-    std::advance(host,
-                 static_cast<std::ptrdiff_t>(nextHost++ % addresses.size()));
-    RunStream(aState, host->second);
+    host_id host = aState->PreferredHost();
+    stream_end end = RunStream(aState, host);
+    log_event("watch_ended")
+      .Add("control", host.mValue)
+      .Add("end", NameOf(end));
     std::unique_lock guard(aState->mLock);
-    aState->mChanged.wait_for(
-      guard, kReconnectDelay, [&] { return aState->mIsStopping; });
+    if (end != stream_end::Failed) {
+      continue;
+    }
+    aState->mChoice.OnFailure(host, std::chrono::steady_clock::now());
+    aState->mChanged.wait_for(guard, milliseconds(delay(aState->mRandom)), [&] {
+      return aState->mIsStopping;
+    });
   }
 }
 
-void
+stream_end
 watch_client::RunStream(const std::shared_ptr<state>& aState,
-                        const std::string& aAddress)
+                        const host_id& aHost)
 {
+  const watch_client_config& config = aState->mConfig;
   steady_time now = std::chrono::steady_clock::now();
-  stream_reactor stream(aState->mHooks, aAddress, now);
+  stream_reactor stream(
+    aState->mHooks,
+    AddressOf(config.mAddresses, aHost).value_or(""),
+    [&aState](const std::vector<host_id>& aHosts) {
+      aState->SetControlHosts(aHosts);
+    },
+    now);
   stream.SendMark(now, true);
+  stream_end end = stream_end::Stopped;
+  bool isConfirmed = false;
   while (!aState->IsStopping()) {
-    now += aState->mConfig.mMarkInterval;
-    if (!stream.WaitUntil(now, aState->mConfig.mSilenceTimeout)) {
+    now += config.mMarkInterval;
+    if (!stream.WaitUntil(now, config)) {
+      end = stream_end::Failed;
+      break;
+    }
+    if (!std::exchange(isConfirmed, stream.IsConfirmed()) && isConfirmed) {
+      std::lock_guard guard(aState->mLock);
+      aState->mChoice.OnSuccess(aHost);
+    }
+    if (aState->PreferredHost() != aHost) {
+      end = stream_end::Moved;
       break;
     }
     now = std::chrono::steady_clock::now();
     stream.SendMark(now, false);
   }
   stream.CancelAndWait();
+  return end;
 }
 
 }
--- a/drivers/watch_client.h
+++ b/drivers/watch_client.h
@@ -2,6 +2,7 @@
 
 #include "controllers/watch_hub.h"
 #include "core/failure.h"
+#include "decisions/control_host_choice.h"
 
 #include <functional>
 #include <map>
@@ -13,12 +14,16 @@
 
 struct watch_client_config
 {
+  /** The control hosts that are known at the start; each tells of the others.
+   */
   std::map<host_id, std::string> mAddresses;
   /** Time between marks, the numbered read-index requests on the stream. */
   milliseconds mMarkInterval{ 500 };
   /** A stream that receives no message for this long is closed. */
   milliseconds mSilenceTimeout{ 1000 };
-  /** Selects the first control host, so that daemons spread across them. */
+  /** Time limit for the first confirmed mark of a stream. */
+  milliseconds mOpenTimeout{ 2000 };
+  /** Ranks the control hosts, so that daemons spread across them. */
   std::uint64_t mSeed = 0;
 };
 
@@ -31,8 +36,27 @@
   std::function<void(const watch_update&, steady_time)> mApplyUpdate;
   /** Called with the send time of a mark that was confirmed. */
   std::function<void(steady_time)> mOnMarkConfirmed;
+  /** The control hosts have changed. */
+  std::function<void(const std::vector<host_id>&)> mOnControlHosts;
 };
 
+/** Why a stream ended. */
+enum class stream_end
+{
+  /** It failed or timed out. */
+  Failed,
+  /** Another control host is preferred now. */
+  Moved,
+  Stopped,
+};
+
+template<>
+inline constexpr name_table<stream_end, 3> kNames<stream_end>{ {
+  { stream_end::Failed, "failed" },
+  { stream_end::Moved, "moved" },
+  { stream_end::Stopped, "stopped" },
+} };
+
 /**
  * A daemon's watch stream. A thread keeps one stream open to some control
  * host, sends marks, and opens a new connection to another host when the
@@ -46,8 +70,8 @@
 
   explicit watch_client(std::shared_ptr<state> aState);
   static void Run(const std::shared_ptr<state>& aState);
-  static void RunStream(const std::shared_ptr<state>& aState,
-                        const std::string& aAddress);
+  static stream_end RunStream(const std::shared_ptr<state>& aState,
+                              const host_id& aHost);
 
 public:
   watch_client(watch_client&&) noexcept = default;
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <iomanip>
 #include <random>
 #include <sstream>
@@ -45,6 +46,20 @@
   return text.str();
 }
 
+/** The hosts of the group's voters, sorted. */
+std::vector<host_id>
+VotersOf(const control_group_status& aStatus)
+{
+  std::vector<host_id> hosts;
+  for (const raft_peer& peer : aStatus.mPeers) {
+    if (peer.mIsVoter) {
+      hosts.push_back(peer.mId.mHost);
+    }
+  }
+  std::sort(hosts.begin(), hosts.end());
+  return hosts;
+}
+
 /** Removes the source texts of configurations, which daemons do not need. */
 void
 DropDocuments(std::vector<record_change>& aRecords)
@@ -176,7 +191,7 @@
   hooks.mPublish = [this](log_index aIndex,
                           std::vector<record_change> aRecords) {
     DropDocuments(aRecords);
-    mHub->Publish(aIndex, std::move(aRecords));
+    mHub->Publish(aIndex, std::move(aRecords), SteadyNow());
   };
   hooks.mOnStateReplaced = [this](log_index aIndex) {
     mHub->ResetStreams(aIndex);
@@ -185,6 +200,30 @@
   return hooks;
 }
 
+watch_hub_hooks
+control_role::HubHooks()
+{
+  watch_hub_hooks hooks;
+  hooks.mReadState = [this] {
+    auto records = mGroup->Records();
+    DropDocuments(records.second);
+    return records;
+  };
+  hooks.mReadBarrier = [this](std::function<void(log_index)> aCallback) {
+    mGroup->ReadBarrier(std::move(aCallback));
+  };
+  hooks.mEncode = EncodeChanges;
+  hooks.mScheduleFlush = [this](steady_time aTime) {
+    auto timer = std::make_shared<asio::steady_timer>(mContext, aTime);
+    timer->async_wait([this, timer](boost::system::error_code aError) {
+      if (!aError) {
+        mHub->Flush(SteadyNow());
+      }
+    });
+  };
+  return hooks;
+}
+
 result<void, role_error>
 control_role::SetUpGroup(std::function<void()> aOnFailure)
 {
@@ -210,15 +249,7 @@
     return Fail(role_error::CannotStart, group.error().mDetail);
   }
   mGroup = std::move(group.value());
-  mHub = std::make_unique<watch_hub>(
-    watch_hub_hooks{ [this] {
-                      auto records = mGroup->Records();
-                      DropDocuments(records.second);
-                      return records;
-                    },
-                     [this](std::function<void(log_index)> aCallback) {
-                       mGroup->ReadBarrier(std::move(aCallback));
-                     } });
+  mHub = std::make_unique<watch_hub>(watch_hub_config{}, HubHooks());
   // The hub starts at the index of the stored snapshot: log entries up to it
   // are not published.
   mHub->ResetStreams(mGroup->Status().mApplied);
@@ -250,14 +281,20 @@
     mGroup->Propose(std::move(aCommand), std::move(aCallback));
   };
   hooks.mOpenStream = [this](entry_host_record aHost,
+                             log_index aAppliedIndex,
                              std::function<void()> aCallback) {
-    log_event("watch_opened").Add("host", aHost.mHost.mValue);
-    return mHub->Open(std::move(aHost), std::move(aCallback), SteadyNow());
+    log_event("watch_opened")
+      .Add("host", aHost.mHost.mValue)
+      .Add("from", aAppliedIndex);
+    return mHub->Open(
+      std::move(aHost), aAppliedIndex, std::move(aCallback), SteadyNow());
   };
   hooks.mReceiveReport = [this](stream_id aStream, watch_report aReport) {
     mHub->Report(aStream, aReport, SteadyNow());
   };
-  hooks.mNextUpdate = [this](stream_id aStream) { return mHub->Next(aStream); };
+  hooks.mNextMessage = [this](stream_id aStream) {
+    return mHub->Next(aStream);
+  };
   hooks.mCloseStream = [this](stream_id aStream) { mHub->Close(aStream); };
   hooks.mStatus = [this] { return mGroup->Status(); };
   hooks.mDaemons = [this] { return mHub->Daemons(); };
@@ -380,6 +417,7 @@
 control_role::UpdateMembership()
 {
   control_group_status status = mGroup->Status();
+  mHub->SetControlHosts(VotersOf(status));
   std::vector<connected_daemon> daemons;
   for (const daemon_status& daemon : mHub->Daemons()) {
     daemons.push_back({ daemon.mHost,
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -70,6 +70,7 @@
   /** Logs a failed write; returns true if the write succeeded. */
   bool CheckWrite(const result<void, storage_error>& aResult);
   control_group_hooks GroupHooks();
+  watch_hub_hooks HubHooks();
   boost::asio::awaitable<void> BootstrapGroup();
   boost::asio::awaitable<void> UpdateMembership();
   boost::asio::awaitable<std::optional<std::vector<record_change>>>
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -240,6 +240,9 @@
   hooks.mOnMarkConfirmed = [this](steady_time aSentAt) {
     mLease.Renew(aSentAt);
   };
+  hooks.mOnControlHosts = [this](const std::vector<host_id>& aHosts) {
+    mClient.LearnHosts(aHosts);
+  };
   mWatch = std::make_unique<watch_client>(
     watch_client::Create(std::move(config), std::move(hooks)));
 }
--- a/messages/control_codec.cpp
+++ b/messages/control_codec.cpp
@@ -297,6 +297,16 @@
   return Fail(codec_error::Malformed, "A record change contains no record.");
 }
 
+std::string
+EncodeChanges(const std::vector<record_change>& aChanges)
+{
+  wire::WatchDown encoded;
+  for (const record_change& change : aChanges) {
+    WriteChange(change, *encoded.add_facts());
+  }
+  return encoded.SerializeAsString();
+}
+
 void
 WriteCommand(const change_command& aCommand, wire::Command& aOut)
 {
--- a/messages/control_codec.h
+++ b/messages/control_codec.h
@@ -18,6 +18,10 @@
 result<record_change, codec_error>
 ReadChange(const wire::RecordChange& aIn);
 
+/** Record changes, encoded as a `wire::WatchDown` without other fields. */
+std::string
+EncodeChanges(const std::vector<record_change>& aChanges);
+
 void
 WriteEntryHost(const entry_host_record& aRecord, wire::EntryHostRecord& aOut);
 result<entry_host_record, codec_error>
--- a/tests/controllers/watch_hub_test.cpp
+++ b/tests/controllers/watch_hub_test.cpp
@@ -14,24 +14,68 @@
   return record_removal{ record_kind::Team, aName };
 }
 
+/** Encodes removals as their names, each followed by a comma. */
+std::string
+EncodeNames(const std::vector<record_change>& aChanges)
+{
+  std::string names;
+  for (const record_change& change : aChanges) {
+    names += std::get<record_removal>(change).mName + ",";
+  }
+  return names;
+}
+
+std::string
+ChangesOf(const std::optional<watch_message>& aMessage)
+{
+  std::string changes;
+  if (aMessage) {
+    for (const encoded_changes& encoded : aMessage->mChanges) {
+      changes += *encoded;
+    }
+  }
+  return changes;
+}
+
 }
 
 TEST_GROUP(watch_hub)
 {
   std::vector<std::function<void(log_index)>> mPendingReads;
-  watch_hub mHub{ { [] {
-                     return std::pair(
-                       log_index(10),
+  std::vector<steady_time> mScheduledFlushes;
+  int mStateReads = 0;
+  steady_time mTime = kNow;
+  watch_hub mHub{ { milliseconds(50) }, Hooks() };
+
+  watch_hub_hooks Hooks()
+  {
+    watch_hub_hooks hooks;
+    hooks.mReadState = [this] {
+      ++mStateReads;
+      return std::pair(log_index(10),
                        std::vector<record_change>{ Change("whole") });
-                   },
-                    [this](std::function<void(log_index)> aCallback) {
-                      mPendingReads.push_back(std::move(aCallback));
-                    } } };
+    };
+    hooks.mReadBarrier = [this](std::function<void(log_index)> aCallback) {
+      mPendingReads.push_back(std::move(aCallback));
+    };
+    hooks.mEncode = EncodeNames;
+    hooks.mScheduleFlush = [this](steady_time aTime) {
+      mScheduledFlushes.push_back(aTime);
+    };
+    return hooks;
+  }
 
-  stream_id Open()
+  stream_id Open(log_index aAppliedIndex = 0)
   {
     return mHub.Open(
-      {}, [] {}, kNow);
+      {}, aAppliedIndex, [] {}, kNow);
+  }
+
+  /** Publishes a change that is flushed at once. */
+  void Publish(log_index aIndex, std::vector<record_change> aChanges)
+  {
+    mTime += milliseconds(50);
+    mHub.Publish(aIndex, std::move(aChanges), mTime);
   }
 
   /** Opens a stream that has already received the full state. */
@@ -52,9 +96,9 @@
   mHub.ResetStreams(0);
   stream_id stream = Open();
   mHub.Report(stream, { 1, 500, {}, true }, kNow);
-  mHub.Publish(1, { Change("long past") });
+  Publish(1, { Change("long past") });
   CHECK(!mHub.Next(stream));
-  mHub.Publish(10, { Change("now") });
+  Publish(10, { Change("now") });
   mPendingReads[0](10);
   auto first = mHub.Next(stream);
   CHECK(first->mIsFullState);
@@ -67,12 +111,12 @@
   mHub.ResetStreams(10);
   stream_id stream = OpenWithFullState();
   CHECK(!mHub.Next(stream));
-  mHub.Publish(11, { Change("a") });
-  mHub.Publish(12, {});
-  mHub.Publish(13, { Change("b") });
+  Publish(11, { Change("a") });
+  Publish(12, {});
+  Publish(13, { Change("b") });
   auto next = mHub.Next(stream);
   CHECK(!next->mIsFullState);
-  LONGS_EQUAL(2, next->mRecordChanges.size());
+  STRCMP_EQUAL("a,b,", ChangesOf(next).c_str());
   LONGS_EQUAL(13, next->mIndex);
 }
 
@@ -81,11 +125,118 @@
   mHub.ResetStreams(10);
   stream_id stream = OpenWithFullState();
   for (log_index index = 11; index < 5000; ++index) {
-    mHub.Publish(index, { Change("x") });
+    Publish(index, { Change("x") });
   }
   CHECK(mHub.Next(stream)->mIsFullState);
 }
 
+TEST(watch_hub, ADaemonThatHasTheRecordsGetsOnlyLaterChanges)
+{
+  mHub.ResetStreams(10);
+  Publish(11, { Change("a") });
+  Publish(12, { Change("b") });
+  stream_id stream = Open(11);
+  mHub.Report(stream, { 1, 11, {}, true }, kNow);
+  CHECK(!mHub.Next(stream));
+  mPendingReads[0](12);
+  auto first = mHub.Next(stream);
+  CHECK(!first->mIsFullState);
+  STRCMP_EQUAL("b,", ChangesOf(first).c_str());
+  LONGS_EQUAL(12, first->mIndex);
+  LONGS_EQUAL(0, mStateReads);
+}
+
+TEST(watch_hub, ADaemonThatMissedForgottenChangesGetsTheFullState)
+{
+  mHub.ResetStreams(10);
+  stream_id stream = Open(9);
+  mHub.Report(stream, { 1, 9, {}, true }, kNow);
+  mPendingReads[0](10);
+  CHECK(mHub.Next(stream)->mIsFullState);
+}
+
+TEST(watch_hub, ADaemonThatIsAheadOfThisHostGetsNoOlderChanges)
+{
+  // This host has just restarted and applies the log anew.
+  mHub.ResetStreams(0);
+  stream_id stream = Open(12);
+  mHub.Report(stream, { 1, 12, {}, true }, kNow);
+  for (log_index index = 1; index <= 13; ++index) {
+    Publish(index, { Change(std::to_string(index)) });
+    CHECK(!mHub.Next(stream));
+  }
+  mPendingReads[0](13);
+  auto first = mHub.Next(stream);
+  CHECK(!first->mIsFullState);
+  STRCMP_EQUAL("13,", ChangesOf(first).c_str());
+}
+
+TEST(watch_hub, StreamsThatOpenTogetherShareOneEncodedState)
+{
+  mHub.ResetStreams(10);
+  for (log_index index = 11; index <= 40; ++index) {
+    stream_id stream = Open();
+    mHub.Report(stream, { 1, 0, {}, true }, kNow);
+    mPendingReads.back()(index);
+    auto first = mHub.Next(stream);
+    CHECK(first->mIsFullState);
+    // The state of index 10, then each change since.
+    STRCMP_EQUAL("whole,", first->mChanges.front()->c_str());
+    LONGS_EQUAL(index - 10, first->mChanges.size());
+    LONGS_EQUAL(index - 1, first->mIndex);
+    Publish(index, { Change("x") });
+  }
+  LONGS_EQUAL(1, mStateReads);
+}
+
+TEST(watch_hub, ChangesInQuickSuccessionAreSentTogether)
+{
+  mHub.ResetStreams(10);
+  stream_id stream = OpenWithFullState();
+  mHub.Publish(11, { Change("a") }, kNow);
+  STRCMP_EQUAL("a,", ChangesOf(mHub.Next(stream)).c_str());
+  steady_time later = kNow + milliseconds(1);
+  for (log_index index = 12; index <= 30; ++index) {
+    mHub.Publish(index, { Change("b") }, later);
+    CHECK(!mHub.Next(stream));
+  }
+  LONGS_EQUAL(1, mScheduledFlushes.size());
+  CHECK(mScheduledFlushes[0] == kNow + milliseconds(50));
+  mHub.Flush(mScheduledFlushes[0]);
+  auto next = mHub.Next(stream);
+  LONGS_EQUAL(19, next->mChanges.size());
+  LONGS_EQUAL(30, next->mIndex);
+}
+
+TEST(watch_hub, AConfirmedMarkCarriesTheChangesThatWaitForAFlush)
+{
+  mHub.ResetStreams(10);
+  stream_id stream = OpenWithFullState();
+  mHub.Publish(11, { Change("a") }, kNow);
+  mHub.Next(stream);
+  mHub.Publish(12, { Change("b") }, kNow);
+  mHub.Report(stream, { 2, 11, {}, true }, kNow);
+  mPendingReads.back()(12);
+  auto next = mHub.Next(stream);
+  LONGS_EQUAL(2, next->mConfirmedMark);
+  LONGS_EQUAL(12, next->mIndex);
+  STRCMP_EQUAL("b,", ChangesOf(next).c_str());
+}
+
+TEST(watch_hub, ControlHostsAreSentBeforeTheFirstConfirmation)
+{
+  mHub.ResetStreams(10);
+  mHub.SetControlHosts({ host_id{ "c1" }, host_id{ "c2" } });
+  stream_id stream = Open();
+  auto first = mHub.Next(stream);
+  LONGS_EQUAL(2, first->mControlHosts.size());
+  LONGS_EQUAL(0, first->mIndex);
+  CHECK(!first->mIsFullState);
+  CHECK(!mHub.Next(stream));
+  mHub.SetControlHosts({ host_id{ "c1" } });
+  LONGS_EQUAL(1, mHub.Next(stream)->mControlHosts.size());
+}
+
 TEST(watch_hub, MarkIsConfirmedByRoundStartedAfterIt)
 {
   mHub.ResetStreams(10);
--- /dev/null
+++ b/tests/decisions/control_host_choice_test.cpp
@@ -0,0 +1,127 @@
+#include "decisions/control_host_choice.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace hibiscusspool;
+
+const steady_time kNow{ std::chrono::hours(1) };
+constexpr int kDaemons = 810;
+
+std::vector<host_id>
+ControlHosts(int aCount)
+{
+  std::vector<host_id> hosts;
+  for (int number = 0; number < aCount; ++number) {
+    hosts.push_back(host_id{ "10.1.0." + std::to_string(40 + number) });
+  }
+  return hosts;
+}
+
+std::vector<control_host_choice>
+Daemons(const std::vector<host_id>& aHosts)
+{
+  std::vector<control_host_choice> daemons;
+  for (std::uint64_t seed = 1; seed <= kDaemons; ++seed) {
+    daemons.push_back(
+      control_host_choice::Create(aHosts, seed * 0x9E3779B97F4A7C15U));
+  }
+  return daemons;
+}
+
+std::map<host_id, int>
+StreamsOf(const std::vector<control_host_choice>& aDaemons, steady_time aNow)
+{
+  std::map<host_id, int> streams;
+  for (const control_host_choice& daemon : aDaemons) {
+    ++streams[daemon.Preferred(aNow)];
+  }
+  return streams;
+}
+
+int
+MaxOf(const std::map<host_id, int>& aStreams)
+{
+  int most = 0;
+  for (const auto& [host, count] : aStreams) {
+    most = std::max(most, count);
+  }
+  return most;
+}
+
+}
+
+TEST_GROUP(control_host_choice){};
+
+TEST(control_host_choice, DaemonsSpreadOverAllHostsOnceTheyAreKnown)
+{
+  auto daemons = Daemons(ControlHosts(3));
+  LONGS_EQUAL(3, StreamsOf(daemons, kNow).size());
+  for (control_host_choice& daemon : daemons) {
+    daemon.SetHosts(ControlHosts(9));
+  }
+  auto streams = StreamsOf(daemons, kNow);
+  LONGS_EQUAL(9, streams.size());
+  CHECK(MaxOf(streams) <= kDaemons / 9 * 3 / 2);
+}
+
+TEST(control_host_choice, DaemonsOfALostHostSpreadOverAllOthers)
+{
+  auto daemons = Daemons(ControlHosts(9));
+  host_id lost = ControlHosts(9).front();
+  auto before = StreamsOf(daemons, kNow);
+  std::vector<host_id> choices;
+  for (control_host_choice& daemon : daemons) {
+    host_id chosen = daemon.Preferred(kNow);
+    if (chosen == lost) {
+      daemon.OnFailure(lost, kNow);
+    }
+    // The daemons of other hosts stay where they are.
+    CHECK(chosen == lost || daemon.Preferred(kNow) == chosen);
+  }
+  auto after = StreamsOf(daemons, kNow);
+  LONGS_EQUAL(8, after.size());
+  for (const auto& [host, count] : after) {
+    CHECK(count - before[host] <= before[lost] / 3);
+  }
+}
+
+TEST(control_host_choice, AHostThatFailsAgainIsAvoidedForLonger)
+{
+  auto hosts = ControlHosts(2);
+  auto choice = control_host_choice::Create(hosts, 7);
+  host_id first = choice.Preferred(kNow);
+  choice.OnFailure(first, kNow);
+  CHECK(choice.Preferred(kNow) != first);
+  steady_time later = kNow + milliseconds(2000);
+  CHECK(choice.Preferred(later) == first);
+  choice.OnFailure(first, later);
+  CHECK(choice.Preferred(later + milliseconds(2000)) != first);
+  choice.OnSuccess(first);
+  CHECK(choice.Preferred(later + milliseconds(2000)) == first);
+}
+
+TEST(control_host_choice, TheHostAvoidedForTheShortestTimeIsUsedWhenAllFailed)
+{
+  auto hosts = ControlHosts(2);
+  auto choice = control_host_choice::Create(hosts, 7);
+  choice.OnFailure(hosts[1], kNow);
+  choice.OnFailure(hosts[0], kNow + milliseconds(10));
+  CHECK(choice.Preferred(kNow + milliseconds(20)) == hosts[1]);
+}
+
+TEST(control_host_choice, SeedsThatLeftAreALastResort)
+{
+  auto seeds = ControlHosts(3);
+  std::vector<host_id> current{ host_id{ "10.9.0.1" }, host_id{ "10.9.0.2" } };
+  auto choice = control_host_choice::Create(seeds, 7);
+  choice.SetHosts(current);
+  for (int count = 0; count < 2; ++count) {
+    host_id preferred = choice.Preferred(kNow);
+    CHECK(preferred == current[0] || preferred == current[1]);
+    choice.OnFailure(preferred, kNow);
+  }
+  host_id seed = choice.Preferred(kNow);
+  CHECK(std::find(seeds.begin(), seeds.end(), seed) != seeds.end());
+}
