Divide large fan-outs among entry hosts of the servers' domains

Cause: an entry host of 0.12 core needs 45 to 75 ms for the 90 attempts of a fan-out, while 290 others idle, and 40% of the parts cross failure domains. Change: a fan-out that would take a host too long is divided into groups of services. Entry hosts of the domains with the servers ask these once each, merge the greatest records and stream the parts; second attempts stay with the host that has the request, which knows how many servers may get it.

--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -174,6 +174,32 @@
   });
 }
 
+std::vector<fan_out_service>
+backend_controller::AnsweringDomains(const std::vector<service_id>& aServices,
+                                     steady_time aNow)
+{
+  auto domainsOut = DomainsOut();
+  std::vector<fan_out_service> all;
+  all.reserve(aServices.size());
+  for (const service_id& service : aServices) {
+    fan_out_service entry{ service, {} };
+    mServices.UpdateIfPresent(service, [&](service_pool& aPool) {
+      for (const backend& server : aPool.mBackends) {
+        const failure_domain_id& domain = server.mRecord.mFailureDomain;
+        bool isKnown =
+          std::find(entry.mDomains.begin(), entry.mDomains.end(), domain) !=
+          entry.mDomains.end();
+        if (!isKnown && CanAnswer(server, *domainsOut) &&
+            !ShouldAvoid(server, aNow)) {
+          entry.mDomains.push_back(domain);
+        }
+      }
+    });
+    all.push_back(std::move(entry));
+  }
+  return all;
+}
+
 std::vector<service_snapshots>
 backend_controller::Snapshots(const std::vector<service_id>& aServices)
 {
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -8,6 +8,7 @@
 #include "decisions/server_limit.h"
 #include "decisions/share.h"
 #include "decisions/snapshot_choice.h"
+#include "decisions/subquery_plan.h"
 
 #include <algorithm>
 #include <atomic>
@@ -296,6 +297,10 @@
   /** Index versions that each service can currently answer from. */
   std::vector<service_snapshots> Snapshots(
     const std::vector<service_id>& aServices);
+  /** The failure domains in which servers of each service can answer. */
+  std::vector<fan_out_service> AnsweringDomains(
+    const std::vector<service_id>& aServices,
+    steady_time aNow);
   /** Time after which an attempt counts as slow; nothing until there are enough
    * samples. */
   std::optional<microseconds> SlowThreshold(const service_id& aService);
--- a/controllers/catalog_controller.cpp
+++ b/controllers/catalog_controller.cpp
@@ -120,6 +120,7 @@
   mServingHosts = std::max(1U, serving);
   mKnownHosts = std::max(1U, known);
   mBackends.SetHosts(std::move(shareHolders), aNow);
+  mHooks.mOnEntryHosts(EntryHosts());
 }
 
 void
--- a/controllers/catalog_controller.h
+++ b/controllers/catalog_controller.h
@@ -22,6 +22,12 @@
   log_index mVersion = 0;
 };
 
+struct catalog_hooks
+{
+  /** The known entry hosts have changed. */
+  std::function<void(const std::vector<entry_host_record>&)> mOnEntryHosts;
+};
+
 /**
  * The records in force as received over the watch stream: teams, templates,
  * failure domains, entry hosts, quarantine and routes. Servers are passed on
@@ -34,6 +40,7 @@
 
   host_id mSelf;
   backend_controller& mBackends;
+  catalog_hooks mHooks;
   sharded_map<template_id, template_record> mTemplates;
   sharded_map<team_id, team_record> mTeams;
   sharded_map<team_id, versioned_policy> mPolicies;
@@ -63,9 +70,12 @@
                        steady_time aNow);
 
 public:
-  catalog_controller(host_id aSelf, backend_controller& aBackends)
+  catalog_controller(host_id aSelf,
+                     backend_controller& aBackends,
+                     catalog_hooks aHooks)
     : mSelf(std::move(aSelf))
     , mBackends(aBackends)
+    , mHooks(std::move(aHooks))
   {
   }
 
--- /dev/null
+++ b/controllers/subquery_controller.cpp
@@ -0,0 +1,140 @@
+#include "controllers/subquery_controller.h"
+
+#include <algorithm>
+#include <map>
+
+#include <xxhash.h>
+
+namespace hibiscusspool {
+
+namespace {
+
+constexpr milliseconds kMinPause{ 500 };
+constexpr milliseconds kMaxPause{ 8000 };
+/** Subqueries of this host at one other host; more are not sent. */
+constexpr std::uint32_t kMaxOutstanding = 8;
+
+std::uint64_t
+Weight(const host_id& aSelf, const host_id& aHost)
+{
+  std::uint64_t seed = XXH3_64bits(aSelf.mValue.data(), aSelf.mValue.size());
+  return XXH3_64bits_withSeed(aHost.mValue.data(), aHost.mValue.size(), seed);
+}
+
+}
+
+void
+subquery_controller::SetHosts(const std::vector<entry_host_record>& aHosts)
+{
+  std::map<failure_domain_id, std::vector<peer>> chosen;
+  for (const entry_host_record& record : aHosts) {
+    bool isAvailable = record.mState == entry_host_state::Serving &&
+                       !record.mSubqueryAddress.empty() &&
+                       record.mHost != mConfig.mSelf;
+    if (isAvailable) {
+      peer added;
+      added.mHost = record.mHost;
+      added.mAddress = record.mSubqueryAddress;
+      chosen[record.mFailureDomain].push_back(std::move(added));
+    }
+    mDomainOf.Set(record.mHost, record.mFailureDomain);
+    // Domains without an available host are emptied below.
+    chosen[record.mFailureDomain];
+  }
+  for (auto& [domain, peers] : chosen) {
+    std::sort(
+      peers.begin(), peers.end(), [&](const peer& aOne, const peer& aOther) {
+        return Weight(mConfig.mSelf, aOne.mHost) >
+               Weight(mConfig.mSelf, aOther.mHost);
+      });
+    peers.resize(std::min(peers.size(), mConfig.mHostsPerDomain));
+    mPeers.Update(domain, [&](std::vector<peer>& aKnown) {
+      for (peer& entry : peers) {
+        auto known =
+          std::find_if(aKnown.begin(), aKnown.end(), [&](const peer& aPeer) {
+            return aPeer.mHost == entry.mHost;
+          });
+        if (known != aKnown.end()) {
+          std::string address = std::move(entry.mAddress);
+          entry = *known;
+          entry.mAddress = std::move(address);
+        }
+      }
+      aKnown = std::move(peers);
+    });
+  }
+}
+
+std::optional<assigned_subquery>
+subquery_controller::Assign(const subquery_group& aGroup, steady_time aNow)
+{
+  std::optional<assigned_subquery> assigned;
+  mPeers.UpdateIfPresent(
+    aGroup.mFailureDomain, [&](std::vector<peer>& aPeers) {
+      peer* best = nullptr;
+      for (peer& entry : aPeers) {
+        bool isUsable =
+          entry.mPausedUntil <= aNow && entry.mOutstanding < kMaxOutstanding;
+        if (isUsable &&
+            (best == nullptr || entry.mOutstanding < best->mOutstanding)) {
+          best = &entry;
+        }
+      }
+      if (best != nullptr) {
+        ++best->mOutstanding;
+        assigned = { best->mHost, best->mAddress, aGroup.mServices };
+      }
+    });
+  return assigned;
+}
+
+std::vector<assigned_subquery>
+subquery_controller::Plan(const std::vector<service_id>& aServices,
+                          steady_time aNow)
+{
+  std::vector<assigned_subquery> plan;
+  std::size_t groups = SubqueryGroupCount(aServices.size(), mConfig.mCosts);
+  if (groups == 0) {
+    return plan;
+  }
+  const std::string& self = mConfig.mSelf.mValue;
+  for (const subquery_group& group :
+       PlanSubqueries(mServiceDomains(aServices, aNow),
+                      mConfig.mFailureDomain,
+                      groups,
+                      XXH3_64bits(self.data(), self.size()))) {
+    if (auto assigned = Assign(group, aNow)) {
+      plan.push_back(std::move(*assigned));
+    }
+  }
+  return plan;
+}
+
+void
+subquery_controller::Finish(const host_id& aHost,
+                            bool aHasFailed,
+                            steady_time aNow)
+{
+  auto domain = mDomainOf.Get(aHost);
+  if (!domain) {
+    return;
+  }
+  mPeers.UpdateIfPresent(*domain, [&](std::vector<peer>& aPeers) {
+    auto found =
+      std::find_if(aPeers.begin(), aPeers.end(), [&](const peer& aPeer) {
+        return aPeer.mHost == aHost;
+      });
+    if (found == aPeers.end()) {
+      return;
+    }
+    found->mOutstanding -= found->mOutstanding > 0 ? 1 : 0;
+    if (!aHasFailed) {
+      found->mPause = milliseconds(0);
+      return;
+    }
+    found->mPause = std::clamp(found->mPause * 2, kMinPause, kMaxPause);
+    found->mPausedUntil = aNow + found->mPause;
+  });
+}
+
+}
--- /dev/null
+++ b/controllers/subquery_controller.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "core/sharded_map.h"
+#include "decisions/records.h"
+#include "decisions/subquery_plan.h"
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace hibiscusspool {
+
+/** The failure domains in which servers of a service can answer. */
+using service_domains = std::function<std::vector<fan_out_service>(
+  const std::vector<service_id>&,
+  steady_time)>;
+
+struct subquery_config
+{
+  host_id mSelf;
+  failure_domain_id mFailureDomain;
+  subquery_costs mCosts;
+  /** Hosts of each failure domain that this host sends subqueries to. Few, so
+   * that their connections stay in use. */
+  std::size_t mHostsPerDomain = 6;
+};
+
+/** A group of services and the host that is to ask them. */
+struct assigned_subquery
+{
+  host_id mHost;
+  std::string mAddress;
+  std::vector<service_id> mServices;
+};
+
+/**
+ * The entry hosts that can perform subqueries for this host, by failure domain.
+ * Hosts that failed are left alone for a time that doubles.
+ */
+class subquery_controller
+{
+  struct peer
+  {
+    host_id mHost;
+    std::string mAddress;
+    std::uint32_t mOutstanding = 0;
+    milliseconds mPause{ 0 };
+    steady_time mPausedUntil;
+  };
+
+  subquery_config mConfig;
+  service_domains mServiceDomains;
+  sharded_map<failure_domain_id, std::vector<peer>> mPeers;
+  sharded_map<host_id, failure_domain_id> mDomainOf;
+
+  std::optional<assigned_subquery> Assign(const subquery_group& aGroup,
+                                          steady_time aNow);
+
+public:
+  subquery_controller(subquery_config aConfig, service_domains aServiceDomains)
+    : mConfig(std::move(aConfig))
+    , mServiceDomains(std::move(aServiceDomains))
+  {
+  }
+
+  /** Sets the known entry hosts. */
+  void SetHosts(const std::vector<entry_host_record>& aHosts);
+  /** Divides a fan-out and assigns a host to each group for which one is
+   * available; empty if this host should ask all servers. */
+  std::vector<assigned_subquery> Plan(const std::vector<service_id>& aServices,
+                                      steady_time aNow);
+  /** Releases a host after a subquery. */
+  void Finish(const host_id& aHost, bool aHasFailed, steady_time aNow);
+};
+
+}
--- a/decisions/records.h
+++ b/decisions/records.h
@@ -121,6 +121,9 @@
   std::string mCallersAddress;
   /** Where backend servers announce themselves, `ip:port`. */
   std::string mAnnounceAddress;
+  /** Where other entry hosts send subqueries, `ip:port`; empty if this host
+   * serves none. */
+  std::string mSubqueryAddress;
   entry_host_state mState = entry_host_state::Serving;
   /** The control host that serves its watch stream. */
   host_id mControlHost;
--- a/filters/request_context.h
+++ b/filters/request_context.h
@@ -7,6 +7,7 @@
 #include "decisions/route_table.h"
 #include "filters/caller_status.h"
 #include "filters/forwarded_message.h"
+#include "filters/subquery.h"
 
 #include <functional>
 #include <memory>
@@ -113,6 +114,12 @@
   /** The response is merged from the parts of all services. */
   bool mIsMerged = false;
   std::size_t mTopRecords = 0;
+  /** Header fields of each part that the API handler needs. */
+  std::vector<std::string> mPartFields;
+  /** Receives the parts of a subquery before it ends; null for others. */
+  subquery_callback mOnProgress;
+  /** When the parts of a subquery are reported at the latest. */
+  steady_time mReportBy;
   /** Maximum number of servers per service that may get the request. */
   std::uint32_t mMaxAttempts = UINT32_MAX;
   std::uint32_t mPriority = 0;
@@ -134,6 +141,8 @@
   snapshot_number mSnapshot = 0;
   std::vector<service_response> mResponses;
   std::vector<missing_service> mMissing;
+  /** What is known of the missing services of a subquery. */
+  std::vector<subquery_failure> mFailures;
   double mCoverage = 0;
   /** The response to a `Run`. */
   std::string mRunResponse;
--- a/filters/scatter.h
+++ b/filters/scatter.h
@@ -79,6 +79,8 @@
   /** Maximum time before an attempt is hedged, in percent of the time from
    * the request's arrival to the route's latency objective. */
   int mHedgePercent = 100;
+  /** Divides large fan-outs among entry hosts; unset hooks disable it. */
+  subquery_hooks mSubqueries;
 };
 
 /**
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -38,6 +38,9 @@
   for (const auto& [number, inFlight] : aService.mInFlight) {
     choice.mExcludedServers.push_back(inFlight.mPermit.mServer);
   }
+  if (!aService.mSubqueryServer.IsEmpty()) {
+    choice.mExcludedServers.push_back(aService.mSubqueryServer);
+  }
   if (!MayTryAnotherServer(aService)) {
     // No additional server may get the request, but those that refused it may
     // get it again.
--- a/filters/scatter_operation.cpp
+++ b/filters/scatter_operation.cpp
@@ -39,6 +39,11 @@
   , mSoftDeadline(aRequest.mSoftDeadline)
   , mForwarded(aRequest.mForwarded)
   , mCaller(aRequest.mCaller)
+  , mConfiguration(aRequest.mConfiguration)
+  , mTopRecords(aRequest.mTopRecords)
+  , mPartFields(aRequest.mPartFields)
+  , mOnProgress(aRequest.mOnProgress)
+  , mReportBy(aRequest.mReportBy)
   , mIsMerged(aRequest.mIsMerged)
   , mMaxAttempts(aRequest.mMaxAttempts)
   , mRequiredResponses(NeededServices(aRequest.mServices.size(),
@@ -62,6 +67,7 @@
                (mIsSuspect || !mFingerprints.IsHarmless(mFingerprint));
   mIsCanary = isNew && mKind == request_kind::Query && mServices.size() > 1;
   ObserveCaller();
+  StartSubqueries(mHooks.mNow());
   int replans = 0;
   while (true) {
     steady_time now = mHooks.mNow();
@@ -76,6 +82,7 @@
     if (IsFinished()) {
       break;
     }
+    ReportIfDue(now);
     mWakeTimer.expires_at(NextDue(now));
     co_await mWakeTimer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
@@ -149,7 +156,7 @@
 scatter_operation::StartDueAttempts(steady_time aNow)
 {
   for (service_progress& service : mServices) {
-    if (!service.mIsDone && service.mInFlight.empty() &&
+    if (!service.mIsDone && service.mInFlight.empty() && !service.mSubquery &&
         !service.mIsAwaitingCapacity && service.mNextAttemptAt <= aNow) {
       StartAttempt(service, service.mNextReason, aNow);
     }
@@ -167,9 +174,10 @@
 void
 scatter_operation::Hedge(service_progress& aService, steady_time aNow)
 {
+  std::size_t inProgress =
+    aService.mInFlight.size() + (aService.mSubquery ? 1U : 0U);
   bool mayHedge = IsIdempotent(mKind) && !aService.mIsHedged &&
-                  aService.mInFlight.size() == 1 &&
-                  MayTryAnotherServer(aService);
+                  inProgress == 1 && MayTryAnotherServer(aService);
   if (!mayHedge || !mBudgets.SpendHedge(aService.mService, aNow)) {
     return;
   }
@@ -186,7 +194,7 @@
 steady_time
 scatter_operation::NextDue(steady_time aNow) const
 {
-  steady_time due = mDeadline;
+  steady_time due = std::min(mDeadline, mReportAt);
   if (mIsMerged && mSoftDeadline > aNow &&
       mResponses.size() >= mRequiredResponses) {
     due = std::min(due, mSoftDeadline);
@@ -220,6 +228,13 @@
   aService.mReason = aReason;
   mIsCanary = false;
   mMissing.push_back({ aService.mService, aReason });
+  if (mOnProgress) {
+    bool wasAsked = !aService.mTried.empty();
+    mFailures.push_back(
+      { aService.mService,
+        wasAsked ? aService.mTried.back() : server_id{},
+        aService.mTried.size() > aService.mRefusedBy.size() });
+  }
 }
 
 void
@@ -234,6 +249,7 @@
 scatter_operation::Finish(request_context& aRequest)
 {
   mIsEnded = true;
+  EndAllSubqueries(mHooks.mNow());
   // An attempt at a `Run` is not cancelled: its outcome has yet to be recorded.
   if (mKind != request_kind::Run) {
     CancelAllAttempts();
@@ -243,7 +259,7 @@
       continue;
     }
     mMissing.push_back({ service.mService, missing_reason::NoResponseInTime });
-    if (!service.mInFlight.empty()) {
+    if (!service.mInFlight.empty() || service.mSubquery) {
       mMayHaveRun = true;
       mRan = execution_status::Unknown;
     }
@@ -254,6 +270,7 @@
   aRequest.mFailedResponse = std::move(mFailedResponse);
   aRequest.mResponses = std::move(mResponses);
   aRequest.mMissing = std::move(mMissing);
+  aRequest.mFailures = std::move(mFailures);
   aRequest.mAttempts += mAttempts;
   aRequest.mHedges += mHedges;
   aRequest.mRetries += mRetries;
--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -41,6 +41,10 @@
   bool mIsDone = false;
   bool mIsAwaitingCapacity = false;
   bool mIsHedged = false;
+  /** The subquery in progress that asks the service, if any. */
+  std::optional<std::size_t> mSubquery;
+  /** The server that the subquery asked; empty until it is reported. */
+  server_id mSubqueryServer;
   attempt_reason mNextReason = attempt_reason::Regular;
   std::map<attempt_number, in_flight_attempt> mInFlight;
   std::vector<server_id> mExcludedServers;
@@ -57,6 +61,17 @@
   missing_reason mReason = missing_reason::NoServer;
 };
 
+/** A subquery of this request at another entry host. */
+struct sent_subquery
+{
+  assigned_subquery mPlan;
+  request_id mId;
+  steady_time mSentAt;
+  bool mHasReported = false;
+  /** Null once the subquery has ended. */
+  std::function<void()> mCancel;
+};
+
 /**
  * Fan-out of one request. Used only on the request's executor; attempts that
  * outlive the request keep it alive until they end.
@@ -86,6 +101,11 @@
   steady_time mSoftDeadline;
   std::shared_ptr<const forwarded_request> mForwarded;
   std::shared_ptr<caller_status> mCaller;
+  configuration_number mConfiguration;
+  std::size_t mTopRecords;
+  std::vector<std::string> mPartFields;
+  subquery_callback mOnProgress;
+  steady_time mReportBy;
   bool mIsMerged;
   /** Maximum time from an attempt to its hedge. */
   std::optional<microseconds> mMaxHedgeDelay;
@@ -97,6 +117,11 @@
   std::vector<service_progress> mServices;
   std::vector<service_response> mResponses;
   std::vector<missing_service> mMissing;
+  std::vector<subquery_failure> mFailures;
+  std::vector<sent_subquery> mSubqueries;
+  /** When the parts so far are reported; only in a subquery. */
+  steady_time mReportAt = steady_time::max();
+  bool mHasReported = false;
   attempt_number mNextAttempt = 1;
   /** Number of the current plan; results of attempts from an earlier plan are
    * ignored. */
@@ -194,6 +219,23 @@
     std::size_t aIndex,
     int aPlanNumber);
   void CancelAllAttempts();
+  /** Sends the subqueries of a large fan-out to other entry hosts. */
+  void StartSubqueries(steady_time aNow);
+  void StartSubquery(assigned_subquery aPlan, steady_time aNow);
+  void OnSubqueryUpdate(std::size_t aSubquery, subquery_update aUpdate);
+  /** Accepts the parts of an update, which share their records. */
+  void AcceptParts(subquery_update& aUpdate);
+  void OnSubqueryFailure(const subquery_failure& aFailure);
+  /** Asks the servers for what a subquery leaves unanswered. */
+  void ReclaimServices(std::size_t aSubquery, subquery_end aEnd);
+  void EndSubquery(std::size_t aSubquery, subquery_end aEnd);
+  void EndAllSubqueries(steady_time aNow);
+  [[nodiscard]] microseconds SubqueryReportDelay(steady_time aNow) const;
+  [[nodiscard]] service_progress* FindProgress(const service_id& aService);
+  /** Sets the time of a subquery's report, once its servers are asked. */
+  void ScheduleReport(steady_time aNow);
+  void ReportIfDue(steady_time aNow);
+  void ReportPart();
   void Finish(request_context& aRequest);
   [[nodiscard]] execution_status ExecutionStatus(
     const request_context& aRequest) const;
--- /dev/null
+++ b/filters/scatter_subqueries.cpp
@@ -0,0 +1,299 @@
+#include "filters/scatter_operation.h"
+
+#include "core/log_event.h"
+#include "filters/subquery_result.h"
+
+#include <algorithm>
+
+namespace hibiscusspool {
+
+namespace {
+
+/** Part of the time to the soft deadline in which a subquery reports; the rest
+ * is left for hedges of its stragglers. */
+constexpr int kReportPercent = 50;
+/** Part of that time after which a host that has not reported is late. */
+constexpr int kLatePercent = 65;
+constexpr int kPercent = 100;
+
+}
+
+service_progress*
+scatter_operation::FindProgress(const service_id& aService)
+{
+  std::size_t index = IndexOf(aService);
+  return index < mServices.size() ? &mServices[index] : nullptr;
+}
+
+microseconds
+scatter_operation::SubqueryReportDelay(steady_time aNow) const
+{
+  auto left =
+    std::chrono::duration_cast<microseconds>(mSoftDeadline - aNow);
+  return std::max(microseconds(1000), left * kReportPercent / kPercent);
+}
+
+void
+scatter_operation::StartSubqueries(steady_time aNow)
+{
+  bool mayDivide = mHooks.mSubqueries.mPlan && mIsMerged &&
+                   mKind == request_kind::Forward && !mOnProgress &&
+                   mHooks.mIsLeaseValid(aNow);
+  if (!mayDivide) {
+    return;
+  }
+  std::vector<service_id> services;
+  services.reserve(mServices.size());
+  for (const service_progress& service : mServices) {
+    services.push_back(service.mService);
+  }
+  for (assigned_subquery& plan : mHooks.mSubqueries.mPlan(services, aNow)) {
+    StartSubquery(std::move(plan), aNow);
+  }
+}
+
+void
+scatter_operation::StartSubquery(assigned_subquery aPlan, steady_time aNow)
+{
+  subquery sent;
+  sent.mRequest = mRequest;
+  sent.mId = mHooks.mNewAttemptId();
+  sent.mTeam = mTeam;
+  sent.mConfiguration = mConfiguration;
+  sent.mServices = aPlan.mServices;
+  sent.mForwarded = mForwarded;
+  sent.mBody = mBody;
+  sent.mTimeLeft = std::chrono::duration_cast<microseconds>(mDeadline - aNow);
+  sent.mReportAfter = SubqueryReportDelay(aNow);
+  sent.mTopRecords = mTopRecords;
+  sent.mPartFields = mPartFields;
+  std::size_t index = mSubqueries.size();
+  auto softTime = std::chrono::duration_cast<microseconds>(mSoftDeadline - aNow);
+  steady_time lateAt = aNow + softTime * kLatePercent / kPercent;
+  for (const service_id& name : aPlan.mServices) {
+    service_progress& service = *FindProgress(name);
+    service.mSubquery = index;
+    // The server is not known yet, but counts as one that was tried.
+    service.mTried.push_back(server_id{});
+    service.mHedgeAt = lateAt;
+    CountAttempt(service, attempt_reason::Regular, aNow);
+  }
+  sent_subquery& entry = mSubqueries.emplace_back();
+  entry.mPlan = std::move(aPlan);
+  entry.mId = sent.mId;
+  entry.mSentAt = aNow;
+  std::weak_ptr<scatter_operation> weak = weak_from_this();
+  entry.mCancel = mHooks.mSubqueries.mSend(
+    entry.mPlan,
+    std::move(sent),
+    mExecutor,
+    [weak, index](subquery_update aUpdate) {
+      if (auto self = weak.lock()) {
+        self->OnSubqueryUpdate(index, std::move(aUpdate));
+      }
+    });
+}
+
+void
+scatter_operation::OnSubqueryUpdate(std::size_t aSubquery,
+                                    subquery_update aUpdate)
+{
+  sent_subquery& entry = mSubqueries[aSubquery];
+  if (mIsEnded || !entry.mCancel) {
+    return;
+  }
+  steady_time now = mHooks.mNow();
+  entry.mHasReported = true;
+  AcceptParts(aUpdate);
+  for (const subquery_straggler& straggler : aUpdate.mStragglers) {
+    service_progress* service = FindProgress(straggler.mService);
+    if (service != nullptr && service->mSubquery == aSubquery) {
+      service->mSubqueryServer = straggler.mServer;
+      service->mHedgeAt = std::min(service->mHedgeAt, now);
+    }
+  }
+  for (const subquery_failure& failure : aUpdate.mFailures) {
+    OnSubqueryFailure(failure);
+  }
+  if (aUpdate.mIsRefused) {
+    ReclaimServices(aSubquery, subquery_end::Refused);
+  } else if (aUpdate.mIsLast) {
+    ReclaimServices(aSubquery, subquery_end::Lost);
+  }
+  mWakeTimer.cancel();
+}
+
+void
+scatter_operation::AcceptParts(subquery_update& aUpdate)
+{
+  // The records of the parts are merged. If this host has one of the parts from
+  // a server itself, its records would be in the response twice.
+  bool areAllOpen = std::all_of(
+    aUpdate.mParts.begin(),
+    aUpdate.mParts.end(),
+    [&](const subquery_part& aPart) {
+      const service_progress* service = FindProgress(aPart.mService);
+      return service != nullptr && !service->mIsDone && service->mSubquery;
+    });
+  for (subquery_part& part : aUpdate.mParts) {
+    service_progress* service = FindProgress(part.mService);
+    if (service == nullptr || !service->mSubquery) {
+      continue;
+    }
+    service->mSubquery.reset();
+    if (!areAllOpen) {
+      if (!service->mIsDone && service->mInFlight.empty()) {
+        attempt_permit permit;
+        permit.mService = service->mService;
+        RetryOrGiveUp(*service, permit, attempt_status::Failed);
+      }
+      continue;
+    }
+    attempt_result result;
+    result.mStatus = attempt_status::Answered;
+    result.mResponse.mFields = std::move(part.mFields);
+    result.mResponse.mBody = std::exchange(aUpdate.mRecords, {});
+    mMayHaveRun = true;
+    AcceptResponse(*service, std::move(result));
+  }
+}
+
+void
+scatter_operation::OnSubqueryFailure(const subquery_failure& aFailure)
+{
+  service_progress* service = FindProgress(aFailure.mService);
+  if (service == nullptr || !service->mSubquery) {
+    return;
+  }
+  service->mSubquery.reset();
+  mMayHaveRun = mMayHaveRun || aFailure.mMayHaveRun;
+  std::erase(service->mTried, server_id{});
+  if (!aFailure.mServer.IsEmpty()) {
+    service->mTried.push_back(aFailure.mServer);
+  }
+  if (service->mIsDone) {
+    return;
+  }
+  attempt_permit permit;
+  permit.mService = service->mService;
+  permit.mServer = aFailure.mServer;
+  RetryOrGiveUp(*service,
+                permit,
+                aFailure.mServer.IsEmpty() ? attempt_status::NotSent
+                                           : attempt_status::Failed);
+}
+
+void
+scatter_operation::ReclaimServices(std::size_t aSubquery, subquery_end aEnd)
+{
+  bool isIncomplete = false;
+  for (service_progress& service : mServices) {
+    if (service.mSubquery != aSubquery) {
+      continue;
+    }
+    service.mSubquery.reset();
+    isIncomplete = true;
+    bool wasAsked = aEnd != subquery_end::Refused;
+    mMayHaveRun = mMayHaveRun || wasAsked;
+    if (!wasAsked) {
+      std::erase(service.mTried, server_id{});
+    }
+    if (service.mIsDone || !service.mInFlight.empty()) {
+      continue;
+    }
+    attempt_permit permit;
+    permit.mService = service.mService;
+    permit.mServer = service.mSubqueryServer;
+    RetryOrGiveUp(service,
+                  permit,
+                  wasAsked ? attempt_status::Reset : attempt_status::NotSent);
+  }
+  EndSubquery(aSubquery,
+              isIncomplete || aEnd == subquery_end::Refused
+                ? aEnd
+                : subquery_end::Complete);
+}
+
+void
+scatter_operation::EndSubquery(std::size_t aSubquery, subquery_end aEnd)
+{
+  sent_subquery& entry = mSubqueries[aSubquery];
+  entry.mCancel = nullptr;
+  steady_time now = mHooks.mNow();
+  mHooks.mSubqueries.mOnEnd(entry.mPlan.mHost, aEnd, now);
+  log_event("subquery_ended")
+    .Add("request", mRequest.mValue)
+    .Add("subquery", entry.mId.mValue)
+    .Add("host", entry.mPlan.mHost.mValue)
+    .Add("services", entry.mPlan.mServices.size())
+    .Add("took_us",
+         std::chrono::duration_cast<microseconds>(now - entry.mSentAt).count())
+    .Add("end", NameOf(aEnd));
+}
+
+void
+scatter_operation::EndAllSubqueries(steady_time aNow)
+{
+  for (std::size_t index = 0; index < mSubqueries.size(); ++index) {
+    sent_subquery& entry = mSubqueries[index];
+    if (!entry.mCancel) {
+      continue;
+    }
+    entry.mCancel();
+    auto softTime = std::chrono::duration_cast<microseconds>(
+      mSoftDeadline - entry.mSentAt);
+    bool isLate = !entry.mHasReported &&
+                  aNow >= entry.mSentAt + softTime * kLatePercent / kPercent;
+    EndSubquery(index, isLate ? subquery_end::Late : subquery_end::Cancelled);
+  }
+}
+
+void
+scatter_operation::ScheduleReport(steady_time aNow)
+{
+  microseconds slow{ 0 };
+  for (const service_progress& service : mServices) {
+    if (auto threshold = mBackends.SlowThreshold(service.mService)) {
+      slow = std::max(slow, *threshold);
+    }
+  }
+  mReportAt = slow.count() > 0 ? std::min(mReportBy, aNow + slow) : mReportBy;
+}
+
+void
+scatter_operation::ReportIfDue(steady_time aNow)
+{
+  if (!mOnProgress || mHasReported) {
+    return;
+  }
+  if (mReportAt == steady_time::max()) {
+    ScheduleReport(aNow);
+  }
+  if (aNow < mReportAt) {
+    return;
+  }
+  mHasReported = true;
+  mReportAt = steady_time::max();
+  subquery_update update =
+    MakeUpdate(std::exchange(mResponses, {}), mPartFields, mTopRecords);
+  for (const service_progress& service : mServices) {
+    if (!service.mIsDone) {
+      server_id asked;
+      if (!service.mInFlight.empty()) {
+        asked = service.mInFlight.begin()->second.mPermit.mServer;
+      }
+      update.mStragglers.push_back({ service.mService, asked });
+    }
+  }
+  update.mFailures = std::exchange(mFailures, {});
+  mOnProgress(std::move(update));
+}
+
+void
+scatter_operation::ReportPart()
+{
+  mOnProgress(
+    MakeUpdate(std::exchange(mResponses, {}), mPartFields, mTopRecords));
+}
+
+}
--- a/filters/scatter_verdict.cpp
+++ b/filters/scatter_verdict.cpp
@@ -54,6 +54,9 @@
 {
   aService.mIsDone = true;
   mResponses.push_back({ aService.mService, std::move(aResult.mResponse) });
+  if (mHasReported) {
+    ReportPart();
+  }
   if (mIsCanary) {
     mIsCanary = false;
     mFingerprints.SetHarmless(mFingerprint);
@@ -67,7 +70,7 @@
                                  attempt_status aStatus)
 {
   aService.mExcludedServers.push_back(aPermit.mServer);
-  if (!aService.mInFlight.empty()) {
+  if (!aService.mInFlight.empty() || aService.mSubquery) {
     return;
   }
   // A retry needs no budget if the failed attempt cost the server almost
@@ -78,7 +81,7 @@
     (aStatus == attempt_status::Shed && mForwarded == nullptr);
   bool mayRetry = aStatus == attempt_status::NotSent ||
                   MayTryAnotherServer(aService) ||
-                  (!aService.mRefusedBy.empty() &&
+                  (!mOnProgress && !aService.mRefusedBy.empty() &&
                    aService.mRefusalRounds < kMaxForwardRefusalRounds);
   if (!mayRetry || (!needsNoBudget &&
                     !mBudgets.SpendRetry(aService.mService, mHooks.mNow()))) {
--- a/main/entry_hooks.cpp
+++ b/main/entry_hooks.cpp
@@ -46,6 +46,7 @@
 {
   scatter_hooks hooks = ScatterHooks();
   hooks.mUsesCanary = false;
+  hooks.mSubqueries = SubqueryHooks();
   hooks.mHedgePercent = static_cast<int>(mSettings.mEntryMaxHedgeDelayPercent);
   hooks.mIsLeaseValid = [this](steady_time aNow) { return MayForward(aNow); };
   return hooks;
--- a/main/entry_listeners.cpp
+++ b/main/entry_listeners.cpp
@@ -33,6 +33,8 @@
 constexpr milliseconds kCloseReserve{ 900 };
 /** Limit for requests that are cancelled at a stop to send their responses. */
 constexpr milliseconds kCancelTimeout{ 300 };
+/** Limit for the subqueries of other hosts to end at a stop. */
+constexpr milliseconds kSubqueryStopTimeout{ 100 };
 
 }
 
@@ -247,7 +249,8 @@
     mClientListener->Stop();
   }
   mStopWaiter.WaitUntil(drainDeadline, [this] {
-    return mCallerListener->ActiveRequestCount() == 0 &&
+    return mRunningSubqueries == 0 &&
+           mCallerListener->ActiveRequestCount() == 0 &&
            (mClientListener == nullptr ||
             mClientListener->ActiveRequestCount() == 0);
   });
@@ -264,6 +267,10 @@
   });
   mIsStopping = true;
   StopListeners();
+  if (mSubqueryService != nullptr) {
+    mSubqueryService->Stop(kSubqueryStopTimeout);
+  }
+  mSubqueryClient.Stop();
   mWatch->Stop();
   mClient.Stop();
   // Sockets must be destroyed before their I/O contexts.
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -81,6 +81,7 @@
   : mContext(aContext)
   , mSettings(std::move(aSettings))
   , mSelf{ mSettings.mHostId }
+  , mSubqueryAddress(SubqueryAddress(mSettings))
   , mIncarnation(aIncarnation)
   , mClient(std::move(aClient))
   , mWorkers(
@@ -92,7 +93,16 @@
                   mBackendClient->Close(aConnections);
                 },
                 [this](const server_id& aServer) { MarkServerCold(aServer); } })
-  , mCatalog(mSelf, mBackends)
+  , mSubqueries(ToSubqueryConfig(mSettings),
+                [this](const std::vector<service_id>& aServices,
+                       steady_time aNow) {
+                  return mBackends.AnsweringDomains(aServices, aNow);
+                })
+  , mCatalog(mSelf,
+             mBackends,
+             { [this](const std::vector<entry_host_record>& aHosts) {
+               mSubqueries.SetHosts(aHosts);
+             } })
   , mAdmission(static_cast<std::uint32_t>(mSettings.mEntryHostLimit))
   , mBudgets(static_cast<double>(mSettings.mEntryHedgeBudgetPercent) * kPercent,
              static_cast<double>(mSettings.mEntryRetryBudgetPercent) * kPercent,
@@ -121,6 +131,10 @@
   role->SetUpBackendClient();
   role->SetUpChain();
   role->SetUpForwardChain();
+  auto subqueriesSetUp = role->SetUpSubqueries();
+  if (!subqueriesSetUp) {
+    return subqueriesSetUp.error();
+  }
   auto listeners = role->SetUpListeners();
   if (!listeners) {
     return listeners.error();
@@ -216,6 +230,7 @@
                              ? mSettings.mPlatformCallersAddress
                              : mSettings.mEntryCallersAddress;
   record.mAnnounceAddress = mSettings.mEntryAnnounceAddress;
+  record.mSubqueryAddress = mSubqueryAddress;
   record.mState =
     mIsLeaving ? entry_host_state::Leaving : entry_host_state::Serving;
   return record;
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -7,11 +7,14 @@
 #include "controllers/fingerprint_controller.h"
 #include "controllers/lease_controller.h"
 #include "controllers/refusal_controller.h"
+#include "controllers/subquery_controller.h"
 #include "controllers/team_stats_controller.h"
 #include "drivers/announce_api.h"
 #include "drivers/backend_client.h"
 #include "drivers/control_client.h"
 #include "drivers/http_server.h"
+#include "drivers/subquery_client.h"
+#include "drivers/subquery_service.h"
 #include "drivers/watch_client.h"
 #include "drivers/worker_pool.h"
 #include "filters/claim.h"
@@ -29,18 +32,30 @@
 
 namespace hibiscusspool {
 
+/** How an entry host divides fan-outs. */
+subquery_config
+ToSubqueryConfig(const settings& aSettings);
+
+/** Where this host takes subqueries; empty if it takes none. */
+std::string
+SubqueryAddress(const settings& aSettings);
+
 /** Runs an entry host: filter chains, controllers and network interfaces. */
 class entry_role
 {
   boost::asio::io_context& mContext;
   settings mSettings;
   host_id mSelf;
+  /** Where this host takes subqueries; empty if it takes none. */
+  std::string mSubqueryAddress;
   incarnation_number mIncarnation;
   control_client mClient;
   std::unique_ptr<worker_pool> mWorkers;
   std::unique_ptr<backend_client> mBackendClient;
   lease_controller mLease;
   backend_controller mBackends;
+  subquery_controller mSubqueries;
+  subquery_client mSubqueryClient = subquery_client::Create();
   catalog_controller mCatalog;
   admission_controller mAdmission;
   budget_controller mBudgets;
@@ -51,6 +66,10 @@
   std::shared_ptr<const filter_chain> mChain;
   /** Filters for requests that are forwarded unchanged. */
   std::shared_ptr<const filter_chain> mForwardChain;
+  /** Filters for the subqueries of other entry hosts. */
+  std::shared_ptr<const filter_chain> mSubqueryChain;
+  std::unique_ptr<subquery_service> mSubqueryService;
+  std::atomic<std::size_t> mRunningSubqueries{ 0 };
   condition_waiter mStopWaiter;
   /** Receives the requests of callers, for `mChain`. */
   std::unique_ptr<http_server> mCallerListener;
@@ -76,6 +95,7 @@
   void SetUpBackendClient();
   void SetUpChain();
   void SetUpForwardChain();
+  result<void, role_error> SetUpSubqueries();
   result<void, role_error> SetUpListeners();
   result<void, role_error> SetUpAnnounceListener();
   result<void, role_error> SetUpPlatform();
@@ -92,6 +112,14 @@
   [[nodiscard]] quarantine_hooks QuarantineHooks();
   [[nodiscard]] scatter_hooks ScatterHooks();
   [[nodiscard]] scatter_hooks ForwardHooks();
+  [[nodiscard]] subquery_hooks SubqueryHooks();
+  /** Starts a subquery of another host; returns a function that cancels it. */
+  std::function<void()> StartSubquery(subquery aSubquery,
+                                      subquery_callback aCallback);
+  boost::asio::awaitable<void> RunSubquery(
+    subquery aSubquery,
+    std::shared_ptr<caller_status> aCaller,
+    subquery_callback aCallback);
   [[nodiscard]] server_lease_hooks ServerLeaseHooks();
   [[nodiscard]] std::optional<budget_limits> SharedBudget(
     steady_time aNow) const;
--- /dev/null
+++ b/main/entry_subqueries.cpp
@@ -0,0 +1,179 @@
+#include "main/entry_role.h"
+
+#include "core/address.h"
+#include "core/log_event.h"
+#include "filters/confirm.h"
+#include "filters/subquery_result.h"
+#include "main/role_support.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+namespace hibiscusspool {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Subqueries that this host performs at once; more are refused. */
+constexpr std::size_t kMaxRunningSubqueries = 128;
+/** Processor time of one attempt on a whole core. */
+constexpr microseconds kAttemptProcessorTime{ 80 };
+/** Smaller shares of a core count as this one. */
+constexpr double kMinCpuShare = 0.01;
+
+void
+Refuse(const subquery& aSubquery,
+       std::string_view aReason,
+       const subquery_callback& aCallback)
+{
+  log_event("subquery_refused")
+    .Add("request", aSubquery.mRequest.mValue)
+    .Add("subquery", aSubquery.mId.mValue)
+    .Add("configuration", aSubquery.mConfiguration)
+    .Add("reason", aReason);
+  subquery_update refused;
+  refused.mIsRefused = true;
+  refused.mIsLast = true;
+  aCallback(std::move(refused));
+}
+
+}
+
+subquery_config
+ToSubqueryConfig(const settings& aSettings)
+{
+  subquery_config config;
+  config.mSelf.mValue = aSettings.mHostId;
+  config.mFailureDomain.mValue = aSettings.mHostFailureDomain;
+  double share = std::max(kMinCpuShare, aSettings.mEntryCpuShare);
+  config.mCosts.mAttempt = microseconds(static_cast<std::int64_t>(
+    static_cast<double>(kAttemptProcessorTime.count()) / share));
+  return config;
+}
+
+std::string
+SubqueryAddress(const settings& aSettings)
+{
+  auto address = ParseAddress(aSettings.mEntrySubqueryAddress);
+  if (!address) {
+    return {};
+  }
+  std::int64_t port = address->mPort + aSettings.mEntrySubqueryPortOffset;
+  return address->mIp + ":" + std::to_string(port);
+}
+
+subquery_hooks
+entry_role::SubqueryHooks()
+{
+  subquery_hooks hooks;
+  if (mSubqueryAddress.empty()) {
+    return hooks;
+  }
+  hooks.mPlan = [this](const std::vector<service_id>& aServices,
+                       steady_time aNow) {
+    return mSubqueries.Plan(aServices, aNow);
+  };
+  hooks.mSend = [this](const assigned_subquery& aTarget,
+                       subquery aSubquery,
+                       asio::any_io_executor aExecutor,
+                       subquery_callback aCallback) {
+    return mSubqueryClient.Send(aTarget,
+                                std::move(aSubquery),
+                                std::move(aExecutor),
+                                std::move(aCallback));
+  };
+  hooks.mOnEnd = [this](
+                   const host_id& aHost, subquery_end aEnd, steady_time aNow) {
+    bool hasFailed =
+      aEnd != subquery_end::Complete && aEnd != subquery_end::Cancelled;
+    mSubqueries.Finish(aHost, hasFailed, aNow);
+    if (aEnd == subquery_end::Late) {
+      // The connection may have gone silent; the next subquery opens a new one.
+      mSubqueryClient.DropChannel(aHost);
+    }
+  };
+  return hooks;
+}
+
+result<void, role_error>
+entry_role::SetUpSubqueries()
+{
+  auto mayForward = [this](steady_time aNow) { return MayForward(aNow); };
+  scatter_hooks scatter = ForwardHooks();
+  scatter.mSubqueries = {};
+  filter_chain chain{
+    MakeConfirm({ SteadyNow, mayForward }),
+    MakeScatter(mBackends, mBudgets, mFingerprints, std::move(scatter)),
+  };
+  mSubqueryChain = std::make_shared<const filter_chain>(std::move(chain));
+  if (mSubqueryAddress.empty()) {
+    return boost::outcome_v2::success();
+  }
+  auto service = subquery_service::Create(
+    mSubqueryAddress,
+    [this](subquery aSubquery, subquery_callback aCallback) {
+      return StartSubquery(std::move(aSubquery), std::move(aCallback));
+    });
+  if (!service) {
+    return Fail(role_error::CannotStart, service.error().mDetail);
+  }
+  mSubqueryService =
+    std::make_unique<subquery_service>(std::move(service.value()));
+  return boost::outcome_v2::success();
+}
+
+std::function<void()>
+entry_role::StartSubquery(subquery aSubquery, subquery_callback aCallback)
+{
+  auto routes = mCatalog.Routes();
+  bool isBehind =
+    routes == nullptr || routes->Number() < aSubquery.mConfiguration;
+  bool isBusy = mRunningSubqueries >= kMaxRunningSubqueries;
+  if (isBehind || isBusy || mIsStopping) {
+    Refuse(aSubquery, isBehind ? "behind" : "busy", aCallback);
+    return [] {};
+  }
+  ++mRunningSubqueries;
+  auto caller = std::make_shared<caller_status>();
+  auto executor = mWorkers->NextContext().get_executor();
+  asio::co_spawn(
+    executor,
+    RunSubquery(std::move(aSubquery), caller, std::move(aCallback)),
+    asio::detached);
+  return [executor, caller] {
+    asio::post(executor, [caller] { caller->Disconnect(); });
+  };
+}
+
+asio::awaitable<void>
+entry_role::RunSubquery(subquery aSubquery,
+                        std::shared_ptr<caller_status> aCaller,
+                        subquery_callback aCallback)
+{
+  steady_time started = SteadyNow();
+  request_context context = ToContext(aSubquery, aCaller, aCallback, started);
+  co_await RunChain(*mSubqueryChain, context);
+  --mRunningSubqueries;
+  mStopWaiter.Notify();
+  auto took =
+    std::chrono::duration_cast<microseconds>(SteadyNow() - started);
+  log_event line("subquery_served");
+  line.Add("request", aSubquery.mRequest.mValue)
+    .Add("subquery", aSubquery.mId.mValue)
+    .Add("configuration", aSubquery.mConfiguration)
+    .Add("services", aSubquery.mServices.size())
+    .Add("attempts", context.mAttempts)
+    .Add("missing", context.mMissing.size())
+    .Add("took_us", took.count());
+  if (context.mRefusal) {
+    line.Add("refused", NameOf(context.mRefusal->mReason));
+  }
+  if (aCaller->mIsDisconnected) {
+    line.Add("caller", "left");
+  }
+  aCallback(FinalUpdate(context));
+}
+
+}
--- a/messages/control_codec.cpp
+++ b/messages/control_codec.cpp
@@ -219,6 +219,7 @@
   aOut.set_announce_address(aRecord.mAnnounceAddress);
   aOut.set_state(static_cast<std::uint32_t>(aRecord.mState));
   aOut.set_sponsor(aRecord.mControlHost.mValue);
+  aOut.set_subquery_address(aRecord.mSubqueryAddress);
 }
 
 result<entry_host_record, codec_error>
@@ -237,6 +238,7 @@
   record.mAnnounceAddress = aIn.announce_address();
   record.mState = state.value();
   record.mControlHost.mValue = aIn.sponsor();
+  record.mSubqueryAddress = aIn.subquery_address();
   return record;
 }
 
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -364,6 +364,27 @@
       1'000'000,
       "Repeated attempts allowed in a window in addition to extra_ratio, "
       "over all hosts."),
+    Text("entry",
+         "subquery_address",
+         type::Address,
+         &settings::mEntrySubqueryAddress,
+         false,
+         "Address on which other entry hosts send parts of their fan-outs; "
+         "without it, this host takes none and divides none."),
+    Number("entry",
+           "subquery_port_offset",
+           type::Count,
+           &settings::mEntrySubqueryPortOffset,
+           0,
+           1000,
+           "Added to the port of subquery_address, for a platform that names "
+           "only the ends of a range of free ports."),
+    Fraction("entry",
+             "cpu_share",
+             &settings::mEntryCpuShare,
+             64,
+             "Processor cores that this host may use; fan-outs are divided "
+             "if they would take it too long."),
   };
 }
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -110,6 +110,9 @@
   std::int64_t mEntryExtraWindowS = 0;
   double mEntryExtraRatio = 0.2;
   double mEntryExtraSlack = 0;
+  std::string mEntrySubqueryAddress;
+  std::int64_t mEntrySubqueryPortOffset = 0;
+  double mEntryCpuShare = 1;
 
   std::string mControlAddress;
   std::string mControlOperatorsAddress;
