Ask each group of services by its own part of a domain's hosts

Change: all hosts of a domain divide a fan-out alike, and each group has its own hosts. Slow parts are told by team. A divided fan-out has a margin of its own. Where all hosts share the budget, it alone bounds hedges.

--- a/controllers/budget_controller.h
+++ b/controllers/budget_controller.h
@@ -49,11 +49,15 @@
   }
 
 public:
-  /** The ratios are hedges and retries allowed per regular attempt. */
-  budget_controller(double aHedgeRatio, double aRetryRatio, budget_hooks aHooks)
+  /** The ratios are hedges and retries allowed per regular attempt, of which
+   * `aMaxBurst` at once. */
+  budget_controller(double aHedgeRatio,
+                    double aRetryRatio,
+                    double aMaxBurst,
+                    budget_hooks aHooks)
     : mHooks(std::move(aHooks))
-    , mHedges(aHedgeRatio)
-    , mRetries(aRetryRatio)
+    , mHedges(aHedgeRatio, aMaxBurst)
+    , mRetries(aRetryRatio, aMaxBurst)
   {
   }
 
--- a/controllers/subquery_controller.cpp
+++ b/controllers/subquery_controller.cpp
@@ -14,11 +14,17 @@
 /** Subqueries of this host at one other host; more are not sent. */
 constexpr std::uint32_t kMaxOutstanding = 8;
 
+std::uint64_t
+Hash(const std::string& aText)
+{
+  return XXH3_64bits(aText.data(), aText.size());
+}
+
 std::uint64_t
 Weight(const host_id& aSelf, const host_id& aHost)
 {
-  std::uint64_t seed = XXH3_64bits(aSelf.mValue.data(), aSelf.mValue.size());
-  return XXH3_64bits_withSeed(aHost.mValue.data(), aHost.mValue.size(), seed);
+  return XXH3_64bits_withSeed(
+    aHost.mValue.data(), aHost.mValue.size(), Hash(aSelf.mValue));
 }
 
 }
@@ -35,6 +41,8 @@
       peer added;
       added.mHost = record.mHost;
       added.mAddress = record.mSubqueryAddress;
+      added.mWeight = Weight(mConfig.mSelf, record.mHost);
+      added.mHash = Hash(record.mHost.mValue);
       chosen[record.mFailureDomain].push_back(std::move(added));
     }
     mDomainOf.Set(record.mHost, record.mFailureDomain);
@@ -42,12 +50,6 @@
     chosen[record.mFailureDomain];
   }
   for (auto& [domain, peers] : chosen) {
-    std::sort(
-      peers.begin(), peers.end(), [&](const peer& aOne, const peer& aOther) {
-        return Weight(mConfig.mSelf, aOne.mHost) >
-               Weight(mConfig.mSelf, aOther.mHost);
-      });
-    peers.resize(std::min(peers.size(), mConfig.mHostsPerDomain));
     mPeers.Update(domain, [&](std::vector<peer>& aKnown) {
       for (peer& entry : peers) {
         auto known =
@@ -66,25 +68,44 @@
 }
 
 std::optional<assigned_subquery>
-subquery_controller::Assign(const subquery_group& aGroup, steady_time aNow)
+subquery_controller::Assign(const subquery_group& aGroup,
+                            std::size_t aNumber,
+                            std::size_t aGroups,
+                            steady_time aNow)
 {
   std::optional<assigned_subquery> assigned;
-  mPeers.UpdateIfPresent(
-    aGroup.mFailureDomain, [&](std::vector<peer>& aPeers) {
-      peer* best = nullptr;
-      for (peer& entry : aPeers) {
-        bool isUsable =
-          entry.mPausedUntil <= aNow && entry.mOutstanding < kMaxOutstanding;
-        if (isUsable &&
-            (best == nullptr || entry.mOutstanding < best->mOutstanding)) {
-          best = &entry;
-        }
+  mPeers.UpdateIfPresent(aGroup.mFailureDomain, [&](std::vector<peer>& aPeers) {
+    std::size_t slots = std::clamp<std::size_t>(
+      aPeers.size() / mConfig.mHostsPerGroup, 1, aGroups);
+    std::vector<peer*> usable;
+    for (peer& entry : aPeers) {
+      bool isUsable = entry.mPausedUntil <= aNow &&
+                      entry.mOutstanding < kMaxOutstanding &&
+                      entry.mHash % slots == aNumber % slots;
+      if (isUsable) {
+        usable.push_back(&entry);
       }
-      if (best != nullptr) {
-        ++best->mOutstanding;
-        assigned = { best->mHost, best->mAddress, aGroup.mServices };
-      }
-    });
+    }
+    if (usable.empty()) {
+      return;
+    }
+    auto count = static_cast<std::ptrdiff_t>(
+      std::min(usable.size(), mConfig.mHostsPerGroup));
+    std::partial_sort(usable.begin(),
+                      usable.begin() + count,
+                      usable.end(),
+                      [](const peer* aOne, const peer* aOther) {
+                        return aOne->mWeight > aOther->mWeight;
+                      });
+    peer& best =
+      **std::min_element(usable.begin(),
+                         usable.begin() + count,
+                         [](const peer* aOne, const peer* aOther) {
+                           return aOne->mOutstanding < aOther->mOutstanding;
+                         });
+    ++best.mOutstanding;
+    assigned = { best.mHost, best.mAddress, aGroup.mServices };
+  });
   return assigned;
 }
 
@@ -97,13 +118,13 @@
   if (groups == 0) {
     return plan;
   }
-  const std::string& self = mConfig.mSelf.mValue;
+  std::size_t number = 0;
   for (const subquery_group& group :
        PlanSubqueries(mServiceDomains(aServices, aNow),
                       mConfig.mFailureDomain,
                       groups,
-                      XXH3_64bits(self.data(), self.size()))) {
-    if (auto assigned = Assign(group, aNow)) {
+                      Hash(mConfig.mFailureDomain.mValue))) {
+    if (auto assigned = Assign(group, number++, groups, aNow)) {
       plan.push_back(std::move(*assigned));
     }
   }
--- a/controllers/subquery_controller.h
+++ b/controllers/subquery_controller.h
@@ -11,18 +11,18 @@
 namespace hibiscusspool {
 
 /** The failure domains in which servers of a service can answer. */
-using service_domains = std::function<std::vector<fan_out_service>(
-  const std::vector<service_id>&,
-  steady_time)>;
+using service_domains =
+  std::function<std::vector<fan_out_service>(const std::vector<service_id>&,
+                                             steady_time)>;
 
 struct subquery_config
 {
   host_id mSelf;
   failure_domain_id mFailureDomain;
   subquery_costs mCosts;
-  /** Hosts of each failure domain that this host sends subqueries to. Few, so
+  /** Hosts among which this host chooses for one group of services. Few, so
    * that their connections stay in use. */
-  std::size_t mHostsPerDomain = 6;
+  std::size_t mHostsPerGroup = 3;
 };
 
 /** A group of services and the host that is to ask them. */
@@ -43,6 +43,10 @@
   {
     host_id mHost;
     std::string mAddress;
+    /** Rank of the host for this one, so that hosts prefer different ones. */
+    std::uint64_t mWeight = 0;
+    /** The same on all hosts; selects the groups that the host asks. */
+    std::uint64_t mHash = 0;
     std::uint32_t mOutstanding = 0;
     milliseconds mPause{ 0 };
     steady_time mPausedUntil;
@@ -53,7 +57,15 @@
   sharded_map<failure_domain_id, std::vector<peer>> mPeers;
   sharded_map<host_id, failure_domain_id> mDomainOf;
 
+  /**
+   * Chooses a host for group number `aNumber` of `aGroups`. All hosts of a
+   * failure domain divide a fan-out alike, and each group is asked by its own
+   * part of the hosts, which so keep connections to fewer servers and learn
+   * their speed sooner.
+   */
   std::optional<assigned_subquery> Assign(const subquery_group& aGroup,
+                                          std::size_t aNumber,
+                                          std::size_t aGroups,
                                           steady_time aNow);
 
 public:
--- a/decisions/server_limit.cpp
+++ b/decisions/server_limit.cpp
@@ -70,7 +70,7 @@
 void
 ratio_budget::OnRegularAttempt()
 {
-  mTokens = std::min(kMaxTokens, mTokens + mRatio);
+  mTokens = std::min(mMaxTokens, mTokens + mRatio);
 }
 
 bool
--- a/decisions/server_limit.h
+++ b/decisions/server_limit.h
@@ -72,14 +72,14 @@
 class ratio_budget
 {
   double mRatio;
+  double mMaxTokens;
   double mTokens;
 
 public:
-  /** Maximum number of tokens; each allows one extra attempt. */
-  static constexpr double kMaxTokens = 20;
-
-  explicit ratio_budget(double aRatio)
+  /** Each token allows one extra attempt. */
+  ratio_budget(double aRatio, double aMaxTokens)
     : mRatio(aRatio)
+    , mMaxTokens(aMaxTokens)
     , mTokens(1)
   {
   }
--- a/decisions/subquery_plan.cpp
+++ b/decisions/subquery_plan.cpp
@@ -40,11 +40,10 @@
                       assigned == aAssigned.end() ? 1 : 0,
                       XXH3_64bits_withSeed(name.data(), name.size(), aSeed));
   };
-  auto widest = std::max_element(counts.begin(),
-                                 counts.end(),
-                                 [&](const auto& aOne, const auto& aOther) {
-                                   return rank(aOne) < rank(aOther);
-                                 });
+  auto widest = std::max_element(
+    counts.begin(), counts.end(), [&](const auto& aOne, const auto& aOther) {
+      return rank(aOne) < rank(aOther);
+    });
   return widest == counts.end() ? failure_domain_id{} : widest->first;
 }
 
@@ -77,7 +76,7 @@
 {
   // Other costs than processor time speak for a division only if it saves a
   // clear part of the time.
-  constexpr double kMaxFraction = 0.75;
+  constexpr double kMaxFraction = 0.8;
   auto services = static_cast<double>(aServices);
   double groups =
     std::round(std::sqrt(services / (2 * aCosts.mAttemptsPerSubquery)));
--- a/decisions/subquery_plan.h
+++ b/decisions/subquery_plan.h
@@ -44,8 +44,8 @@
 /**
  * Divides a fan-out into about `aGroups` groups. A service is asked in
  * `aOwnDomain` if a server there can answer. The others go to as few domains
- * as possible; `aSeed` selects among equals, so that different hosts prefer
- * different domains. Services that no server can answer are in no group.
+ * as possible; `aSeed` selects among equals, so that different failure domains
+ * prefer different others. Services that no server can answer are in no group.
  */
 std::vector<subquery_group>
 PlanSubqueries(const std::vector<fan_out_service>& aServices,
--- a/drivers/subquery_client.cpp
+++ b/drivers/subquery_client.cpp
@@ -158,11 +158,10 @@
 private:
   void Deliver(subquery_update aUpdate)
   {
-    asio::post(
-      mExecutor,
-      [callback = mCallback, update = std::move(aUpdate)]() mutable {
-        callback(std::move(update));
-      });
+    asio::post(mExecutor,
+               [callback = mCallback, update = std::move(aUpdate)]() mutable {
+                 callback(std::move(update));
+               });
   }
 };
 
@@ -187,8 +186,8 @@
 {
   std::shared_ptr<state> self = mState;
   auto context = std::make_shared<grpc::ClientContext>();
-  context->set_deadline(std::chrono::system_clock::now() +
-                        aSubquery.mTimeLeft + kDeadlineReserve);
+  context->set_deadline(std::chrono::system_clock::now() + aSubquery.mTimeLeft +
+                        kDeadlineReserve);
   auto call = self->BeginCall(context);
   if (!call) {
     asio::post(aExecutor, [callback = std::move(aCallback)] {
--- a/filters/request_context.h
+++ b/filters/request_context.h
@@ -125,6 +125,9 @@
   std::uint32_t mPriority = 0;
   /** From this time a partial response is preferred to a later, fuller one. */
   steady_time mSoftDeadline = steady_time::max();
+  /** The same for a fan-out that is divided among entry hosts, which leaves
+   * this host less to do before it responds. */
+  steady_time mDividedSoftDeadline;
   fingerprint_id mFingerprint;
   bool mIsAdmitted = false;
   steady_time mAdmittedAt;
--- a/filters/route.cpp
+++ b/filters/route.cpp
@@ -8,6 +8,20 @@
 
 constexpr milliseconds kRetryAfter{ 500 };
 
+/** The latency objective less a margin, or the deadline without an objective.
+ */
+steady_time
+SoftDeadline(const request_context& aRequest,
+             milliseconds aObjective,
+             milliseconds aMargin)
+{
+  if (aObjective <= milliseconds(0)) {
+    return aRequest.mDeadline;
+  }
+  milliseconds left = std::max(aObjective - aMargin, aObjective / 2);
+  return std::min(aRequest.mDeadline, aRequest.mReceivedAt + left);
+}
+
 void
 ApplyRoute(const route_hooks& aHooks,
            const resolved_route& aRoutedTeam,
@@ -34,14 +48,10 @@
   }
   aRequest.mDeadline = aRequest.mReceivedAt + wait;
   aRequest.mGiveUpAt = aRequest.mDeadline;
-  aRequest.mSoftDeadline = aRequest.mDeadline;
-  if (route.mLatencyObjective > milliseconds(0)) {
-    milliseconds objective =
-      std::max(route.mLatencyObjective - aHooks.mObjectiveMargin,
-               route.mLatencyObjective / 2);
-    aRequest.mSoftDeadline =
-      std::min(aRequest.mDeadline, aRequest.mReceivedAt + objective);
-  }
+  aRequest.mSoftDeadline =
+    SoftDeadline(aRequest, route.mLatencyObjective, aHooks.mObjectiveMargin);
+  aRequest.mDividedSoftDeadline =
+    SoftDeadline(aRequest, route.mLatencyObjective, aHooks.mDividedMargin);
 }
 
 void
--- a/filters/route.h
+++ b/filters/route.h
@@ -13,6 +13,8 @@
   std::function<service_id(const route_record&)> mNextService;
   /** Part of the latency objective reserved for the transfer to the caller. */
   milliseconds mObjectiveMargin{ 0 };
+  /** The same for fan-outs that are divided among entry hosts. */
+  milliseconds mDividedMargin{ 0 };
 };
 
 /** Finds the route of a forwarded request and sets its services and
--- a/filters/scatter.h
+++ b/filters/scatter.h
@@ -79,6 +79,10 @@
   /** Maximum time before an attempt is hedged, in percent of the time from
    * the request's arrival to the route's latency objective. */
   int mHedgePercent = 100;
+  /** Records the service time of a part of a team's fan-out. */
+  std::function<void(const team_id&, microseconds)> mOnPartTime;
+  /** Time after which a team's part counts as slow, if known. */
+  std::function<std::optional<microseconds>(const team_id&)> mSlowPart;
   /** Divides large fan-outs among entry hosts; unset hooks disable it. */
   subquery_hooks mSubqueries;
 };
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -70,6 +70,9 @@
   }
   CountAttempt(aService, aReason, aNow);
   auto hedgeAfter = mBackends.SlowThreshold(aService.mService);
+  if (!hedgeAfter) {
+    hedgeAfter = SlowPartThreshold();
+  }
   if (aReason != attempt_reason::Hedge && hedgeAfter) {
     aService.mHedgeAt = aNow + std::max(*hedgeAfter, kMinHedgeDelay);
   }
@@ -85,6 +88,15 @@
   SpawnAttempt(aService, aReason, std::move(*permit));
 }
 
+std::optional<microseconds>
+scatter_operation::SlowPartThreshold() const
+{
+  if (!mIsMerged || !mHooks.mSlowPart) {
+    return std::nullopt;
+  }
+  return mHooks.mSlowPart(mTeam);
+}
+
 void
 scatter_operation::CountAttempt(service_progress& aService,
                                 attempt_reason aReason,
@@ -207,6 +219,11 @@
   report.mDuration =
     std::chrono::duration_cast<microseconds>(now - permit.mStartedAt);
   aOperation->mBackends.Finish(permit, report, now);
+  bool isPart =
+    aOperation->mIsMerged && result.mStatus == attempt_status::Answered;
+  if (isPart && aOperation->mHooks.mOnPartTime) {
+    aOperation->mHooks.mOnPartTime(aOperation->mTeam, report.mDuration);
+  }
   if (!aOperation->mIsEnded && aOperation->mPlanNumber == aPlanNumber) {
     aOperation->OnAttemptDone(aIndex, aNumber, std::move(result));
     co_return;
--- a/filters/scatter_operation.cpp
+++ b/filters/scatter_operation.cpp
@@ -37,6 +37,8 @@
   , mDeadline(aRequest.mDeadline)
   , mGiveUpAt(aRequest.mGiveUpAt)
   , mSoftDeadline(aRequest.mSoftDeadline)
+  , mDividedSoftDeadline(
+      std::max(aRequest.mSoftDeadline, aRequest.mDividedSoftDeadline))
   , mForwarded(aRequest.mForwarded)
   , mCaller(aRequest.mCaller)
   , mConfiguration(aRequest.mConfiguration)
--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -99,6 +99,8 @@
   steady_time mDeadline;
   steady_time mGiveUpAt;
   steady_time mSoftDeadline;
+  /** Soft deadline of a fan-out that is divided. */
+  steady_time mDividedSoftDeadline;
   std::shared_ptr<const forwarded_request> mForwarded;
   std::shared_ptr<caller_status> mCaller;
   configuration_number mConfiguration;
@@ -176,6 +178,8 @@
   void StartAttempt(service_progress& aService,
                     attempt_reason aReason,
                     steady_time aNow);
+  /** Time after which a part of this team counts as slow, if known. */
+  [[nodiscard]] std::optional<microseconds> SlowPartThreshold() const;
   void CountAttempt(service_progress& aService,
                     attempt_reason aReason,
                     steady_time aNow);
--- a/filters/scatter_subqueries.cpp
+++ b/filters/scatter_subqueries.cpp
@@ -28,8 +28,7 @@
 microseconds
 scatter_operation::SubqueryReportDelay(steady_time aNow) const
 {
-  auto left =
-    std::chrono::duration_cast<microseconds>(mSoftDeadline - aNow);
+  auto left = std::chrono::duration_cast<microseconds>(mSoftDeadline - aNow);
   return std::max(microseconds(1000), left * kReportPercent / kPercent);
 }
 
@@ -47,7 +46,11 @@
   for (const service_progress& service : mServices) {
     services.push_back(service.mService);
   }
-  for (assigned_subquery& plan : mHooks.mSubqueries.mPlan(services, aNow)) {
+  auto plans = mHooks.mSubqueries.mPlan(services, aNow);
+  if (!plans.empty()) {
+    mSoftDeadline = mDividedSoftDeadline;
+  }
+  for (assigned_subquery& plan : plans) {
     StartSubquery(std::move(plan), aNow);
   }
 }
@@ -68,7 +71,8 @@
   sent.mTopRecords = mTopRecords;
   sent.mPartFields = mPartFields;
   std::size_t index = mSubqueries.size();
-  auto softTime = std::chrono::duration_cast<microseconds>(mSoftDeadline - aNow);
+  auto softTime =
+    std::chrono::duration_cast<microseconds>(mSoftDeadline - aNow);
   steady_time lateAt = aNow + softTime * kLatePercent / kPercent;
   for (const service_id& name : aPlan.mServices) {
     service_progress& service = *FindProgress(name);
@@ -240,8 +244,8 @@
       continue;
     }
     entry.mCancel();
-    auto softTime = std::chrono::duration_cast<microseconds>(
-      mSoftDeadline - entry.mSentAt);
+    auto softTime =
+      std::chrono::duration_cast<microseconds>(mSoftDeadline - entry.mSentAt);
     bool isLate = !entry.mHasReported &&
                   aNow >= entry.mSentAt + softTime * kLatePercent / kPercent;
     EndSubquery(index, isLate ? subquery_end::Late : subquery_end::Cancelled);
@@ -251,13 +255,8 @@
 void
 scatter_operation::ScheduleReport(steady_time aNow)
 {
-  microseconds slow{ 0 };
-  for (const service_progress& service : mServices) {
-    if (auto threshold = mBackends.SlowThreshold(service.mService)) {
-      slow = std::max(slow, *threshold);
-    }
-  }
-  mReportAt = slow.count() > 0 ? std::min(mReportBy, aNow + slow) : mReportBy;
+  auto slow = SlowPartThreshold();
+  mReportAt = slow ? std::min(mReportBy, aNow + *slow) : mReportBy;
 }
 
 void
--- a/filters/subquery.h
+++ b/filters/subquery.h
@@ -102,7 +102,7 @@
 {
   /** The subqueries of a fan-out; empty if this host asks all servers. */
   std::function<std::vector<assigned_subquery>(const std::vector<service_id>&,
-                                              steady_time)>
+                                               steady_time)>
     mPlan;
   /**
    * Sends a subquery and returns a function that cancels it. The callback is
--- a/main/entry_hooks.cpp
+++ b/main/entry_hooks.cpp
@@ -47,6 +47,12 @@
   scatter_hooks hooks = ScatterHooks();
   hooks.mUsesCanary = false;
   hooks.mSubqueries = SubqueryHooks();
+  hooks.mOnPartTime = [this](const team_id& aTeam, microseconds aTime) {
+    mPartTimes.Add(aTeam, aTime);
+  };
+  hooks.mSlowPart = [this](const team_id& aTeam) {
+    return mPartTimes.SlowThreshold(aTeam);
+  };
   hooks.mHedgePercent = static_cast<int>(mSettings.mEntryMaxHedgeDelayPercent);
   hooks.mIsLeaseValid = [this](steady_time aNow) { return MayForward(aNow); };
   return hooks;
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -36,6 +36,10 @@
 /** Control hosts that must have stored a refusal before it is dropped here. */
 constexpr std::size_t kRefusalCopies = 2;
 constexpr double kPercent = 0.01;
+/** Extra attempts that a host may make at once. Where all hosts share a budget
+ * for each service, that one binds, so that a fan-out can hedge many parts. */
+constexpr double kMaxBurst = 20;
+constexpr double kMaxSharedBurst = 200;
 
 /**
  * Delay until a gained share may be used: the lease, the maximum run time of a
@@ -93,19 +97,21 @@
                   mBackendClient->Close(aConnections);
                 },
                 [this](const server_id& aServer) { MarkServerCold(aServer); } })
-  , mSubqueries(ToSubqueryConfig(mSettings),
-                [this](const std::vector<service_id>& aServices,
-                       steady_time aNow) {
-                  return mBackends.AnsweringDomains(aServices, aNow);
-                })
+  , mSubqueries(
+      ToSubqueryConfig(mSettings),
+      [this](const std::vector<service_id>& aServices, steady_time aNow) {
+        return mBackends.AnsweringDomains(aServices, aNow);
+      })
   , mCatalog(mSelf,
              mBackends,
              { [this](const std::vector<entry_host_record>& aHosts) {
                mSubqueries.SetHosts(aHosts);
              } })
   , mAdmission(static_cast<std::uint32_t>(mSettings.mEntryHostLimit))
+  , mPartTimes(static_cast<double>(mSettings.mEntryHedgePercentile) * kPercent)
   , mBudgets(static_cast<double>(mSettings.mEntryHedgeBudgetPercent) * kPercent,
              static_cast<double>(mSettings.mEntryRetryBudgetPercent) * kPercent,
+             mSettings.mEntryExtraWindowS > 0 ? kMaxSharedBurst : kMaxBurst,
              { [this](steady_time aNow) { return SharedBudget(aNow); } })
   , mFingerprints(kMaxHarmlessFingerprints)
   , mRefusals(mSelf,
@@ -205,6 +211,7 @@
     return mCatalog.NextService(aRoute);
   };
   routes.mObjectiveMargin = milliseconds(mSettings.mEntryObjectiveMarginMs);
+  routes.mDividedMargin = milliseconds(mSettings.mEntryDividedMarginMs);
   auto mayForward = [this](steady_time aNow) { return MayForward(aNow); };
   filter_chain chain{
     MakeRoute(std::move(routes)),
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -6,6 +6,7 @@
 #include "controllers/catalog_controller.h"
 #include "controllers/fingerprint_controller.h"
 #include "controllers/lease_controller.h"
+#include "controllers/part_time_controller.h"
 #include "controllers/refusal_controller.h"
 #include "controllers/subquery_controller.h"
 #include "controllers/team_stats_controller.h"
@@ -58,6 +59,7 @@
   subquery_client mSubqueryClient = subquery_client::Create();
   catalog_controller mCatalog;
   admission_controller mAdmission;
+  part_time_controller mPartTimes;
   budget_controller mBudgets;
   fingerprint_controller mFingerprints;
   team_stats_controller mTeamStats;
--- a/main/entry_subqueries.cpp
+++ b/main/entry_subqueries.cpp
@@ -84,16 +84,17 @@
                                 std::move(aExecutor),
                                 std::move(aCallback));
   };
-  hooks.mOnEnd = [this](
-                   const host_id& aHost, subquery_end aEnd, steady_time aNow) {
-    bool hasFailed =
-      aEnd != subquery_end::Complete && aEnd != subquery_end::Cancelled;
-    mSubqueries.Finish(aHost, hasFailed, aNow);
-    if (aEnd == subquery_end::Late) {
-      // The connection may have gone silent; the next subquery opens a new one.
-      mSubqueryClient.DropChannel(aHost);
-    }
-  };
+  hooks.mOnEnd =
+    [this](const host_id& aHost, subquery_end aEnd, steady_time aNow) {
+      bool hasFailed =
+        aEnd != subquery_end::Complete && aEnd != subquery_end::Cancelled;
+      mSubqueries.Finish(aHost, hasFailed, aNow);
+      if (aEnd == subquery_end::Late) {
+        // The connection may have gone silent; the next subquery opens a new
+        // one.
+        mSubqueryClient.DropChannel(aHost);
+      }
+    };
   return hooks;
 }
 
@@ -112,8 +113,7 @@
     return boost::outcome_v2::success();
   }
   auto service = subquery_service::Create(
-    mSubqueryAddress,
-    [this](subquery aSubquery, subquery_callback aCallback) {
+    mSubqueryAddress, [this](subquery aSubquery, subquery_callback aCallback) {
       return StartSubquery(std::move(aSubquery), std::move(aCallback));
     });
   if (!service) {
@@ -157,8 +157,7 @@
   co_await RunChain(*mSubqueryChain, context);
   --mRunningSubqueries;
   mStopWaiter.Notify();
-  auto took =
-    std::chrono::duration_cast<microseconds>(SteadyNow() - started);
+  auto took = std::chrono::duration_cast<microseconds>(SteadyNow() - started);
   log_event line("subquery_served");
   line.Add("request", aSubquery.mRequest.mValue)
     .Add("subquery", aSubquery.mId.mValue)
--- a/messages/subquery_codec.cpp
+++ b/messages/subquery_codec.cpp
@@ -64,11 +64,10 @@
                   std::to_string(aIn.protocol_version()) + " instead of " +
                   std::to_string(kProtocolVersion) + ".");
   }
-  bool isUsable = aIn.services_size() > 0 &&
-                  aIn.services_size() <= kMaxServices &&
-                  !aIn.method().empty() && !aIn.target().empty() &&
-                  aIn.time_left_us() <= kMaxTimeUs &&
-                  aIn.report_after_us() <= kMaxTimeUs;
+  bool isUsable =
+    aIn.services_size() > 0 && aIn.services_size() <= kMaxServices &&
+    !aIn.method().empty() && !aIn.target().empty() &&
+    aIn.time_left_us() <= kMaxTimeUs && aIn.report_after_us() <= kMaxTimeUs;
   if (!isUsable) {
     return Fail(codec_error::Malformed,
                 "A subquery needs 1 to 10000 services, a method, a target and "
@@ -162,9 +161,8 @@
     if (in.service() >= aServices.size()) {
       return UnknownService();
     }
-    update.mFailures.push_back({ aServices[in.service()],
-                                 server_id{ in.server() },
-                                 in.may_have_run() });
+    update.mFailures.push_back(
+      { aServices[in.service()], server_id{ in.server() }, in.may_have_run() });
   }
   update.mIsLast = aIn.last();
   return update;
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -342,6 +342,13 @@
            1000,
            "Time before a route's latency objective at which a partial "
            "response that reaches the minimum coverage is sent."),
+    Number("entry",
+           "divided_margin_ms",
+           type::Milliseconds,
+           &settings::mEntryDividedMarginMs,
+           0,
+           1000,
+           "The same for fan-outs that are divided among entry hosts."),
     Number("entry",
            "extra_window_s",
            type::Seconds,
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -107,6 +107,7 @@
   std::int64_t mEntryHedgePercentile = 95;
   std::int64_t mEntryMaxHedgeDelayPercent = 100;
   std::int64_t mEntryObjectiveMarginMs = 10;
+  std::int64_t mEntryDividedMarginMs = 10;
   std::int64_t mEntryExtraWindowS = 0;
   double mEntryExtraRatio = 0.2;
   double mEntryExtraSlack = 0;
