Hedge the stragglers of a subquery only where it helps in time

Cause: a host that had not reported by 65% of the soft deadline was taken as late, which for a short objective is sooner than it can report, so all its services were hedged; while many servers were slow, the slow quantile put off reports and hedges. Change: a host is late after 45 ms at the earliest; a report leaves half of the time for hedges; a hedge that can't be answered by the soft deadline is left out while the coverage suffices.

--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -234,6 +234,8 @@
   void ReclaimServices(std::size_t aSubquery, subquery_end aEnd);
   void EndSubquery(std::size_t aSubquery, subquery_end aEnd);
   void EndAllSubqueries(steady_time aNow);
+  /** When a host that has not reported on a subquery is late. */
+  [[nodiscard]] steady_time LateTime(steady_time aSentAt) const;
   [[nodiscard]] microseconds SubqueryReportDelay(steady_time aNow) const;
   [[nodiscard]] service_progress* FindProgress(const service_id& aService);
   /** Sets the time of a subquery's report, once its servers are asked. */
--- a/filters/scatter_subqueries.cpp
+++ b/filters/scatter_subqueries.cpp
@@ -9,12 +9,18 @@
 
 namespace {
 
-/** Part of the time to the soft deadline in which a subquery reports; the rest
- * is left for hedges of its stragglers. */
-constexpr int kReportPercent = 50;
-/** Part of that time after which a host that has not reported is late. */
+/** Time for the last report of a subquery to arrive and be merged. */
+constexpr microseconds kReportReserve{ 5000 };
+constexpr microseconds kMinReportDelay{ 1000 };
+/** Part of the time to the soft deadline after which a host that has not
+ * reported is late. */
 constexpr int kLatePercent = 65;
+/** Minimum time before a host that has not reported is late. */
+constexpr microseconds kMinLateDelay{ 45'000 };
 constexpr int kPercent = 100;
+/** Maximum time that a hedge is expected to take, while many servers are slow
+ * and before there are samples. */
+constexpr microseconds kMaxHedgeTime{ 20'000 };
 
 }
 
@@ -29,7 +35,14 @@
 scatter_operation::SubqueryReportDelay(steady_time aNow) const
 {
   auto left = std::chrono::duration_cast<microseconds>(mSoftDeadline - aNow);
-  return std::max(microseconds(1000), left * kReportPercent / kPercent);
+  return std::max(kMinReportDelay, left - kReportReserve);
+}
+
+steady_time
+scatter_operation::LateTime(steady_time aSentAt) const
+{
+  auto left = std::chrono::duration_cast<microseconds>(mSoftDeadline - aSentAt);
+  return aSentAt + std::max(kMinLateDelay, left * kLatePercent / kPercent);
 }
 
 void
@@ -71,9 +84,7 @@
   sent.mTopRecords = mTopRecords;
   sent.mPartFields = mPartFields;
   std::size_t index = mSubqueries.size();
-  auto softTime =
-    std::chrono::duration_cast<microseconds>(mSoftDeadline - aNow);
-  steady_time lateAt = aNow + softTime * kLatePercent / kPercent;
+  steady_time lateAt = LateTime(aNow);
   for (const service_id& name : aPlan.mServices) {
     service_progress& service = *FindProgress(name);
     service.mSubquery = index;
@@ -109,11 +120,17 @@
   steady_time now = mHooks.mNow();
   entry.mHasReported = true;
   AcceptParts(aUpdate);
+  // A hedge that can't be answered by the soft deadline serves only a request
+  // that waits on.
+  microseconds hedgeTime =
+    std::min(SlowPartThreshold().value_or(kMaxHedgeTime), kMaxHedgeTime);
+  steady_time hedgeAt =
+    now + hedgeTime < mSoftDeadline ? now : std::max(now, mSoftDeadline);
   for (const subquery_straggler& straggler : aUpdate.mStragglers) {
     service_progress* service = FindProgress(straggler.mService);
     if (service != nullptr && service->mSubquery == aSubquery) {
       service->mSubqueryServer = straggler.mServer;
-      service->mHedgeAt = std::min(service->mHedgeAt, now);
+      service->mHedgeAt = hedgeAt;
     }
   }
   for (const subquery_failure& failure : aUpdate.mFailures) {
@@ -244,10 +261,7 @@
       continue;
     }
     entry.mCancel();
-    auto softTime =
-      std::chrono::duration_cast<microseconds>(mSoftDeadline - entry.mSentAt);
-    bool isLate = !entry.mHasReported &&
-                  aNow >= entry.mSentAt + softTime * kLatePercent / kPercent;
+    bool isLate = !entry.mHasReported && aNow >= LateTime(entry.mSentAt);
     EndSubquery(index, isLate ? subquery_end::Late : subquery_end::Cancelled);
   }
 }
@@ -256,7 +270,10 @@
 scatter_operation::ScheduleReport(steady_time aNow)
 {
   auto slow = SlowPartThreshold();
-  mReportAt = slow ? std::min(mReportBy, aNow + *slow) : mReportBy;
+  auto left = std::chrono::duration_cast<microseconds>(mReportBy - aNow);
+  // While many servers are slow, half of the time is left for hedges.
+  microseconds latest = std::max(kMinReportDelay, left / 2);
+  mReportAt = aNow + std::min(slow.value_or(latest), latest);
 }
 
 void
