Open watch streams at control hosts of the own failure domain

Change: control hosts ask each other for their failure domains and tell daemons, which prefer those of their own domain.

--- a/controllers/watch_hub.cpp
+++ b/controllers/watch_hub.cpp
@@ -72,7 +72,7 @@
 }
 
 void
-watch_hub::SetControlHosts(std::vector<host_id> aHosts)
+watch_hub::SetControlHosts(std::vector<control_host> aHosts)
 {
   {
     std::lock_guard guard(mBacklogLock);
--- a/controllers/watch_hub.h
+++ b/controllers/watch_hub.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/sharded_map.h"
+#include "decisions/control_host_choice.h"
 #include "decisions/records.h"
 
 #include <atomic>
@@ -38,7 +39,7 @@
   log_index mIndex = 0;
   std::uint64_t mConfirmedMark = 0;
   /** The control hosts that serve watch streams; empty if unchanged. */
-  std::vector<host_id> mControlHosts;
+  std::vector<control_host> mControlHosts;
 };
 
 /** Encoded record changes, shared by all streams that send them. */
@@ -51,7 +52,7 @@
   std::vector<encoded_changes> mChanges;
   log_index mIndex = 0;
   std::uint64_t mConfirmedMark = 0;
-  std::vector<host_id> mControlHosts;
+  std::vector<control_host> mControlHosts;
 };
 
 /** State of one daemon, as shown by `status`. */
@@ -133,7 +134,7 @@
   bool mIsFlushScheduled = false;
   /** The latest full state that was sent, with its index. */
   record_batch mFullState;
-  std::vector<host_id> mControlHosts;
+  std::vector<control_host> mControlHosts;
   std::uint64_t mHostsVersion = 0;
 
   std::mutex mRoundLock;
@@ -170,7 +171,7 @@
   /** Makes all streams restart from the full state. */
   void ResetStreams(log_index aIndex);
   /** Sets the control hosts among which daemons choose, sorted. */
-  void SetControlHosts(std::vector<host_id> aHosts);
+  void SetControlHosts(std::vector<control_host> aHosts);
 
   /**
    * Opens a stream; `aCallback` is called when `Next` may have an update. A
--- a/decisions/control_host_choice.cpp
+++ b/decisions/control_host_choice.cpp
@@ -16,9 +16,11 @@
 
 control_host_choice
 control_host_choice::Create(const std::vector<host_id>& aHosts,
+                            failure_domain_id aOwnDomain,
                             std::uint64_t aSeed)
 {
   control_host_choice choice;
+  choice.mOwnDomain = std::move(aOwnDomain);
   choice.mSeed = aSeed;
   choice.mInitialHosts = aHosts;
   for (const host_id& host : aHosts) {
@@ -37,19 +39,23 @@
 }
 
 void
-control_host_choice::SetHosts(const std::vector<host_id>& aHosts)
+control_host_choice::SetHosts(const std::vector<control_host>& aHosts)
 {
-  auto contains = [](const std::vector<host_id>& aList, const host_id& aHost) {
-    return std::find(aList.begin(), aList.end(), aHost) != aList.end();
-  };
-  for (const host_id& host : aHosts) {
-    Add(host);
-  }
   for (auto& [host, entry] : mCandidates) {
-    entry.mIsListed = contains(aHosts, host);
+    entry.mIsListed = false;
+  }
+  for (const control_host& listed : aHosts) {
+    Add(listed.mHost);
+    candidate& entry = mCandidates[listed.mHost];
+    entry.mIsListed = true;
+    entry.mIsOwnDomain =
+      !mOwnDomain.IsEmpty() && listed.mFailureDomain == mOwnDomain;
   }
   std::erase_if(mCandidates, [&](const auto& aEntry) {
-    return !aEntry.second.mIsListed && !contains(mInitialHosts, aEntry.first);
+    bool isInitial =
+      std::find(mInitialHosts.begin(), mInitialHosts.end(), aEntry.first) !=
+      mInitialHosts.end();
+    return !aEntry.second.mIsListed && !isInitial;
   });
 }
 
@@ -63,6 +69,7 @@
       auto rank = [&](const candidate& aCandidate) {
         return std::tuple(std::max(aCandidate.mAvoidUntil, aNow),
                           !aCandidate.mIsListed,
+                          !aCandidate.mIsOwnDomain,
                           ~aCandidate.mWeight);
       };
       return rank(aOne.second) < rank(aOther.second);
--- a/decisions/control_host_choice.h
+++ b/decisions/control_host_choice.h
@@ -9,16 +9,28 @@
 
 namespace hibiscusspool {
 
+struct control_host
+{
+  host_id mHost;
+  /** Empty while it is not known. */
+  failure_domain_id mFailureDomain{};
+
+  auto operator<=>(const control_host&) const = default;
+};
+
 /**
  * The control host that serves this daemon's watch stream. Each daemon ranks
  * the control hosts by a rendezvous hash, so that the daemons are spread over
- * all of them, and those of a lost host over all others.
+ * all of them, and those of a lost host over all others. Those of the own
+ * failure domain come first, since the streams carry most of the control
+ * traffic.
  */
 class control_host_choice
 {
   struct candidate
   {
     std::uint64_t mWeight = 0;
+    bool mIsOwnDomain = false;
     /** The host is in the list of current hosts. Others are used only while
      * all of those are avoided. */
     bool mIsListed = true;
@@ -28,6 +40,7 @@
   };
 
   std::uint64_t mSeed = 0;
+  failure_domain_id mOwnDomain;
   std::vector<host_id> mInitialHosts;
   std::map<host_id, candidate> mCandidates;
 
@@ -37,10 +50,11 @@
   /** `aHosts` are used until the control hosts are known; at least one.
    * `aSeed` differs for each daemon. */
   static control_host_choice Create(const std::vector<host_id>& aHosts,
+                                    failure_domain_id aOwnDomain,
                                     std::uint64_t aSeed);
 
   /** Sets the current hosts; those of the creation stay as a last resort. */
-  void SetHosts(const std::vector<host_id>& aHosts);
+  void SetHosts(const std::vector<control_host>& aHosts);
   /** The host to connect to: the first by rank that is not avoided, else the
    * one that is avoided for the shortest time. */
   [[nodiscard]] host_id Preferred(steady_time aNow) const;
--- a/drivers/control_service.cpp
+++ b/drivers/control_service.cpp
@@ -33,8 +33,9 @@
   head.set_replace(aMessage.mIsFullState);
   head.set_index(aMessage.mIndex);
   head.set_confirmed_mark(aMessage.mConfirmedMark);
-  for (const host_id& host : aMessage.mControlHosts) {
-    head.add_control_hosts(host.mValue);
+  for (const control_host& host : aMessage.mControlHosts) {
+    head.add_control_hosts(host.mHost.mValue);
+    head.add_control_domains(host.mFailureDomain.mValue);
   }
   std::vector<grpc::Slice> slices{ grpc::Slice(head.SerializeAsString()) };
   for (const encoded_changes& changes : aMessage.mChanges) {
@@ -227,6 +228,7 @@
     probe_result probe = mHooks.mProbe();
     WritePeerId(probe.mSelf, *aReply->mutable_self());
     aReply->set_empty(probe.mIsEmpty);
+    aReply->set_failure_domain(probe.mFailureDomain.mValue);
     for (const host_id& host : probe.mGroup) {
       aReply->add_group(host.mValue);
     }
--- a/drivers/control_service.h
+++ b/drivers/control_service.h
@@ -28,6 +28,7 @@
   raft_peer_id mSelf;
   bool mIsEmpty = false;
   std::vector<host_id> mGroup;
+  failure_domain_id mFailureDomain;
 };
 
 struct control_service_hooks
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -45,13 +45,17 @@
     return mChoice.Preferred(std::chrono::steady_clock::now());
   }
 
-  void SetControlHosts(const std::vector<host_id>& aHosts)
+  void SetControlHosts(const std::vector<control_host>& aHosts)
   {
     {
       std::lock_guard guard(mLock);
       mChoice.SetHosts(aHosts);
     }
-    mHooks.mOnControlHosts(aHosts);
+    std::vector<host_id> names;
+    for (const control_host& host : aHosts) {
+      names.push_back(host.mHost);
+    }
+    mHooks.mOnControlHosts(names);
   }
 };
 
@@ -76,13 +80,13 @@
   bool mIsDone = false;
   bool mIsConfirmed = false;
   steady_time mLastMessageAt;
-  std::function<void(const std::vector<host_id>&)> mOnControlHosts;
+  std::function<void(const std::vector<control_host>&)> mOnControlHosts;
 
 public:
   stream_reactor(
     const watch_client_hooks& aHooks,
     const std::string& aAddress,
-    std::function<void(const std::vector<host_id>&)> aOnControlHosts,
+    std::function<void(const std::vector<control_host>&)> aOnControlHosts,
     steady_time aNow)
     : mHooks(aHooks)
     , mStub(wire::Control::NewStub(OpenChannel(aAddress)))
@@ -180,8 +184,13 @@
       }
       update.mRecordChanges.push_back(std::move(read.value()));
     }
-    for (const std::string& host : mDown.control_hosts()) {
-      update.mControlHosts.push_back(host_id{ host });
+    for (int index = 0; index < mDown.control_hosts_size(); ++index) {
+      control_host host{ host_id{ mDown.control_hosts(index) } };
+      // Control hosts of an older build don't tell their failure domains.
+      if (index < mDown.control_domains_size()) {
+        host.mFailureDomain.mValue = mDown.control_domains(index);
+      }
+      update.mControlHosts.push_back(std::move(host));
     }
     mHooks.mApplyUpdate(update, aNow);
     if (!update.mControlHosts.empty()) {
@@ -230,7 +239,8 @@
   for (const auto& [host, address] : made->mConfig.mAddresses) {
     hosts.push_back(host);
   }
-  made->mChoice = control_host_choice::Create(hosts, made->mConfig.mSeed);
+  made->mChoice = control_host_choice::Create(
+    hosts, made->mConfig.mFailureDomain, made->mConfig.mSeed);
   made->mRandom.seed(made->mConfig.mSeed);
   return watch_client(std::move(made));
 }
@@ -279,7 +289,7 @@
   stream_reactor stream(
     aState->mHooks,
     AddressOf(config.mAddresses, aHost).value_or(""),
-    [&aState](const std::vector<host_id>& aHosts) {
+    [&aState](const std::vector<control_host>& aHosts) {
       aState->SetControlHosts(aHosts);
     },
     now);
--- a/drivers/watch_client.h
+++ b/drivers/watch_client.h
@@ -23,6 +23,8 @@
   milliseconds mSilenceTimeout{ 1000 };
   /** Time limit for the first confirmed mark of a stream. */
   milliseconds mOpenTimeout{ 2000 };
+  /** Control hosts of this failure domain are preferred. */
+  failure_domain_id mFailureDomain;
   /** Ranks the control hosts, so that daemons spread across them. */
   std::uint64_t mSeed = 0;
 };
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -47,13 +47,16 @@
 }
 
 /** The hosts of the group's voters, sorted. */
-std::vector<host_id>
-VotersOf(const control_group_status& aStatus)
+std::vector<control_host>
+VotersOf(const control_group_status& aStatus,
+         const sharded_map<host_id, failure_domain_id>& aDomains)
 {
-  std::vector<host_id> hosts;
+  std::vector<control_host> hosts;
   for (const raft_peer& peer : aStatus.mPeers) {
     if (peer.mIsVoter) {
-      hosts.push_back(peer.mId.mHost);
+      hosts.push_back(
+        { peer.mId.mHost,
+          aDomains.Get(peer.mId.mHost).value_or(failure_domain_id{}) });
     }
   }
   std::sort(hosts.begin(), hosts.end());
@@ -275,7 +278,10 @@
   };
   hooks.mProbe = [this] {
     control_group_status status = mGroup->Status();
-    return probe_result{ status.mSelf, status.mIsEmpty, GroupHosts() };
+    return probe_result{ status.mSelf,
+                         status.mIsEmpty,
+                         GroupHosts(),
+                         { mSettings.mHostFailureDomain } };
   };
   hooks.mPropose = [this](change_command aCommand, propose_callback aCallback) {
     mGroup->Propose(std::move(aCommand), std::move(aCallback));
@@ -366,6 +372,9 @@
   RunPeriodically(mContext, kMembershipInterval, mIsStopping, [this] {
     return UpdateMembership();
   });
+  RunPeriodically(mContext, kBootstrapInterval, mIsStopping, [this] {
+    return LearnFailureDomains();
+  });
 }
 
 std::vector<host_id>
@@ -413,11 +422,26 @@
   mGroup->Bootstrap(std::move(voters));
 }
 
+asio::awaitable<void>
+control_role::LearnFailureDomains()
+{
+  for (const raft_peer& peer : mGroup->Status().mPeers) {
+    const host_id& host = peer.mId.mHost;
+    if (mHostDomains.Get(host)) {
+      continue;
+    }
+    auto reply = co_await mClient.Probe(host);
+    if (reply && !reply->failure_domain().empty()) {
+      mHostDomains.Set(host, { reply->failure_domain() });
+    }
+  }
+}
+
 asio::awaitable<void>
 control_role::UpdateMembership()
 {
   control_group_status status = mGroup->Status();
-  mHub->SetControlHosts(VotersOf(status));
+  mHub->SetControlHosts(VotersOf(status, mHostDomains));
   std::vector<connected_daemon> daemons;
   for (const daemon_status& daemon : mHub->Daemons()) {
     daemons.push_back({ daemon.mHost,
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -28,6 +28,8 @@
 class control_role
 {
   boost::asio::io_context& mContext;
+  /** Failure domains of the members of the group, as far as known. */
+  sharded_map<host_id, failure_domain_id> mHostDomains;
   settings mSettings;
   raft_storage mStorage;
   /** Why the latest write failed, or empty if it succeeded; used only by the
@@ -73,6 +75,8 @@
   watch_hub_hooks HubHooks();
   boost::asio::awaitable<void> BootstrapGroup();
   boost::asio::awaitable<void> UpdateMembership();
+  /** Asks members for their failure domains, until they are known. */
+  boost::asio::awaitable<void> LearnFailureDomains();
   boost::asio::awaitable<std::optional<std::vector<record_change>>>
   ConfirmedRecords(steady_time aDeadline);
   [[nodiscard]] std::vector<host_id> GroupHosts() const;
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -249,6 +249,7 @@
   watch_client_config config;
   config.mAddresses = ControlHosts(mSettings);
   config.mMarkInterval = milliseconds(mSettings.mEntryMarkIntervalMs);
+  config.mFailureDomain.mValue = mSettings.mHostFailureDomain;
   config.mSeed = std::random_device{}();
   watch_client_hooks hooks;
   hooks.mMakeHello = [this] { return OwnRecord(); };
--- a/tests/controllers/watch_hub_test.cpp
+++ b/tests/controllers/watch_hub_test.cpp
@@ -226,14 +226,14 @@
 TEST(watch_hub, ControlHostsAreSentBeforeTheFirstConfirmation)
 {
   mHub.ResetStreams(10);
-  mHub.SetControlHosts({ host_id{ "c1" }, host_id{ "c2" } });
+  mHub.SetControlHosts({ { host_id{ "c1" } }, { host_id{ "c2" } } });
   stream_id stream = Open();
   auto first = mHub.Next(stream);
   LONGS_EQUAL(2, first->mControlHosts.size());
   LONGS_EQUAL(0, first->mIndex);
   CHECK(!first->mIsFullState);
   CHECK(!mHub.Next(stream));
-  mHub.SetControlHosts({ host_id{ "c1" } });
+  mHub.SetControlHosts({ { host_id{ "c1" } } });
   LONGS_EQUAL(1, mHub.Next(stream)->mControlHosts.size());
 }
 
--- a/tests/decisions/control_host_choice_test.cpp
+++ b/tests/decisions/control_host_choice_test.cpp
@@ -19,13 +19,23 @@
   return hosts;
 }
 
+std::vector<control_host>
+Listed(const std::vector<host_id>& aHosts)
+{
+  std::vector<control_host> listed;
+  for (const host_id& host : aHosts) {
+    listed.push_back({ host });
+  }
+  return listed;
+}
+
 std::vector<control_host_choice>
 Daemons(const std::vector<host_id>& aHosts)
 {
   std::vector<control_host_choice> daemons;
   for (std::uint64_t seed = 1; seed <= kDaemons; ++seed) {
     daemons.push_back(
-      control_host_choice::Create(aHosts, seed * 0x9E3779B97F4A7C15U));
+      control_host_choice::Create(aHosts, {}, seed * 0x9E3779B97F4A7C15U));
   }
   return daemons;
 }
@@ -59,7 +69,7 @@
   auto daemons = Daemons(ControlHosts(3));
   LONGS_EQUAL(3, StreamsOf(daemons, kNow).size());
   for (control_host_choice& daemon : daemons) {
-    daemon.SetHosts(ControlHosts(9));
+    daemon.SetHosts(Listed(ControlHosts(9)));
   }
   auto streams = StreamsOf(daemons, kNow);
   LONGS_EQUAL(9, streams.size());
@@ -90,7 +100,7 @@
 TEST(control_host_choice, AHostThatFailsAgainIsAvoidedForLonger)
 {
   auto hosts = ControlHosts(2);
-  auto choice = control_host_choice::Create(hosts, 7);
+  auto choice = control_host_choice::Create(hosts, {}, 7);
   host_id first = choice.Preferred(kNow);
   choice.OnFailure(first, kNow);
   CHECK(choice.Preferred(kNow) != first);
@@ -105,7 +115,7 @@
 TEST(control_host_choice, TheHostAvoidedForTheShortestTimeIsUsedWhenAllFailed)
 {
   auto hosts = ControlHosts(2);
-  auto choice = control_host_choice::Create(hosts, 7);
+  auto choice = control_host_choice::Create(hosts, {}, 7);
   choice.OnFailure(hosts[1], kNow);
   choice.OnFailure(hosts[0], kNow + milliseconds(10));
   CHECK(choice.Preferred(kNow + milliseconds(20)) == hosts[1]);
@@ -115,8 +125,8 @@
 {
   auto seeds = ControlHosts(3);
   std::vector<host_id> current{ host_id{ "10.9.0.1" }, host_id{ "10.9.0.2" } };
-  auto choice = control_host_choice::Create(seeds, 7);
-  choice.SetHosts(current);
+  auto choice = control_host_choice::Create(seeds, {}, 7);
+  choice.SetHosts(Listed(current));
   for (int count = 0; count < 2; ++count) {
     host_id preferred = choice.Preferred(kNow);
     CHECK(preferred == current[0] || preferred == current[1]);
@@ -125,3 +135,25 @@
   host_id seed = choice.Preferred(kNow);
   CHECK(std::find(seeds.begin(), seeds.end(), seed) != seeds.end());
 }
+
+TEST(control_host_choice, HostsOfTheOwnDomainComeFirstUntilTheyFail)
+{
+  std::vector<control_host> listed = Listed(ControlHosts(9));
+  for (std::size_t index = 0; index < listed.size(); ++index) {
+    listed[index].mFailureDomain.mValue = "d" + std::to_string(index % 5);
+  }
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    auto choice = control_host_choice::Create(
+      ControlHosts(3), failure_domain_id{ "d3" }, seed);
+    choice.SetHosts(listed);
+    host_id first = choice.Preferred(kNow);
+    CHECK(first == listed[3].mHost || first == listed[8].mHost);
+    choice.OnFailure(first, kNow);
+    host_id second = choice.Preferred(kNow);
+    CHECK(second != first);
+    CHECK(second == listed[3].mHost || second == listed[8].mHost);
+    choice.OnFailure(second, kNow);
+    host_id third = choice.Preferred(kNow);
+    CHECK(third != first && third != second);
+  }
+}
