--- a/controllers/subquery_controller.cpp
+++ b/controllers/subquery_controller.cpp
@@ -49,24 +49,31 @@
     // Domains without an available host are emptied below.
     chosen[record.mFailureDomain];
   }
-  for (auto& [domain, peers] : chosen) {
-    mPeers.Update(domain, [&](std::vector<peer>& aKnown) {
-      for (peer& entry : peers) {
-        auto known =
-          std::find_if(aKnown.begin(), aKnown.end(), [&](const peer& aPeer) {
-            return aPeer.mHost == entry.mHost;
-          });
-        if (known != aKnown.end()) {
-          std::string address = std::move(entry.mAddress);
-          entry = *known;
-          entry.mAddress = std::move(address);
-        }
-      }
-      aKnown = std::move(peers);
-    });
+  for (auto& entry : chosen) {
+    ReplacePeers(entry.first, std::move(entry.second));
   }
 }
 
+void
+subquery_controller::ReplacePeers(const failure_domain_id& aDomain,
+                                  std::vector<peer> aPeers)
+{
+  mPeers.Update(aDomain, [&](std::vector<peer>& aKnown) {
+    for (peer& entry : aPeers) {
+      auto known =
+        std::find_if(aKnown.begin(), aKnown.end(), [&](const peer& aPeer) {
+          return aPeer.mHost == entry.mHost;
+        });
+      if (known != aKnown.end()) {
+        entry.mOutstanding = known->mOutstanding;
+        entry.mPause = known->mPause;
+        entry.mPausedUntil = known->mPausedUntil;
+      }
+    }
+    aKnown = std::move(aPeers);
+  });
+}
+
 std::optional<assigned_subquery>
 subquery_controller::Assign(const subquery_group& aGroup,
                             std::size_t aNumber,
--- a/controllers/subquery_controller.h
+++ b/controllers/subquery_controller.h
@@ -57,6 +57,8 @@
   sharded_map<failure_domain_id, std::vector<peer>> mPeers;
   sharded_map<host_id, failure_domain_id> mDomainOf;
 
+  /** Sets the hosts of a domain; those that were known keep their state. */
+  void ReplacePeers(const failure_domain_id& aDomain, std::vector<peer> aPeers);
   /**
    * Chooses a host for group number `aNumber` of `aGroups`. All hosts of a
    * failure domain divide a fan-out alike, and each group is asked by its own
--- a/controllers/watch_hub.cpp
+++ b/controllers/watch_hub.cpp
@@ -14,7 +14,7 @@
 
 void
 watch_hub::Publish(log_index aIndex,
-                   std::vector<record_change> aChanges,
+                   const std::vector<record_change>& aChanges,
                    steady_time aNow)
 {
   if (aChanges.empty()) {
--- a/controllers/watch_hub.h
+++ b/controllers/watch_hub.h
@@ -164,7 +164,7 @@
 
   /** Adds the record changes of one applied entry. */
   void Publish(log_index aIndex,
-               std::vector<record_change> aChanges,
+               const std::vector<record_change>& aChanges,
                steady_time aNow);
   /** Lets the streams send all changes that were published. */
   void Flush(steady_time aNow);
--- a/drivers/subquery_client.cpp
+++ b/drivers/subquery_client.cpp
@@ -180,7 +180,7 @@
 
 std::function<void()>
 subquery_client::Send(const assigned_subquery& aTarget,
-                      subquery aSubquery,
+                      const subquery& aSubquery,
                       asio::any_io_executor aExecutor,
                       subquery_callback aCallback) const
 {
--- a/drivers/subquery_client.h
+++ b/drivers/subquery_client.h
@@ -27,7 +27,7 @@
    */
   [[nodiscard]] std::function<void()> Send(
     const assigned_subquery& aTarget,
-    subquery aSubquery,
+    const subquery& aSubquery,
     boost::asio::any_io_executor aExecutor,
     subquery_callback aCallback) const;
   /** Drops the channel to a host that does not respond. */
--- a/drivers/subquery_service.cpp
+++ b/drivers/subquery_service.cpp
@@ -68,7 +68,7 @@
     }
     mServices = read.value().mServices;
     std::function<void()> cancel = aHandler(
-      std::move(read.value()), [gate = mGate](subquery_update aUpdate) {
+      std::move(read.value()), [gate = mGate](const subquery_update& aUpdate) {
         std::lock_guard guard(gate->mLock);
         if (gate->mReactor != nullptr) {
           gate->mReactor->Send(aUpdate);
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -52,6 +52,7 @@
       mChoice.SetHosts(aHosts);
     }
     std::vector<host_id> names;
+    names.reserve(aHosts.size());
     for (const control_host& host : aHosts) {
       names.push_back(host.mHost);
     }
--- a/filters/subquery_result.cpp
+++ b/filters/subquery_result.cpp
@@ -35,7 +35,7 @@
 }
 
 subquery_update
-MakeUpdate(std::vector<service_response> aResponses,
+MakeUpdate(const std::vector<service_response>& aResponses,
            const std::vector<std::string>& aPartFields,
            std::size_t aTopRecords)
 {
@@ -62,9 +62,8 @@
   if (aRequest.mRefusal) {
     update.mIsRefused = true;
   } else {
-    update = MakeUpdate(std::move(aRequest.mResponses),
-                        aRequest.mPartFields,
-                        aRequest.mTopRecords);
+    update = MakeUpdate(
+      aRequest.mResponses, aRequest.mPartFields, aRequest.mTopRecords);
     update.mFailures = std::move(aRequest.mFailures);
   }
   update.mIsLast = true;
--- a/filters/subquery_result.h
+++ b/filters/subquery_result.h
@@ -14,7 +14,7 @@
 
 /** An update with the merged records of these responses. */
 subquery_update
-MakeUpdate(std::vector<service_response> aResponses,
+MakeUpdate(const std::vector<service_response>& aResponses,
            const std::vector<std::string>& aPartFields,
            std::size_t aTopRecords);
 
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -194,7 +194,7 @@
   hooks.mPublish = [this](log_index aIndex,
                           std::vector<record_change> aRecords) {
     DropDocuments(aRecords);
-    mHub->Publish(aIndex, std::move(aRecords), SteadyNow());
+    mHub->Publish(aIndex, aRecords, SteadyNow());
   };
   hooks.mOnStateReplaced = [this](log_index aIndex) {
     mHub->ResetStreams(aIndex);
--- a/main/entry_subqueries.cpp
+++ b/main/entry_subqueries.cpp
@@ -76,13 +76,11 @@
     return mSubqueries.Plan(aServices, aNow);
   };
   hooks.mSend = [this](const assigned_subquery& aTarget,
-                       subquery aSubquery,
+                       const subquery& aSubquery,
                        asio::any_io_executor aExecutor,
                        subquery_callback aCallback) {
-    return mSubqueryClient.Send(aTarget,
-                                std::move(aSubquery),
-                                std::move(aExecutor),
-                                std::move(aCallback));
+    return mSubqueryClient.Send(
+      aTarget, aSubquery, std::move(aExecutor), std::move(aCallback));
   };
   hooks.mOnEnd =
     [this](const host_id& aHost, subquery_end aEnd, steady_time aNow) {
--- a/tests/drivers/http_server_test.cpp
+++ b/tests/drivers/http_server_test.cpp
@@ -47,11 +47,11 @@
       });
     mServer.emplace(std::move(server.value()));
     if (aRuns) {
-      Run();
+      RunServer();
     }
   }
 
-  void Run()
+  void RunServer()
   {
     mThread = std::thread([this] { mContext.run(); });
   }
@@ -99,7 +99,7 @@
   }
   mServer->StartDraining();
   mServer->Stop();
-  Run();
+  RunServer();
   for (tcp::socket& socket : sockets) {
     std::string answer = ReadAll(socket);
     CHECK(answer.find("200") != std::string::npos);
