--- a/tests/controllers/watch_hub_test.cpp
+++ b/tests/controllers/watch_hub_test.cpp
@@ -72,10 +72,10 @@
   }
 
   /** Publishes a change that is flushed at once. */
-  void Publish(log_index aIndex, std::vector<record_change> aChanges)
+  void Publish(log_index aIndex, const std::vector<record_change>& aChanges)
   {
     mTime += milliseconds(50);
-    mHub.Publish(aIndex, std::move(aChanges), mTime);
+    mHub.Publish(aIndex, aChanges, mTime);
   }
 
   /** Opens a stream that has already received the full state. */
