Don't let an attempt end while attempts are being started

An attempt whose deadline or lease had expired ended without having waited for anything, so that its cancellation signal was destroyed while Asio still used its slot; and the wake-up for its retry was lost, as the request did not wait yet. It also counted as a failure of the server, as did an attempt that was cancelled while it connected. Change: an attempt begins with a post; a wake-up that comes before the wait ends it; an attempt that this host ended before a byte was sent is 'withdrawn', keeps its connection and doesn't count against the server.

--- a/controllers/backend_choice.cpp
+++ b/controllers/backend_choice.cpp
@@ -226,11 +226,12 @@
     aBackend.mHealth.OnResponse(aNow);
     return;
   }
-  if (aReport.mStatus == attempt_status::Cancelled) {
+  bool wasCancelled = aReport.mStatus == attempt_status::Cancelled;
+  if (wasCancelled || aReport.mStatus == attempt_status::Withdrawn) {
     // The time until cancellation is a lower bound of the service time.
     bool wasUnresponsive =
       aReport.mDuration > aBackend.mServiceTime.Mean() * kUnresponsiveFactor;
-    if (aReport.mDuration > aBackend.mServiceTime.Mean()) {
+    if (wasCancelled && aReport.mDuration > aBackend.mServiceTime.Mean()) {
       aBackend.mServiceTime.Add(aReport.mDuration);
     }
     if (wasUnresponsive) {
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -26,8 +26,11 @@
   Answered,
   /** The server rejected the request without starting it. */
   Shed,
-  /** No byte was sent, so the request did not run. */
+  /** The server could not be reached; no byte was sent. */
   NotSent,
+  /** Ended by this host before a byte was sent: the request had ended, or its
+   * deadline or the lease had expired. */
+  Withdrawn,
   /** The connection closed after bytes were sent. */
   Reset,
   /** No response before the attempt's deadline. */
@@ -43,10 +46,11 @@
 };
 
 template<>
-inline constexpr name_table<attempt_status, 9> kNames<attempt_status>{ {
+inline constexpr name_table<attempt_status, 10> kNames<attempt_status>{ {
   { attempt_status::Answered, "answered" },
   { attempt_status::Shed, "shed" },
   { attempt_status::NotSent, "not_sent" },
+  { attempt_status::Withdrawn, "withdrawn" },
   { attempt_status::Reset, "reset" },
   { attempt_status::TimedOut, "timed_out" },
   { attempt_status::Cancelled, "cancelled" },
@@ -55,6 +59,14 @@
   { attempt_status::Failed, "failed" },
 } };
 
+/** True if no byte of the request reached a server. */
+constexpr bool
+WasNeverSent(attempt_status aStatus)
+{
+  return aStatus == attempt_status::NotSent ||
+         aStatus == attempt_status::Withdrawn;
+}
+
 /** A reserved slot at one server, for one attempt. */
 struct attempt_permit
 {
--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -286,6 +286,8 @@
     // The process may have been paused since the attempt was permitted.
     steady_time now = std::chrono::steady_clock::now();
     if (now >= aRequest.mDeadline || !mHooks.mMaySend(aRequest, now)) {
+      outcome.mStatus = attempt_status::Withdrawn;
+      outcome.mConnection = Keep(std::move(aConnection), now);
       co_return outcome;
     }
     backend_request request = MakeRequest(protocol, aRequest, now);
@@ -293,9 +295,13 @@
       co_await http::async_write(aConnection->mSocket, request, kNoThrow);
     if (writeError) {
       bool wasCancelled = writeError == asio::error::operation_aborted;
-      outcome.mStatus = written == 0   ? attempt_status::NotSent
-                        : wasCancelled ? attempt_status::Cancelled
-                                       : attempt_status::Reset;
+      if (written == 0) {
+        outcome.mStatus =
+          wasCancelled ? attempt_status::Withdrawn : attempt_status::NotSent;
+      } else {
+        outcome.mStatus =
+          wasCancelled ? attempt_status::Cancelled : attempt_status::Reset;
+      }
       co_return outcome;
     }
     bool isMismatched = true;
@@ -414,7 +420,15 @@
     connection = co_await self->Open(aRequest);
   }
   if (connection == nullptr) {
-    co_return attempt_result{};
+    auto cancellation = co_await asio::this_coro::cancellation_state;
+    bool isCancelled =
+      cancellation.cancelled() != asio::cancellation_type::none;
+    bool isExpired = std::chrono::steady_clock::now() >= aRequest.mGiveUpAt;
+    attempt_result unsent;
+    if (isCancelled || isExpired) {
+      unsent.mStatus = attempt_status::Withdrawn;
+    }
+    co_return unsent;
   }
   // An attempt of a run or on a cold slot may continue after its request has
   // ended and needs its own time-out; others are cancelled with the request.
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -127,7 +127,7 @@
   if (mKind == request_kind::Query && !hasSnapshot) {
     mNeedsReplan = hasServer;
     GiveUp(aService, missing_reason::NoServer);
-    mWakeTimer.cancel();
+    Wake();
     return;
   }
   if (!hasServer && mKind != request_kind::Query) {
@@ -158,7 +158,7 @@
         auto self = weak.lock();
         if (self && self->mPlanNumber == planNumber) {
           self->mServices[index].mIsAwaitingCapacity = false;
-          self->mWakeTimer.cancel();
+          self->Wake();
         }
       });
     });
@@ -209,9 +209,18 @@
 {
   // Cancellation must not interrupt the reporting of the outcome.
   co_await asio::this_coro::throw_if_cancelled(false);
+  // An attempt must not end within the loop that starts attempts.
+  co_await asio::post(aOperation->mExecutor, asio::use_awaitable);
   attempt_permit permit = aServerRequest.mPermit;
-  attempt_result result =
-    co_await aOperation->mHooks.mSendAttempt(std::move(aServerRequest));
+  auto cancellation = co_await asio::this_coro::cancellation_state;
+  attempt_result result;
+  if (cancellation.cancelled() == asio::cancellation_type::none) {
+    result =
+      co_await aOperation->mHooks.mSendAttempt(std::move(aServerRequest));
+  } else {
+    result.mStatus = attempt_status::Withdrawn;
+    result.mConnection = permit.mConnection;
+  }
   steady_time now = aOperation->mHooks.mNow();
   attempt_report report;
   report.mStatus = result.mStatus;
@@ -243,11 +252,11 @@
 {
   service_progress& service = mServices[aIndex];
   auto node = service.mInFlight.extract(aNumber);
-  bool didNotRun = aResult.mStatus == attempt_status::NotSent ||
-                   aResult.mStatus == attempt_status::Shed;
+  bool wasNeverSent = WasNeverSent(aResult.mStatus);
+  bool didNotRun = wasNeverSent || aResult.mStatus == attempt_status::Shed;
   mMayHaveRun = mMayHaveRun || !didNotRun;
   const server_id& server = node.mapped().mPermit.mServer;
-  if (aResult.mStatus == attempt_status::NotSent) {
+  if (wasNeverSent) {
     std::erase(service.mTried, server);
   }
   if (aResult.mStatus == attempt_status::Shed) {
@@ -257,7 +266,7 @@
   if (!service.mIsDone) {
     HandleResult(service, node.mapped().mPermit, std::move(aResult));
   }
-  mWakeTimer.cancel();
+  Wake();
 }
 
 void
@@ -266,7 +275,8 @@
                                  attempt_result& aResult)
 {
   bool isExpected = aResult.mStatus == attempt_status::Answered ||
-                    aResult.mStatus == attempt_status::Cancelled;
+                    aResult.mStatus == attempt_status::Cancelled ||
+                    aResult.mStatus == attempt_status::Withdrawn;
   if (isExpected || mForwarded == nullptr) {
     return;
   }
--- a/filters/scatter_operation.cpp
+++ b/filters/scatter_operation.cpp
@@ -72,6 +72,7 @@
   StartSubqueries(mHooks.mNow());
   int replans = 0;
   while (true) {
+    mIsWoken = false;
     steady_time now = mHooks.mNow();
     if (IsFinished() || now >= mDeadline || mIsQuarantined ||
         IsCallerDisconnected() || CanReturnPartial(now)) {
@@ -85,12 +86,22 @@
       break;
     }
     ReportIfDue(now);
+    if (mIsWoken) {
+      continue;
+    }
     mWakeTimer.expires_at(NextDue(now));
     co_await mWakeTimer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   Finish(aRequest);
 }
 
+void
+scatter_operation::Wake()
+{
+  mIsWoken = true;
+  mWakeTimer.cancel();
+}
+
 void
 scatter_operation::ObserveCaller()
 {
@@ -99,7 +110,7 @@
   }
   mCaller->mOnDisconnect = [weak = weak_from_this()] {
     if (auto self = weak.lock()) {
-      self->mWakeTimer.cancel();
+      self->Wake();
     }
   };
 }
--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -129,6 +129,8 @@
    * ignored. */
   int mPlanNumber = 0;
   bool mIsEnded = false;
+  /** Something changed since the services were last looked through. */
+  bool mIsWoken = false;
   bool mNeedsReplan = false;
   bool mIsQuarantined = false;
   /** At least one attempt was sent and not refused, so a server may have run
@@ -157,6 +159,8 @@
   boost::asio::awaitable<void> Run(request_context& aRequest);
 
 private:
+  /** Ends the wait for attempts, also if it has not begun yet. */
+  void Wake();
   /** Ends the wait for attempts when the caller disconnects. */
   void ObserveCaller();
   [[nodiscard]] bool IsCallerDisconnected() const;
--- a/filters/scatter_subqueries.cpp
+++ b/filters/scatter_subqueries.cpp
@@ -141,7 +141,7 @@
   } else if (aUpdate.mIsLast) {
     ReclaimServices(aSubquery, subquery_end::Lost);
   }
-  mWakeTimer.cancel();
+  Wake();
 }
 
 void
--- a/filters/scatter_verdict.cpp
+++ b/filters/scatter_verdict.cpp
@@ -39,6 +39,7 @@
     case attempt_status::WrongSnapshot:
     case attempt_status::Shed:
     case attempt_status::NotSent:
+    case attempt_status::Withdrawn:
     case attempt_status::BadResponse:
     case attempt_status::Failed:
     case attempt_status::TimedOut:
@@ -75,12 +76,11 @@
   }
   // A retry needs no budget if the failed attempt cost the server almost
   // nothing. For forwarded requests, a refusal counts as an ordinary failure.
+  bool wasNeverSent = WasNeverSent(aStatus);
   bool needsNoBudget =
-    aStatus == attempt_status::NotSent ||
-    aStatus == attempt_status::WrongSnapshot ||
+    wasNeverSent || aStatus == attempt_status::WrongSnapshot ||
     (aStatus == attempt_status::Shed && mForwarded == nullptr);
-  bool mayRetry = aStatus == attempt_status::NotSent ||
-                  MayTryAnotherServer(aService) ||
+  bool mayRetry = wasNeverSent || MayTryAnotherServer(aService) ||
                   (!mOnProgress && !aService.mRefusedBy.empty() &&
                    aService.mRefusalRounds < kMaxForwardRefusalRounds);
   if (!mayRetry || (!needsNoBudget &&
@@ -89,7 +89,7 @@
     return;
   }
   aService.mNextReason = attempt_reason::Retry;
-  if (!MayTryAnotherServer(aService) && aStatus != attempt_status::NotSent) {
+  if (!MayTryAnotherServer(aService) && !wasNeverSent) {
     for (const server_id& server : aService.mRefusedBy) {
       std::erase(aService.mExcludedServers, server);
     }
@@ -111,6 +111,7 @@
       return;
     case attempt_status::Shed:
     case attempt_status::NotSent:
+    case attempt_status::Withdrawn:
       // The request certainly did not run there, so another server may get it.
       RetryOrGiveUp(aService, aPermit, aResult.mStatus);
       return;
@@ -168,7 +169,7 @@
   if (aOperation->mPlanNumber == aPlanNumber) {
     aOperation->mServices[aIndex].mNextAttemptAt = steady_time{};
   }
-  aOperation->mWakeTimer.cancel();
+  aOperation->Wake();
 }
 
 }
--- a/tests/controllers/backend_controller_test.cpp
+++ b/tests/controllers/backend_controller_test.cpp
@@ -174,6 +174,21 @@
   LONGS_EQUAL(1, mBackends.Statuses(now)[0].mConcurrencyLimit);
 }
 
+TEST(backend_controller, AttemptsWithdrawnByThisHostDoNotCountAgainstAServer)
+{
+  mBackends.Put(Server("a"), true, kNow);
+  steady_time now = kNow;
+  for (int count = 0; count < 8; ++count) {
+    now += milliseconds(50);
+    auto permit = mBackends.Choose(mChoice, now);
+    CHECK(permit.has_value());
+    Finish(*permit, attempt_status::Withdrawn, 7, now);
+  }
+  CHECK(mTurnedColdServers.empty());
+  backend_status status = mBackends.Statuses(now)[0];
+  LONGS_EQUAL(3, status.mConcurrencyLimit);
+}
+
 TEST(backend_controller, DrainingServersAndOutDomainsAreNotChosen)
 {
   mBackends.Put(Server("a"), true, kNow);
--- a/tests/filters/scatter_test.cpp
+++ b/tests/filters/scatter_test.cpp
@@ -56,6 +56,8 @@
   /** Servers that got the request, by service. */
   std::map<std::string, std::vector<std::string>> mSentTo;
   int mCancelled = 0;
+  /** Attempts end without having waited for anything. */
+  bool mEndsAtOnce = false;
   request_context mRequest;
 
   void setup() override
@@ -95,6 +97,9 @@
     if (mOutcomes.size() > 1) {
       mOutcomes.erase(mOutcomes.begin());
     }
+    if (mEndsAtOnce) {
+      co_return result;
+    }
     bool isUnresponsive = result.mStatus == attempt_status::Cancelled;
     auto executor = co_await asio::this_coro::executor;
     asio::steady_timer timer(executor);
@@ -168,6 +173,19 @@
   CHECK(!mRequest.mRefusal);
 }
 
+TEST(scatter, AttemptThatEndsWithoutWaitingIsRetriedAtOnce)
+{
+  AddService("t", 4);
+  mRequest.mIsMerged = true;
+  mEndsAtOnce = true;
+  mOutcomes = { attempt_status::NotSent,
+                attempt_status::NotSent,
+                attempt_status::Answered };
+  CHECK(Serve() < milliseconds(200));
+  LONGS_EQUAL(2, mRequest.mResponses.size());
+  LONGS_EQUAL(4, mSentTo["s"].size() + mSentTo["t"].size());
+}
+
 TEST(scatter, RequestRefusedByEveryServerIsReportedAsNotRun)
 {
   for (request_kind kind :
