--- a/tests/drivers/backend_responses_test.cpp
+++ b/tests/drivers/backend_responses_test.cpp
@@ -203,8 +203,7 @@
     scripted_server server(2, [&](scripted_server::socket& aPeer) {
       heads += scripted_server::ReadHead(aPeer).empty() ? 0 : 1;
     });
-    attempt_result expired =
-      Send(server.Address(), "r1", 0, milliseconds(0));
+    attempt_result expired = Send(server.Address(), "r1", 0, milliseconds(0));
     CHECK(expired.mStatus == attempt_status::Withdrawn);
     mMaySend = false;
     attempt_result refused = Send(server.Address(), "r2");
