Count suspended time in the age of a lease, and collect log lines

Cause: the steady clock stands still while a machine is suspended, so that a lease which had run out meanwhile was still taken as valid. Each log line woke the writer for a write of its own. Change: a mark keeps the time for which the machine had been suspended when it was sent; the lease compares it with the present one (CLOCK_BOOTTIME). The log writer collects lines for 20 ms. Tests: lease_controller/LeaseExpiresWhileTheMachineIsSuspended. Measured: not yet.

--- a/controllers/lease_controller.h
+++ b/controllers/lease_controller.h
@@ -4,32 +4,47 @@
 #include "decisions/records.h"
 
 #include <atomic>
+#include <functional>
 
 namespace hibiscusspool {
 
+/** When a mark was sent. */
+struct sent_mark
+{
+  steady_time mSentAt;
+  /** Time for which the machine had been suspended by then. */
+  milliseconds mSuspendedTime{ 0 };
+};
+
 /**
  * The lease of this daemon, which may take new work only while the lease is
  * valid. A mark is a numbered read-index request that the daemon sends on its
  * watch stream. The lease is valid for its duration from the time at which the
- * newest confirmed mark was sent, by the daemon's steady clock.
+ * newest confirmed mark was sent, by the daemon's steady clock and the time for
+ * which the machine was suspended, which that clock doesn't count.
  */
 class lease_controller
 {
   milliseconds mLeaseDuration;
-  /** Send time of the newest confirmed mark, in ticks of the steady clock; 0 if
-   * none. */
+  /** Time for which the machine was suspended so far. */
+  std::function<milliseconds()> mSuspendedTime;
+  /** Send time of the newest confirmed mark plus the suspended time by then, in
+   * ticks of the steady clock; 0 if none. */
   std::atomic<steady_time::rep> mConfirmedAt{ 0 };
 
 public:
-  explicit lease_controller(milliseconds aLeaseDuration)
+  lease_controller(milliseconds aLeaseDuration,
+                   std::function<milliseconds()> aSuspendedTime)
     : mLeaseDuration(aLeaseDuration)
+    , mSuspendedTime(std::move(aSuspendedTime))
   {
   }
 
-  /** Renews the lease after a mark sent at this time was confirmed. */
-  void Renew(steady_time aSentAt)
+  /** Renews the lease after this mark was confirmed. */
+  void Renew(const sent_mark& aMark)
   {
-    steady_time::rep sent = aSentAt.time_since_epoch().count();
+    steady_time::rep sent =
+      (aMark.mSentAt + aMark.mSuspendedTime).time_since_epoch().count();
     steady_time::rep known = mConfirmedAt.load();
     while (known < sent && !mConfirmedAt.compare_exchange_weak(known, sent)) {
     }
@@ -44,7 +59,8 @@
   [[nodiscard]] milliseconds Age(steady_time aNow) const
   {
     steady_time confirmed{ steady_time::duration(mConfirmedAt.load()) };
-    return std::chrono::duration_cast<milliseconds>(aNow - confirmed);
+    return std::chrono::duration_cast<milliseconds>(aNow + mSuspendedTime() -
+                                                    confirmed);
   }
 
   [[nodiscard]] milliseconds LeaseDuration() const { return mLeaseDuration; }
--- a/core/log_writer.cpp
+++ b/core/log_writer.cpp
@@ -1,5 +1,6 @@
 #include "core/log_writer.h"
 
+#include <chrono>
 #include <condition_variable>
 #include <deque>
 #include <memory>
@@ -14,6 +15,9 @@
 
 /** Maximum number of queued lines; about 1.2 MB at 300 bytes per line. */
 constexpr std::size_t kMaxQueuedLines = 4096;
+/** Time for which lines are collected, so that the lines of a request cost one
+ * write. */
+constexpr std::chrono::milliseconds kCollectTime{ 20 };
 
 struct log_writer
 {
@@ -32,6 +36,7 @@
       {
         std::unique_lock guard(mLock);
         mChanged.wait(guard, [&] { return !mQueue.empty() || mIsStopping; });
+        mChanged.wait_for(guard, kCollectTime, [&] { return mIsStopping; });
         if (mQueue.empty()) {
           return;
         }
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -3,6 +3,7 @@
 #include "core/log_event.h"
 #include "drivers/grpc_settings.h"
 #include "drivers/host_address.h"
+#include "drivers/suspended_time.h"
 #include "messages/control_codec.h"
 
 #include <condition_variable>
@@ -75,7 +76,7 @@
   std::mutex mLock;
   std::condition_variable mChanged;
   /** Send times of the marks that are not confirmed yet. */
-  std::map<std::uint64_t, steady_time> mMarks;
+  std::map<std::uint64_t, sent_mark> mMarks;
   std::uint64_t mNextMark = 1;
   bool mIsWriting = false;
   bool mIsDone = false;
@@ -116,7 +117,7 @@
       static_cast<std::uint64_t>(report.mConfirmedAge.count()));
     mUp.set_usable(report.mHasShares);
     // The time of a mark is taken before it is sent, never after.
-    mMarks[mNextMark++] = aNow;
+    mMarks[mNextMark++] = { aNow, SuspendedTime() };
     mIsWriting = true;
     StartWrite(&mUp);
   }
@@ -197,7 +198,7 @@
     if (!update.mControlHosts.empty()) {
       mOnControlHosts(update.mControlHosts);
     }
-    std::optional<steady_time> sentAt;
+    std::optional<sent_mark> confirmed;
     {
       std::lock_guard guard(mLock);
       mIsConfirmed = mIsConfirmed || update.mConfirmedMark != 0;
@@ -205,12 +206,12 @@
       mLastMessageAt = mIsConfirmed ? aNow : mLastMessageAt;
       auto mark = mMarks.find(update.mConfirmedMark);
       if (mark != mMarks.end()) {
-        sentAt = mark->second;
+        confirmed = mark->second;
         mMarks.erase(mMarks.begin(), std::next(mark));
       }
     }
-    if (sentAt) {
-      mHooks.mOnMarkConfirmed(*sentAt);
+    if (confirmed) {
+      mHooks.mOnMarkConfirmed(*confirmed);
     }
   }
 };
--- a/drivers/watch_client.h
+++ b/drivers/watch_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controllers/lease_controller.h"
 #include "controllers/watch_hub.h"
 #include "core/failure.h"
 #include "decisions/control_host_choice.h"
@@ -36,8 +37,8 @@
   /** The daemon's current state. */
   std::function<watch_report(steady_time)> mReport;
   std::function<void(const watch_update&, steady_time)> mApplyUpdate;
-  /** Called with the send time of a mark that was confirmed. */
-  std::function<void(steady_time)> mOnMarkConfirmed;
+  /** Called when a mark was confirmed. */
+  std::function<void(const sent_mark&)> mOnMarkConfirmed;
   /** The control hosts have changed. */
   std::function<void(const std::vector<host_id>&)> mOnControlHosts;
 };
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -1,6 +1,7 @@
 #include "main/entry_role.h"
 
 #include "core/log_event.h"
+#include "drivers/suspended_time.h"
 #include "filters/account.h"
 #include "filters/admit.h"
 #include "filters/confirm.h"
@@ -90,7 +91,7 @@
   , mClient(std::move(aClient))
   , mWorkers(
       worker_pool::Create(static_cast<std::size_t>(mSettings.mEntryThreads)))
-  , mLease(milliseconds(mSettings.mEntryLeaseMs))
+  , mLease(milliseconds(mSettings.mEntryLeaseMs), SuspendedTime)
   , mBackends(ToBackendConfig(mSettings),
               backend_hooks{
                 [this](const std::vector<connection_id>& aConnections) {
@@ -264,8 +265,8 @@
   hooks.mApplyUpdate = [this](const watch_update& aUpdate, steady_time aNow) {
     mCatalog.Apply(aUpdate, aNow);
   };
-  hooks.mOnMarkConfirmed = [this](steady_time aSentAt) {
-    mLease.Renew(aSentAt);
+  hooks.mOnMarkConfirmed = [this](const sent_mark& aMark) {
+    mLease.Renew(aMark);
   };
   hooks.mOnControlHosts = [this](const std::vector<host_id>& aHosts) {
     mClient.LearnHosts(aHosts);
--- a/tests/controllers/backend_controller_test.cpp
+++ b/tests/controllers/backend_controller_test.cpp
@@ -217,11 +217,27 @@
 
 TEST(lease_controller, LeaseIsValidOnlyWhileNewestMarkIsRecent)
 {
-  lease_controller lease(milliseconds(4000));
+  lease_controller lease(milliseconds(4000), [] { return milliseconds(0); });
   CHECK(!lease.IsValid(kNow));
-  lease.Renew(kNow);
+  lease.Renew({ kNow, milliseconds(0) });
   // A late confirmation of an older mark has no effect.
-  lease.Renew(kNow - milliseconds(1000));
+  lease.Renew({ kNow - milliseconds(1000), milliseconds(0) });
   CHECK(lease.IsValid(kNow + milliseconds(3999)));
   CHECK(!lease.IsValid(kNow + milliseconds(4000)));
 }
+
+TEST(lease_controller, LeaseExpiresWhileTheMachineIsSuspended)
+{
+  milliseconds suspended(60'000);
+  lease_controller lease(milliseconds(4000), [&] { return suspended; });
+  lease.Renew({ kNow, suspended });
+  CHECK(lease.IsValid(kNow + milliseconds(100)));
+  // The steady clock stood still meanwhile.
+  suspended += milliseconds(4000);
+  CHECK(!lease.IsValid(kNow + milliseconds(100)));
+  // A mark from before the suspension, confirmed after it, is as old.
+  lease.Renew({ kNow + milliseconds(50), milliseconds(60'000) });
+  CHECK(!lease.IsValid(kNow + milliseconds(100)));
+  lease.Renew({ kNow + milliseconds(100), suspended });
+  CHECK(lease.IsValid(kNow + milliseconds(200)));
+}
