Refuse access tokens as soon as they are withdrawn

Cause: a token was read at the start, so that one which was withdrawn from its file stayed in use until the process ended. A malformed from_ms was read as 0. Change: the file is read for each request that needs a token; while it can't be read, nothing is authorized, and token_unreadable is logged. A from_ms that is no number is refused. Tests: raft_storage/AWithdrawnAccessTokenIsRefusedAtOnce.

--- a/drivers/access_token.cpp
+++ b/drivers/access_token.cpp
@@ -1,5 +1,6 @@
 #include "drivers/access_token.h"
 
+#include "core/log_event.h"
 #include "drivers/synced_file.h"
 
 namespace hibiscusspool {
@@ -8,14 +9,10 @@
 
 constexpr std::size_t kMinTokenLength = 16;
 
-}
-
-result<access_token, token_error>
-access_token::Create(const std::string& aPath)
+/** The token in a file, without white space at its end. */
+result<std::string, token_error>
+ReadToken(const std::string& aPath)
 {
-  if (aPath.empty()) {
-    return access_token("");
-  }
   auto text = ReadWholeFile(aPath);
   if (!text) {
     return Fail(token_error::CannotRead, text.error().mDetail);
@@ -30,16 +27,37 @@
                 aPath + " contains a token shorter than " +
                   std::to_string(kMinTokenLength) + " characters.");
   }
-  return access_token(std::move(token));
+  return token;
+}
+
+}
+
+result<access_token, token_error>
+access_token::Create(const std::string& aPath)
+{
+  if (!aPath.empty()) {
+    auto token = ReadToken(aPath);
+    if (!token) {
+      return token.error();
+    }
+  }
+  return access_token(aPath);
 }
 
 bool
 access_token::Authorizes(const std::string& aHeader) const
 {
-  if (mToken.empty()) {
+  if (mPath.empty()) {
     return true;
   }
-  std::string expected = "Bearer " + mToken;
+  auto token = ReadToken(mPath);
+  if (!token) {
+    log_event("token_unreadable", log_event::severity::Error)
+      .Add("reason", NameOf(token.error().mCode))
+      .Add("cause", token.error().mDetail);
+    return false;
+  }
+  std::string expected = "Bearer " + token.value();
   // Compares every character, so that the time taken reveals nothing about
   // the token.
   volatile unsigned char difference = aHeader.size() == expected.size() ? 0 : 1;
--- a/drivers/operator_api.cpp
+++ b/drivers/operator_api.cpp
@@ -273,7 +273,14 @@
 {
   wall_ms from = 0;
   std::string text = aRequest.Parameter("from_ms").value_or("0");
-  std::from_chars(text.data(), text.data() + text.size(), from);
+  auto [end, error] =
+    std::from_chars(text.data(), text.data() + text.size(), from);
+  if (error != std::errc{} || end != text.data() + text.size() || from < 0) {
+    co_return ErrorResponse(400,
+                            "invalid_parameter",
+                            "'from_ms' must be a number of milliseconds since "
+                            "1970.");
+  }
   merged_refusals merged = MergeRefusals(co_await aHooks.mRefusals(from));
   std::erase_if(merged.mRefusals,
                 [&](const refusal& aRefusal) { return aRefusal.mAt < from; });
--- a/tests/drivers/raft_storage_test.cpp
+++ b/tests/drivers/raft_storage_test.cpp
@@ -252,3 +252,16 @@
         token_error::TooShort);
   CHECK(access_token::Create("").value().Authorizes(""));
 }
+
+TEST(raft_storage, AWithdrawnAccessTokenIsRefusedAtOnce)
+{
+  auto path = mFolder / "token";
+  std::ofstream(path) << "0123456789abcdef\n";
+  auto token = access_token::Create(path.string());
+  CHECK(token.value().Authorizes("Bearer 0123456789abcdef"));
+  std::ofstream(path) << "fedcba9876543210\n";
+  CHECK(!token.value().Authorizes("Bearer 0123456789abcdef"));
+  CHECK(token.value().Authorizes("Bearer fedcba9876543210"));
+  std::filesystem::remove(path);
+  CHECK(!token.value().Authorizes("Bearer fedcba9876543210"));
+}
