Try every control host before one that failed is tried again

The control hosts were cut in two; both of the entry hosts' own failure domain were in the minority. A stream to the first ran into its time limit after 2 s; so did the avoidance of the other, which was preferred again. Two entry hosts went to and fro between them for 5 s, on an old configuration. Change: a host that failed is avoided for 10 s at least, a stream has 1 s for its first confirmed mark, and only a confirmed stream is left for a host that ranks higher. Tests: control_host_choice/AHostInTheMajorityIsReachedWithoutRetryingOthers (failed before). AHostThatFailsAgainIsAvoidedForLonger states the new times, and also that the host is avoided until just before.

--- a/decisions/control_host_choice.cpp
+++ b/decisions/control_host_choice.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr milliseconds kMinAvoidance{ 2000 };
+/** Long enough to try all other hosts before one that failed is tried again. */
+constexpr milliseconds kMinAvoidance{ 10'000 };
 constexpr milliseconds kMaxAvoidance{ 30'000 };
 
 }
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -308,7 +308,8 @@
       std::lock_guard guard(aState->mLock);
       aState->mChoice.OnSuccess(aHost);
     }
-    if (aState->PreferredHost() != aHost) {
+    // A stream that isn't confirmed yet is given its time.
+    if (isConfirmed && aState->PreferredHost() != aHost) {
       end = stream_end::Moved;
       break;
     }
--- a/drivers/watch_client.h
+++ b/drivers/watch_client.h
@@ -23,7 +23,7 @@
   /** A stream that receives no message for this long is closed. */
   milliseconds mSilenceTimeout{ 1000 };
   /** Time limit for the first confirmed mark of a stream. */
-  milliseconds mOpenTimeout{ 2000 };
+  milliseconds mOpenTimeout{ 1000 };
   /** Control hosts of this failure domain are preferred. */
   failure_domain_id mFailureDomain;
   /** Ranks the control hosts, so that daemons spread across them. */
--- a/tests/decisions/control_host_choice_test.cpp
+++ b/tests/decisions/control_host_choice_test.cpp
@@ -1,5 +1,9 @@
 #include "decisions/control_host_choice.h"
 
+#include "drivers/watch_client.h"
+
+#include <set>
+
 #include <CppUTest/TestHarness.h>
 
 namespace {
@@ -104,12 +108,46 @@
   host_id first = choice.Preferred(kNow);
   choice.OnFailure(first, kNow);
   CHECK(choice.Preferred(kNow) != first);
-  steady_time later = kNow + milliseconds(2000);
+  CHECK(choice.Preferred(kNow + milliseconds(9999)) != first);
+  steady_time later = kNow + milliseconds(10'000);
   CHECK(choice.Preferred(later) == first);
   choice.OnFailure(first, later);
-  CHECK(choice.Preferred(later + milliseconds(2000)) != first);
+  CHECK(choice.Preferred(later + milliseconds(10'000)) != first);
   choice.OnSuccess(first);
-  CHECK(choice.Preferred(later + milliseconds(2000)) == first);
+  CHECK(choice.Preferred(later + milliseconds(10'000)) == first);
+}
+
+TEST(control_host_choice, AHostInTheMajorityIsReachedWithoutRetryingOthers)
+{
+  // The control hosts are cut in two. Each stream to the minority fails after
+  // the time limit for its first confirmed mark.
+  std::vector<control_host> listed = Listed(ControlHosts(9));
+  for (std::size_t index = 0; index < listed.size(); ++index) {
+    listed[index].mFailureDomain.mValue = "d" + std::to_string(index % 3);
+  }
+  std::set<host_id> minority{
+    listed[0].mHost, listed[3].mHost, listed[1].mHost, listed[2].mHost
+  };
+  const watch_client_config config;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    auto choice = control_host_choice::Create(
+      ControlHosts(3), failure_domain_id{ "d0" }, seed);
+    choice.SetHosts(listed);
+    steady_time now = kNow;
+    std::set<host_id> failed;
+    host_id host = choice.Preferred(now);
+    while (minority.contains(host)) {
+      CHECK(failed.insert(host).second);
+      now += config.mOpenTimeout;
+      choice.OnFailure(host, now);
+      host = choice.Preferred(now);
+    }
+    // What was learned must be in force within the platform's bound for hosts
+    // that are in touch with the majority.
+    CHECK(now - kNow <= milliseconds(4000));
+    choice.OnSuccess(host);
+    CHECK(choice.Preferred(now + config.mMarkInterval) == host);
+  }
 }
 
 TEST(control_host_choice, TheHostAvoidedForTheShortestTimeIsUsedWhenAllFailed)
