Send the response before the work that is left is cancelled

Change: what is left of a request is cancelled after its response was sent. Tests: scatter_subqueries/ResponseComesBeforeWhatIsLeftIsCancelled.

--- a/filters/scatter_operation.cpp
+++ b/filters/scatter_operation.cpp
@@ -1,6 +1,7 @@
 #include "filters/scatter_operation.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -250,6 +251,16 @@
   }
 }
 
+void
+scatter_operation::CancelWorkLeft(steady_time aEndedAt)
+{
+  EndAllSubqueries(aEndedAt);
+  // An attempt at a `Run` is not cancelled: its outcome has yet to be recorded.
+  if (mKind != request_kind::Run) {
+    CancelAllAttempts();
+  }
+}
+
 void
 scatter_operation::CancelAllAttempts()
 {
@@ -262,11 +273,10 @@
 scatter_operation::Finish(request_context& aRequest)
 {
   mIsEnded = true;
-  EndAllSubqueries(mHooks.mNow());
-  // An attempt at a `Run` is not cancelled: its outcome has yet to be recorded.
-  if (mKind != request_kind::Run) {
-    CancelAllAttempts();
-  }
+  // The caller's response is sent before the work that is left is cancelled.
+  asio::post(mExecutor, [self = shared_from_this(), endedAt = mHooks.mNow()] {
+    self->CancelWorkLeft(endedAt);
+  });
   for (const service_progress& service : mServices) {
     if (service.mIsDone) {
       continue;
--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -227,6 +227,8 @@
     std::size_t aIndex,
     int aPlanNumber);
   void CancelAllAttempts();
+  /** Cancels what is left of a request that ended at `aEndedAt`. */
+  void CancelWorkLeft(steady_time aEndedAt);
   /** Sends the subqueries of a large fan-out to other entry hosts. */
   void StartSubqueries(steady_time aNow);
   void StartSubquery(assigned_subquery aPlan, steady_time aNow);
--- a/tests/filters/scatter_subqueries_test.cpp
+++ b/tests/filters/scatter_subqueries_test.cpp
@@ -74,6 +74,7 @@
   std::vector<subquery> mSubqueries;
   std::vector<subquery_end> mEnds;
   int mCancelled = 0;
+  int mCancelledBeforeResponse = 0;
   request_context mRequest;
 
   void setup() override
@@ -163,7 +164,10 @@
                         MakeDeliver() };
     asio::co_spawn(
       mContext,
-      [&]() -> asio::awaitable<void> { co_await RunChain(chain, mRequest); },
+      [&]() -> asio::awaitable<void> {
+        co_await RunChain(chain, mRequest);
+        mCancelledBeforeResponse = mCancelled;
+      },
       asio::detached);
     mContext.run();
   }
@@ -290,6 +294,13 @@
   CHECK(Now() < mRequest.mSoftDeadline);
 }
 
+TEST(scatter_subqueries, ResponseComesBeforeWhatIsLeftIsCancelled)
+{
+  Serve();
+  LONGS_EQUAL(1, mCancelled);
+  LONGS_EQUAL(0, mCancelledBeforeResponse);
+}
+
 TEST(scatter_subqueries, FailureWithoutAServerUsesNoAttempt)
 {
   mDirectOutcome = attempt_status::Failed;
