Tell daemons of the majority before the state is sent

Change: the first message of a stream after its first confirmed read is small and says that the control host is in touch with a majority; the daemon then gives the state 4 s. Without it another control host is tried after 1 s, as before.

--- a/controllers/watch_hub.cpp
+++ b/controllers/watch_hub.cpp
@@ -247,10 +247,14 @@
   message.mIndex = current->mSentIndex;
   // Before the first confirmation this host may be behind the daemon, as after
   // a restart, and must not send it an older state.
-  bool mayChange = current->mConfirmedMark != 0;
+  bool isConfirmed = current->mConfirmedMark != 0;
+  // The state may take long to arrive. A small message before it tells the
+  // daemon that it need not try another control host.
+  message.mHasMajority = isConfirmed && !current->mIsToldOfMajority;
+  bool mayChange = isConfirmed && !message.mHasMajority;
   // The mark is read before the changes, so that the changes sent with it are
   // at least as new as the index it confirms.
-  if (current->mConfirmedMark != current->mSentMark) {
+  if (mayChange && current->mConfirmedMark != current->mSentMark) {
     message.mConfirmedMark = current->mConfirmedMark;
   }
   bool needsFullState = false;
@@ -273,13 +277,14 @@
     SetFullState(message);
   }
   if (message.mChanges.empty() && message.mConfirmedMark == 0 &&
-      message.mControlHosts.empty()) {
+      message.mControlHosts.empty() && !message.mHasMajority) {
     return std::nullopt;
   }
   mStreams.UpdateIfPresent(aStream, [&](stream& aEntry) {
     aEntry.mNeedsFullState = aEntry.mNeedsFullState && !message.mIsFullState;
     aEntry.mSentIndex = message.mIndex;
     aEntry.mSentHostsVersion = hostsVersion;
+    aEntry.mIsToldOfMajority = aEntry.mIsToldOfMajority || message.mHasMajority;
     if (message.mConfirmedMark != 0) {
       aEntry.mSentMark = message.mConfirmedMark;
     }
--- a/controllers/watch_hub.h
+++ b/controllers/watch_hub.h
@@ -53,6 +53,8 @@
   log_index mIndex = 0;
   std::uint64_t mConfirmedMark = 0;
   std::vector<control_host> mControlHosts;
+  /** This host was in touch with a majority after the stream was opened. */
+  bool mHasMajority = false;
 };
 
 /** State of one daemon, as shown by `status`. */
@@ -112,6 +114,7 @@
     std::uint64_t mNextMarkRound = 0;
     std::uint64_t mConfirmedMark = 0;
     std::uint64_t mSentMark = 0;
+    bool mIsToldOfMajority = false;
     /** Version of the list of control hosts that was sent. */
     std::uint64_t mSentHostsVersion = 0;
     std::function<void()> mWake;
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -80,7 +80,9 @@
   std::uint64_t mNextMark = 1;
   bool mIsWriting = false;
   bool mIsDone = false;
+  bool mHasMajority = false;
   bool mIsConfirmed = false;
+  /** Time of the last message, or of the opening until a mark is confirmed. */
   steady_time mLastMessageAt;
   std::function<void(const std::vector<control_host>&)> mOnControlHosts;
 
@@ -149,8 +151,9 @@
   {
     std::unique_lock guard(mLock);
     mChanged.wait_until(guard, aTime, [&] { return mIsDone; });
-    milliseconds timeout =
-      mIsConfirmed ? aConfig.mSilenceTimeout : aConfig.mOpenTimeout;
+    milliseconds timeout = mIsConfirmed   ? aConfig.mSilenceTimeout
+                           : mHasMajority ? aConfig.mStateTimeout
+                                          : aConfig.mOpenTimeout;
     return !mIsDone && aTime - mLastMessageAt < timeout;
   }
 
@@ -201,8 +204,8 @@
     std::optional<sent_mark> confirmed;
     {
       std::lock_guard guard(mLock);
+      mHasMajority = mHasMajority || mDown.has_majority();
       mIsConfirmed = mIsConfirmed || update.mConfirmedMark != 0;
-      // Until a mark is confirmed, the list of control hosts proves nothing.
       mLastMessageAt = mIsConfirmed ? aNow : mLastMessageAt;
       auto mark = mMarks.find(update.mConfirmedMark);
       if (mark != mMarks.end()) {
--- a/drivers/watch_client.h
+++ b/drivers/watch_client.h
@@ -22,8 +22,11 @@
   milliseconds mMarkInterval{ 500 };
   /** A stream that receives no message for this long is closed. */
   milliseconds mSilenceTimeout{ 1000 };
-  /** Time limit for the first confirmed mark of a stream. */
+  /** Time limit for a control host to say that it is in touch with a majority.
+   */
   milliseconds mOpenTimeout{ 1000 };
+  /** Time limit for the state and the first confirmed mark of a stream. */
+  milliseconds mStateTimeout{ 4000 };
   /** Control hosts of this failure domain are preferred. */
   failure_domain_id mFailureDomain;
   /** Ranks the control hosts, so that daemons spread across them. */
