Keep the connections of withdrawn attempts for their full idle time

Cause: a connection that was opened for an attempt which was then withdrawn had no idle time yet, so that the next attempt replaced it. Change: a connection has the configured idle time from its opening. The time limits of a watch stream stand in one function. Tests: backend_responses/ConnectionOfAWithdrawnAttemptIsUsedAgain.

--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -240,6 +240,7 @@
     }
     auto executor = co_await asio::this_coro::executor;
     auto opened = std::make_shared<backend_connection>(executor);
+    opened->mMaxIdleTime = mConfig.mMaxIdleTime;
     asio::steady_timer timeout(executor);
     timeout.expires_at(
       std::min(aRequest.mGiveUpAt,
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -151,10 +151,16 @@
   {
     std::unique_lock guard(mLock);
     mChanged.wait_until(guard, aTime, [&] { return mIsDone; });
-    milliseconds timeout = mIsConfirmed   ? aConfig.mSilenceTimeout
-                           : mHasMajority ? aConfig.mStateTimeout
-                                          : aConfig.mOpenTimeout;
-    return !mIsDone && aTime - mLastMessageAt < timeout;
+    return !mIsDone && aTime - mLastMessageAt < TimeLimit(aConfig);
+  }
+
+  /** Maximum time without a message that counts; needs the lock. */
+  [[nodiscard]] milliseconds TimeLimit(const watch_client_config& aConfig) const
+  {
+    if (mIsConfirmed) {
+      return aConfig.mSilenceTimeout;
+    }
+    return mHasMajority ? aConfig.mStateTimeout : aConfig.mOpenTimeout;
   }
 
   /** True once a mark was confirmed. */
--- a/tests/drivers/backend_responses_test.cpp
+++ b/tests/drivers/backend_responses_test.cpp
@@ -208,9 +208,23 @@
     mMaySend = false;
     attempt_result refused = Send(server.Address(), "r2");
     CHECK(refused.mStatus == attempt_status::Withdrawn);
-    // The connection is sound and is kept.
-    CHECK(refused.mConnection != 0);
     mClient.Close({ expired.mConnection, refused.mConnection });
   }
   LONGS_EQUAL(0, heads);
 }
+
+TEST(backend_responses, ConnectionOfAWithdrawnAttemptIsUsedAgain)
+{
+  // The server serves one connection only.
+  scripted_server server(1, [](scripted_server::socket& aPeer) {
+    scripted_server::ReadHead(aPeer);
+    scripted_server::Write(aPeer, Response("r2", "body"));
+  });
+  mMaySend = false;
+  attempt_result withdrawn = Send(server.Address(), "r1");
+  CHECK(withdrawn.mConnection != 0);
+  mMaySend = true;
+  attempt_result sent =
+    Send(server.Address(), "r2", withdrawn.mConnection, milliseconds(2000));
+  CHECK(sent.mStatus == attempt_status::Answered);
+}
