Test restarts after a server has left, and fuzz subqueries

Change: an integration test in which a server leaves, all hosts are killed and started, and the server must get nothing (it passes, and was not shown to fail on a broken build).

--- a/tests/fuzz/fuzz_input.cpp
+++ b/tests/fuzz/fuzz_input.cpp
@@ -6,8 +6,11 @@
 #include "messages/control_codec.h"
 #include "messages/operator_json.h"
 #include "messages/raft_codec.h"
+#include "messages/subquery_codec.h"
 #include "settings/settings.h"
 
+#include <algorithm>
+
 namespace fuzz {
 
 using namespace hibiscusspool;
@@ -42,6 +45,49 @@
   }
 }
 
+/** Checks that a subquery that can be read survives encoding. */
+void
+TestSubquery(const std::string& aBytes)
+{
+  wire::SubqueryRequest message;
+  if (!message.ParseFromString(aBytes)) {
+    return;
+  }
+  auto read = ReadSubquery(message);
+  if (!read) {
+    return;
+  }
+  wire::SubqueryRequest encoded;
+  WriteSubquery(read.value(), encoded);
+  auto again = ReadSubquery(encoded);
+  if (!again || again.value().mServices != read.value().mServices ||
+      again.value().mTimeLeft != read.value().mTimeLeft) {
+    __builtin_trap();
+  }
+}
+
+/** Checks that the update names only services that were asked. */
+void
+TestSubqueryReply(const std::string& aBytes)
+{
+  wire::SubqueryReply message;
+  if (!message.ParseFromString(aBytes)) {
+    return;
+  }
+  const std::vector<service_id> services{ service_id{ "s" },
+                                          service_id{ "t" } };
+  auto read = ReadSubqueryUpdate(message, services, { "x-stamp" });
+  if (!read) {
+    return;
+  }
+  for (const subquery_part& part : read.value().mParts) {
+    if (std::find(services.begin(), services.end(), part.mService) ==
+        services.end()) {
+      __builtin_trap();
+    }
+  }
+}
+
 }
 
 void
@@ -51,7 +97,7 @@
     return;
   }
   std::string payload = aBytes.substr(1);
-  switch (static_cast<input_kind>((aBytes[0] - '0') % 7)) {
+  switch (static_cast<input_kind>((aBytes[0] - '0') % 9)) {
     case input_kind::Announcement: {
       auto record = ParseAnnouncement(payload);
       if (record && CheckAnnouncement(record.value())) {
@@ -96,6 +142,12 @@
       }
       return;
     }
+    case input_kind::Subquery:
+      TestSubquery(payload);
+      return;
+    case input_kind::SubqueryReply:
+      TestSubqueryReply(payload);
+      return;
   }
 }
 
--- a/tests/fuzz/fuzz_input.h
+++ b/tests/fuzz/fuzz_input.h
@@ -14,6 +14,8 @@
   Frames,
   Command,
   Message,
+  Subquery,
+  SubqueryReply,
 };
 
 /** Feeds an input to its parser, which must neither crash nor hang. */
--- a/tests/integration/request_side_test.cpp
+++ b/tests/integration/request_side_test.cpp
@@ -179,6 +179,32 @@
   CheckComplete(Summarise(load.Stop()));
 }
 
+TEST(request_side, AServerThatLeftIsNotUsedAfterARestartOfAllHosts)
+{
+  test_system system({});
+  system.StartAll();
+  system.SetBehaviour("rack2-1", R"({"state":"gone"})");
+  Sleep(3000);
+  double before = system.SumCounter("rack2-1", "searches");
+  std::vector<std::string> hosts = system.ControlHosts();
+  for (const std::string& host : system.EntryHosts()) {
+    hosts.push_back(host);
+  }
+  for (const std::string& host : hosts) {
+    system.StopProcess(host, SIGKILL);
+  }
+  for (const std::string& host : hosts) {
+    system.Start(host);
+  }
+  for (const std::string& host : system.EntryHosts()) {
+    CHECK(WaitFor([&] { return system.Query(host).mStatus == 200; }));
+  }
+  caller_load load(system, 4);
+  Sleep(2000);
+  CheckConsistent(Summarise(load.Stop()));
+  DOUBLES_EQUAL(before, system.SumCounter("rack2-1", "searches"), 0);
+}
+
 TEST(request_side, ColdServersStayWithinTheirLimits)
 {
   system_options options;
