Pause before an announcement is refused

While a control host knows no leader it refuses announcements, and servers try the next host at once, so that some 700 servers ask nine hosts again and again while these elect a leader. That this began it was read from the figures, not from logs. Change: an announcement or a leave is refused after a pause of 500 ms, or handled if there is a leader by then. The listener for servers and operators takes 2,048 connections. A leave is not acknowledged any more by a host that knows neither the server nor a leader. Tests: control_side/AnAnnouncementWithoutAMajorityIsRefusedAfterAPause.

--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds kLeaseCheckInterval{ 250 };
 /** Below the one second that the platform's callers wait for a response. */
 constexpr milliseconds kPlatformTimeout{ 900 };
+/** Connections of servers and operators; leaves descriptors for the other
+ * control hosts and the daemons. */
+constexpr std::size_t kMaxPlatformConnections = 2048;
 /** Time limit for a change that this host proposes itself. */
 constexpr milliseconds kSystemChangeTimeout{ 2000 };
 
@@ -616,6 +619,7 @@
   }
   http_server_config config;
   config.mAddress = address;
+  config.mMaxConnections = kMaxPlatformConnections;
   auto listener =
     StartHttpServer(mContext,
                     std::move(config),
--- a/main/server_lease_manager.cpp
+++ b/main/server_lease_manager.cpp
@@ -2,6 +2,11 @@
 
 #include "core/log_event.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 
 namespace hibiscusspool {
@@ -12,17 +17,34 @@
 
 /** Time limit for committing a state transition. */
 constexpr milliseconds kTransitionTimeout{ 2000 };
+/** Pause before an announcement is refused. Servers try the next host at once,
+ * so that without it all of them would ask all control hosts again and again
+ * while these elect a leader. */
+constexpr milliseconds kRefusalPause{ 500 };
 
 }
 
+asio::awaitable<bool>
+server_lease_manager::AwaitPermission()
+{
+  if (mHooks.mMayHoldLeases(mHooks.mNow())) {
+    co_return true;
+  }
+  asio::steady_timer pause(co_await asio::this_coro::executor);
+  pause.expires_after(kRefusalPause);
+  co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+  co_return mHooks.mMayHoldLeases(mHooks.mNow());
+}
+
 asio::awaitable<announce_result>
 server_lease_manager::HandleAnnouncement(server_record aRecord)
 {
-  steady_time now = mHooks.mNow();
-  if (!mHooks.mMayHoldLeases(now)) {
+  bool mayHoldLeases = co_await AwaitPermission();
+  if (!mayHoldLeases) {
     co_return announce_result{ announce_status::Unavailable,
                                "This host can't reach the control hosts." };
   }
+  steady_time now = mHooks.mNow();
   aRecord.mLeaseHolder = mSelf;
   std::sort(aRecord.mSnapshots.begin(), aRecord.mSnapshots.end());
   auto recorded = mHooks.mFindServer(aRecord.mServer);
@@ -41,15 +63,16 @@
 asio::awaitable<announce_result>
 server_lease_manager::HandleLeave(server_id aServer)
 {
+  bool mayHoldLeases = co_await AwaitPermission();
+  if (!mayHoldLeases) {
+    co_return announce_result{ announce_status::Unavailable,
+                               "This host can't reach the control hosts." };
+  }
   auto recorded = mHooks.mFindServer(aServer);
   if (!recorded ||
       (recorded->mState == server_state::Gone && recorded->mHasLeft)) {
     co_return announce_result{};
   }
-  if (!mHooks.mMayHoldLeases(mHooks.mNow())) {
-    co_return announce_result{ announce_status::Unavailable,
-                               "This host can't reach the control hosts." };
-  }
   server_record gone = *recorded;
   gone.mState = server_state::Gone;
   gone.mHasLeft = true;
--- a/main/server_lease_manager.h
+++ b/main/server_lease_manager.h
@@ -37,6 +37,8 @@
   announcement_controller mLeases;
   server_lease_hooks mHooks;
 
+  /** True if this host may hold leases now or after a pause. */
+  boost::asio::awaitable<bool> AwaitPermission();
   boost::asio::awaitable<announce_result> Record(
     server_record aRecord,
     std::optional<log_index> aVersion);
--- a/tests/integration/control_side_test.cpp
+++ b/tests/integration/control_side_test.cpp
@@ -313,3 +313,22 @@
   LONGS_EQUAL(400, announce("x4", R"("address":"name:80")").mStatus);
   LONGS_EQUAL(400, Call("POST", address, "/v1/announce", "{not json").mStatus);
 }
+
+TEST(control_side, AnAnnouncementWithoutAMajorityIsRefusedAfterAPause)
+{
+  test_system system({});
+  system.StartAll();
+  const std::string announcement =
+    R"({"server":"new","incarnation":1,"service":"rack0",)"
+    R"("failure_domain":"a","address":"127.0.0.1:9","slots":1,)"
+    R"("connections":4,"cold_slots":1,"state":"ready","snapshots":[1]})";
+  system.StopProcess("c1", SIGKILL);
+  system.StopProcess("c2", SIGKILL);
+  CHECK(WaitFor([&] { return system.Query("e1").mStatus == 503; }));
+  // Without the pause, all servers would ask all hosts again and again.
+  auto start = std::chrono::steady_clock::now();
+  auto refused =
+    Call("POST", system.AnnounceAddress("e1"), "/v1/announce", announcement);
+  LONGS_EQUAL(503, refused.mStatus);
+  CHECK(std::chrono::steady_clock::now() - start >= milliseconds(500));
+}
