--- /dev/null
+++ b/drivers/data_folder.cpp
@@ -0,0 +1,184 @@
+#include "drivers/data_folder.h"
+
+#include "core/log_event.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <optional>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace hibiscusspool {
+
+namespace {
+
+failure<file_error>
+FailWithErrno(file_error aCode, const std::filesystem::path& aPath)
+{
+  return Fail(aCode, aPath.string() + ": " + std::strerror(errno));
+}
+
+std::optional<std::uint64_t>
+NumberAfter(const std::string& aPrefix, const std::string& aName)
+{
+  if (!aName.starts_with(aPrefix)) {
+    return std::nullopt;
+  }
+  std::uint64_t number = 0;
+  const char* start = aName.data() + aPrefix.size();
+  const char* end = aName.data() + aName.size();
+  auto [stop, problem] = std::from_chars(start, end, number);
+  if (problem != std::errc{} || stop != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}
+
+result<data_folder, file_error>
+data_folder::Create(const std::filesystem::path& aPath, file_observer aObserver)
+{
+  std::error_code problem;
+  std::filesystem::create_directories(aPath, problem);
+  if (problem) {
+    return Fail(file_error::CannotWrite,
+                aPath.string() + ": " + problem.message());
+  }
+  return data_folder(aPath, std::move(aObserver));
+}
+
+void
+data_folder::Report(file_operation aOperation) const
+{
+  if (mObserver) {
+    mObserver(aOperation);
+  }
+}
+
+std::vector<std::uint64_t>
+data_folder::Numbers(const std::string& aPrefix) const
+{
+  std::vector<std::uint64_t> numbers;
+  std::error_code problem;
+  std::filesystem::directory_iterator file(mPath, problem);
+  while (!problem && file != std::filesystem::directory_iterator()) {
+    auto number = NumberAfter(aPrefix, file->path().filename().string());
+    if (number) {
+      numbers.push_back(*number);
+    }
+    file.increment(problem);
+  }
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
+bool
+data_folder::Contains(const std::string& aName) const
+{
+  std::error_code problem;
+  return std::filesystem::exists(mPath / aName, problem);
+}
+
+result<std::string, file_error>
+data_folder::Read(const std::string& aName) const
+{
+  return ReadWholeFile(mPath / aName);
+}
+
+result<int, file_error>
+data_folder::OpenForAppend(const std::string& aName) const
+{
+  bool isNew = !Contains(aName);
+  std::filesystem::path path = mPath / aName;
+  int file =
+    open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  if (file < 0) {
+    return FailWithErrno(file_error::CannotWrite, path);
+  }
+  if (isNew) {
+    Report({ file_operation_kind::Created, aName, {}, 0, {} });
+  }
+  return file;
+}
+
+result<void, file_error>
+data_folder::Append(int aFile,
+                    const std::string& aName,
+                    std::uint64_t aSize,
+                    const std::string& aBytes) const
+{
+  auto written = WriteAll(aFile, aBytes);
+  if (!written) {
+    return written.error();
+  }
+  Report({ file_operation_kind::Written, aName, {}, aSize, aBytes });
+  if (fdatasync(aFile) != 0) {
+    return FailWithErrno(file_error::CannotWrite, mPath / aName);
+  }
+  Report({ file_operation_kind::Synced, aName, {}, 0, {} });
+  return boost::outcome_v2::success();
+}
+
+result<void, file_error>
+data_folder::Resize(const std::string& aName, std::uint64_t aSize) const
+{
+  std::filesystem::path path = mPath / aName;
+  if (truncate(path.c_str(), static_cast<off_t>(aSize)) != 0) {
+    return FailWithErrno(file_error::CannotWrite, path);
+  }
+  Report({ file_operation_kind::Resized, aName, {}, aSize, {} });
+  return boost::outcome_v2::success();
+}
+
+result<void, file_error>
+data_folder::Replace(const std::string& aName, const std::string& aBytes) const
+{
+  std::string temporary = aName + ".new";
+  std::filesystem::path path = mPath / temporary;
+  int file =
+    open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+  if (file < 0) {
+    return FailWithErrno(file_error::CannotWrite, path);
+  }
+  Report({ file_operation_kind::Created, temporary, {}, 0, {} });
+  auto written = Append(file, temporary, 0, aBytes);
+  close(file);
+  if (!written) {
+    return written.error();
+  }
+  if (rename(path.c_str(), (mPath / aName).c_str()) != 0) {
+    return FailWithErrno(file_error::CannotWrite, mPath / aName);
+  }
+  Report({ file_operation_kind::Renamed, temporary, aName, 0, {} });
+  return Sync();
+}
+
+void
+data_folder::Remove(const std::string& aName) const
+{
+  std::error_code problem;
+  std::filesystem::remove(mPath / aName, problem);
+  if (problem) {
+    log_event("file_not_removed", log_event::severity::Warning)
+      .Add("file", (mPath / aName).string())
+      .Add("cause", problem.message());
+    return;
+  }
+  Report({ file_operation_kind::Removed, aName, {}, 0, {} });
+}
+
+result<void, file_error>
+data_folder::Sync() const
+{
+  auto synced = SyncFolder(mPath);
+  if (synced) {
+    Report({ file_operation_kind::FolderSynced, {}, {}, 0, {} });
+  }
+  return synced;
+}
+
+}
--- /dev/null
+++ b/drivers/data_folder.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "core/failure.h"
+#include "core/name_table.h"
+#include "drivers/synced_file.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace hibiscusspool {
+
+enum class file_operation_kind
+{
+  Created,
+  Written,
+  Resized,
+  Synced,
+  Renamed,
+  Removed,
+  FolderSynced,
+};
+
+template<>
+inline constexpr name_table<file_operation_kind, 7> kNames<file_operation_kind>{
+  {
+    { file_operation_kind::Created, "created" },
+    { file_operation_kind::Written, "written" },
+    { file_operation_kind::Resized, "resized" },
+    { file_operation_kind::Synced, "synced" },
+    { file_operation_kind::Renamed, "renamed" },
+    { file_operation_kind::Removed, "removed" },
+    { file_operation_kind::FolderSynced, "folder_synced" },
+  }
+};
+
+/** One operation on a folder's files that has succeeded. */
+struct file_operation
+{
+  file_operation_kind mKind = file_operation_kind::Written;
+  /** The file's name in the folder; for a renamed file, the old one. */
+  std::string mName;
+  std::string mNewName;
+  /** Where the bytes were written, or the new size of a resized file. */
+  std::uint64_t mOffset = 0;
+  std::string mBytes;
+};
+
+/** Called after each operation, in order. */
+using file_observer = std::function<void(const file_operation&)>;
+
+/**
+ * The files of one folder. What may be left of them after a loss of power
+ * depends on the order of writes and syncs, so each operation is reported to an
+ * observer, from which tests derive every such state.
+ */
+class data_folder
+{
+  std::filesystem::path mPath;
+  file_observer mObserver;
+
+  data_folder(std::filesystem::path aPath, file_observer aObserver)
+    : mPath(std::move(aPath))
+    , mObserver(std::move(aObserver))
+  {
+  }
+
+  void Report(file_operation aOperation) const;
+
+public:
+  /** Opens the folder and creates it if it is missing. */
+  static result<data_folder, file_error> Create(
+    const std::filesystem::path& aPath,
+    file_observer aObserver);
+
+  [[nodiscard]] const std::filesystem::path& Path() const { return mPath; }
+  /** The sorted numbers of the files that are named by this prefix and a
+   * number. */
+  [[nodiscard]] std::vector<std::uint64_t> Numbers(
+    const std::string& aPrefix) const;
+  [[nodiscard]] bool Contains(const std::string& aName) const;
+  [[nodiscard]] result<std::string, file_error> Read(
+    const std::string& aName) const;
+
+  /** Opens a file to append to it, and creates it if it is missing; returns
+   * its descriptor, which the caller closes. */
+  [[nodiscard]] result<int, file_error> OpenForAppend(
+    const std::string& aName) const;
+  /** Appends all bytes to an open file of `aSize` bytes, and syncs it. */
+  [[nodiscard]] result<void, file_error> Append(int aFile,
+                                                const std::string& aName,
+                                                std::uint64_t aSize,
+                                                const std::string& aBytes) const;
+  /** Sets a file's size. */
+  [[nodiscard]] result<void, file_error> Resize(const std::string& aName,
+                                                std::uint64_t aSize) const;
+  /** Replaces a file by one with these bytes: writes and syncs a new file,
+   * renames it, syncs the folder. */
+  [[nodiscard]] result<void, file_error> Replace(
+    const std::string& aName,
+    const std::string& aBytes) const;
+  /** Removes a file; logs a warning if that fails. */
+  void Remove(const std::string& aName) const;
+  /** Makes creations, renames and removals durable. */
+  [[nodiscard]] result<void, file_error> Sync() const;
+};
+
+}
--- a/drivers/raft_storage.cpp
+++ b/drivers/raft_storage.cpp
@@ -1,14 +1,10 @@
 #include "drivers/raft_storage.h"
 
 #include "core/log_event.h"
-#include "drivers/synced_file.h"
 #include "messages/raft_codec.h"
 
-#include <algorithm>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
-#include <map>
 
 #include <fcntl.h>
 #include <sys/file.h>
@@ -20,38 +16,18 @@
 
 const std::string kSegmentPrefix = "log-";
 const std::string kSnapshotPrefix = "snapshot-";
+const std::string kDiskIdName = "disk-id";
 
-std::optional<std::uint64_t>
-NumberAfter(const std::string& aPrefix, const std::string& aName)
+std::string
+SegmentName(std::uint64_t aNumber)
 {
-  if (!aName.starts_with(aPrefix)) {
-    return std::nullopt;
-  }
-  std::uint64_t number = 0;
-  const char* start = aName.data() + aPrefix.size();
-  const char* end = aName.data() + aName.size();
-  auto [stop, problem] = std::from_chars(start, end, number);
-  if (problem != std::errc{} || stop != end) {
-    return std::nullopt;
-  }
-  return number;
+  return kSegmentPrefix + std::to_string(aNumber);
 }
 
-/** The sorted numbers of the folder's files with this prefix. */
-std::vector<std::uint64_t>
-FileNumbers(const std::filesystem::path& aFolder, const std::string& aPrefix)
+std::string
+SnapshotName(std::uint64_t aIndex)
 {
-  std::vector<std::uint64_t> numbers;
-  std::error_code problem;
-  for (const auto& file :
-       std::filesystem::directory_iterator(aFolder, problem)) {
-    auto number = NumberAfter(aPrefix, file.path().filename().string());
-    if (number) {
-      numbers.push_back(*number);
-    }
-  }
-  std::sort(numbers.begin(), numbers.end());
-  return numbers;
+  return kSnapshotPrefix + std::to_string(aIndex);
 }
 
 failure<storage_error>
@@ -93,23 +69,16 @@
   }
 }
 
-std::filesystem::path
-raft_storage::SegmentPath(std::uint64_t aNumber) const
-{
-  return mFolder / (kSegmentPrefix + std::to_string(aNumber));
-}
-
 result<raft_storage, storage_error>
 raft_storage::Create(const std::filesystem::path& aFolder,
-                     const std::string& aNewDiskId)
+                     const std::string& aNewDiskId,
+                     file_observer aObserver)
 {
-  std::error_code problem;
-  std::filesystem::create_directories(aFolder, problem);
-  if (problem) {
-    return Fail(storage_error::CannotOpen,
-                aFolder.string() + ": " + problem.message());
+  auto folder = data_folder::Create(aFolder, std::move(aObserver));
+  if (!folder) {
+    return ToStorageError(folder.error());
   }
-  raft_storage storage(aFolder);
+  raft_storage storage(std::move(folder.value()));
   storage.mDiskId.mValue = aNewDiskId;
   for (auto step : { &raft_storage::Lock,
                      &raft_storage::LoadDiskId,
@@ -127,7 +96,7 @@
 result<void, storage_error>
 raft_storage::Lock()
 {
-  std::filesystem::path path = mFolder / "lock";
+  std::filesystem::path path = mFolder.Path() / "lock";
   mLockFile = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
   if (mLockFile < 0) {
     return FailWithErrno(storage_error::CannotOpen, path);
@@ -142,23 +111,23 @@
 result<void, storage_error>
 raft_storage::LoadDiskId()
 {
-  std::filesystem::path path = mFolder / "disk-id";
-  if (std::filesystem::exists(path)) {
-    auto text = ReadWholeFile(path);
+  std::string path = (mFolder.Path() / kDiskIdName).string();
+  if (mFolder.Contains(kDiskIdName)) {
+    auto text = mFolder.Read(kDiskIdName);
     if (!text) {
       return ToStorageError(text.error());
     }
     mDiskId.mValue = text.value();
     if (mDiskId.IsEmpty()) {
-      return Fail(storage_error::Corrupt, path.string() + " is empty.");
+      return Fail(storage_error::Corrupt, path + " is empty.");
     }
     return boost::outcome_v2::success();
   }
   // A folder with a log but without an id was tampered with.
-  if (!FileNumbers(mFolder, kSegmentPrefix).empty()) {
-    return Fail(storage_error::Corrupt, path.string() + " is missing.");
+  if (!mFolder.Numbers(kSegmentPrefix).empty()) {
+    return Fail(storage_error::Corrupt, path + " is missing.");
   }
-  auto written = ReplaceFileAtomically(path, mDiskId.mValue);
+  auto written = mFolder.Replace(kDiskIdName, mDiskId.mValue);
   if (!written) {
     return ToStorageError(written.error());
   }
@@ -168,13 +137,12 @@
 result<void, storage_error>
 raft_storage::LoadSnapshot()
 {
-  std::vector<std::uint64_t> numbers = FileNumbers(mFolder, kSnapshotPrefix);
+  std::vector<std::uint64_t> numbers = mFolder.Numbers(kSnapshotPrefix);
   if (numbers.empty()) {
     return boost::outcome_v2::success();
   }
-  std::filesystem::path path =
-    mFolder / (kSnapshotPrefix + std::to_string(numbers.back()));
-  auto bytes = ReadWholeFile(path);
+  std::string name = SnapshotName(numbers.back());
+  auto bytes = mFolder.Read(name);
   if (!bytes) {
     return ToStorageError(bytes.error());
   }
@@ -184,7 +152,8 @@
                  snapshot.ParseFromString(frame.mPayload);
   if (!isValid) {
     return Fail(storage_error::Corrupt,
-                path.string() + " at offset 0 is corrupt.");
+                (mFolder.Path() / name).string() +
+                  " at offset 0 is corrupt.");
   }
   mPersisted.mSnapshot = ReadSnapshot(snapshot);
   return boost::outcome_v2::success();
@@ -193,7 +162,7 @@
 result<void, storage_error>
 raft_storage::LoadSegments()
 {
-  std::vector<std::uint64_t> numbers = FileNumbers(mFolder, kSegmentPrefix);
+  std::vector<std::uint64_t> numbers = mFolder.Numbers(kSegmentPrefix);
   for (std::uint64_t number : numbers) {
     auto loaded = LoadSegment(number, number == numbers.back());
     if (!loaded) {
@@ -205,7 +174,7 @@
   for (const raft_entry& entry : mPersisted.mEntries) {
     if (entry.mIndex != expected) {
       return Fail(storage_error::Corrupt,
-                  mFolder.string() + " is missing entry " +
+                  mFolder.Path().string() + " is missing entry " +
                     std::to_string(expected) + ".");
     }
     ++expected;
@@ -216,8 +185,9 @@
 result<void, storage_error>
 raft_storage::LoadSegment(std::uint64_t aNumber, bool aIsLast)
 {
-  std::filesystem::path path = SegmentPath(aNumber);
-  auto bytes = ReadWholeFile(path);
+  std::string name = SegmentName(aNumber);
+  std::string path = (mFolder.Path() / name).string();
+  auto bytes = mFolder.Read(name);
   if (!bytes) {
     return ToStorageError(bytes.error());
   }
@@ -231,16 +201,17 @@
     }
     if (found.mState == frame_state::Torn && aIsLast) {
       log_event("torn_tail_cut", log_event::severity::Warning)
-        .Add("file", path.string())
+        .Add("file", path)
         .Add("offset", offset)
         .Add("bytes", bytes.value().size() - offset);
-      if (truncate(path.c_str(), static_cast<off_t>(offset)) != 0) {
-        return FailWithErrno(storage_error::CannotWrite, path);
+      auto resized = mFolder.Resize(name, offset);
+      if (!resized) {
+        return ToStorageError(resized.error());
       }
       return boost::outcome_v2::success();
     }
     return Fail(storage_error::Corrupt,
-                path.string() + " at offset " + std::to_string(offset) +
+                path + " at offset " + std::to_string(offset) +
                   " is corrupt.");
   }
   return boost::outcome_v2::success();
@@ -272,9 +243,9 @@
   if (!mHasTornTail) {
     return boost::outcome_v2::success();
   }
-  if (ftruncate(mSegmentFile, static_cast<off_t>(mSegmentBytes)) != 0) {
-    return FailWithErrno(storage_error::CannotWrite,
-                         SegmentPath(mSegmentNumber));
+  auto resized = mFolder.Resize(SegmentName(mSegmentNumber), mSegmentBytes);
+  if (!resized) {
+    return ToStorageError(resized.error());
   }
   mHasTornTail = false;
   return boost::outcome_v2::success();
@@ -290,16 +261,16 @@
       return truncated.error();
     }
     close(mSegmentFile);
+    mSegmentFile = -1;
   }
   ++mSegmentNumber;
   mSegmentBytes = 0;
-  std::filesystem::path path = SegmentPath(mSegmentNumber);
-  mSegmentFile =
-    open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-  if (mSegmentFile < 0) {
-    return FailWithErrno(storage_error::CannotOpen, path);
+  auto file = mFolder.OpenForAppend(SegmentName(mSegmentNumber));
+  if (!file) {
+    return ToStorageError(file.error());
   }
-  auto synced = SyncFolder(mFolder);
+  mSegmentFile = file.value();
+  auto synced = mFolder.Sync();
   if (!synced) {
     return ToStorageError(synced.error());
   }
@@ -315,7 +286,8 @@
   }
   std::string bytes = MakeFrame(aBatch);
   mHasTornTail = true;
-  auto written = AppendAndSync(mSegmentFile, bytes);
+  auto written = mFolder.Append(
+    mSegmentFile, SegmentName(mSegmentNumber), mSegmentBytes, bytes);
   if (!written) {
     return ToStorageError(written.error());
   }
@@ -347,10 +319,8 @@
 {
   wire::Snapshot snapshot;
   WriteSnapshot(aSnapshot, snapshot);
-  std::filesystem::path path =
-    mFolder / (kSnapshotPrefix + std::to_string(aSnapshot.mIndex));
-  auto replaced =
-    ReplaceFileAtomically(path, MakeFrame(snapshot.SerializeAsString()));
+  auto replaced = mFolder.Replace(SnapshotName(aSnapshot.mIndex),
+                                  MakeFrame(snapshot.SerializeAsString()));
   if (!replaced) {
     return ToStorageError(replaced.error());
   }
@@ -369,10 +339,9 @@
   }
   // Only now do the new files hold everything that the old ones hold.
   DropSegmentsBefore(mSegmentNumber);
-  for (std::uint64_t number : FileNumbers(mFolder, kSnapshotPrefix)) {
+  for (std::uint64_t number : mFolder.Numbers(kSnapshotPrefix)) {
     if (number < aSnapshot.mIndex) {
-      std::filesystem::remove(mFolder /
-                              (kSnapshotPrefix + std::to_string(number)));
+      mFolder.Remove(SnapshotName(number));
     }
   }
   return boost::outcome_v2::success();
@@ -381,9 +350,9 @@
 void
 raft_storage::DropSegmentsBefore(std::uint64_t aNumber)
 {
-  for (std::uint64_t number : FileNumbers(mFolder, kSegmentPrefix)) {
+  for (std::uint64_t number : mFolder.Numbers(kSegmentPrefix)) {
     if (number < aNumber) {
-      std::filesystem::remove(SegmentPath(number));
+      mFolder.Remove(SegmentName(number));
     }
   }
 }
--- a/drivers/raft_storage.h
+++ b/drivers/raft_storage.h
@@ -2,6 +2,7 @@
 
 #include "core/failure.h"
 #include "decisions/raft_node.h"
+#include "drivers/data_folder.h"
 
 #include <filesystem>
 #include <optional>
@@ -35,7 +36,7 @@
  */
 class raft_storage
 {
-  std::filesystem::path mFolder;
+  data_folder mFolder;
   int mLockFile = -1;
   int mSegmentFile = -1;
   std::uint64_t mSegmentNumber = 0;
@@ -47,7 +48,7 @@
   /** What `Create` read from the folder. */
   raft_persistent_state mPersisted;
 
-  explicit raft_storage(std::filesystem::path aFolder)
+  explicit raft_storage(data_folder aFolder)
     : mFolder(std::move(aFolder))
   {
   }
@@ -62,7 +63,6 @@
   result<void, storage_error> StartSegment();
   result<void, storage_error> WriteBatch(const std::string& aBatch);
   void DropSegmentsBefore(std::uint64_t aNumber);
-  [[nodiscard]] std::filesystem::path SegmentPath(std::uint64_t aNumber) const;
 
 public:
   raft_storage(const raft_storage&) = delete;
@@ -77,7 +77,8 @@
    */
   static result<raft_storage, storage_error> Create(
     const std::filesystem::path& aFolder,
-    const std::string& aNewDiskId);
+    const std::string& aNewDiskId,
+    file_observer aObserver = {});
 
   [[nodiscard]] const disk_id& DiskId() const { return mDiskId; }
   /** The folder's contents when it was opened; call it once. */
--- a/drivers/synced_file.cpp
+++ b/drivers/synced_file.cpp
@@ -57,7 +57,7 @@
 }
 
 result<void, file_error>
-AppendAndSync(int aFile, const std::string& aBytes)
+WriteAll(int aFile, const std::string& aBytes)
 {
   std::size_t written = 0;
   while (written < aBytes.size()) {
@@ -71,6 +71,16 @@
     }
     written += static_cast<std::size_t>(count);
   }
+  return boost::outcome_v2::success();
+}
+
+result<void, file_error>
+AppendAndSync(int aFile, const std::string& aBytes)
+{
+  auto written = WriteAll(aFile, aBytes);
+  if (!written) {
+    return written.error();
+  }
   if (fdatasync(aFile) != 0) {
     return FailWithErrno(file_error::CannotWrite, "fdatasync");
   }
@@ -92,28 +102,6 @@
   return boost::outcome_v2::success();
 }
 
-result<void, file_error>
-ReplaceFileAtomically(const std::filesystem::path& aPath,
-                      const std::string& aBytes)
-{
-  std::filesystem::path temporary = aPath;
-  temporary += ".new";
-  int file =
-    open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
-  if (file < 0) {
-    return FailWithErrno(file_error::CannotWrite, temporary);
-  }
-  auto written = AppendAndSync(file, aBytes);
-  close(file);
-  if (!written) {
-    return written.error();
-  }
-  if (rename(temporary.c_str(), aPath.c_str()) != 0) {
-    return FailWithErrno(file_error::CannotWrite, aPath);
-  }
-  return SyncFolder(aPath.parent_path());
-}
-
 std::string
 MakeFrame(const std::string& aPayload)
 {
--- a/drivers/synced_file.h
+++ b/drivers/synced_file.h
@@ -24,15 +24,14 @@
 result<std::string, file_error>
 ReadWholeFile(const std::filesystem::path& aPath);
 
-/** Writes and syncs a new file and renames it over the old one. */
-result<void, file_error>
-ReplaceFileAtomically(const std::filesystem::path& aPath,
-                      const std::string& aBytes);
-
 /** Syncs a folder, so that the creation and removal of its files is durable. */
 result<void, file_error>
 SyncFolder(const std::filesystem::path& aFolder);
 
+/** Writes all bytes to an open file. */
+result<void, file_error>
+WriteAll(int aFile, const std::string& aBytes);
+
 /** Appends all bytes to an open file and syncs its data. */
 result<void, file_error>
 AppendAndSync(int aFile, const std::string& aBytes);
