Drop a torn last write of the log whatever its shape

A control host ended with code 1 at every start ("log-1 at offset 0 is corrupt") when power was lost during a write that then was there without its head, or with a hole: only a short or all-zero last write was taken for a torn one. With a quorum of hosts in that state nothing is confirmed and no configuration is read back.

A batch is written only after the one before it was synced, so a damaged batch that no complete one follows is the last write, which was never acknowledged; it is dropped. Damage before a complete batch is corruption as before.

--- a/drivers/raft_storage.cpp
+++ b/drivers/raft_storage.cpp
@@ -146,10 +146,9 @@
   if (!bytes) {
     return ToStorageError(bytes.error());
   }
-  auto frame = ParseFrame(bytes.value(), 0);
+  auto read = ParseFrame(bytes.value(), 0);
   wire::Snapshot snapshot;
-  bool isValid = frame.mState == frame_state::Complete &&
-                 snapshot.ParseFromString(frame.mPayload);
+  bool isValid = read && snapshot.ParseFromString(read->mPayload);
   if (!isValid) {
     return Fail(storage_error::Corrupt,
                 (mFolder.Path() / name).string() +
@@ -193,13 +192,14 @@
   }
   std::size_t offset = 0;
   while (offset < bytes.value().size()) {
-    frame found = ParseFrame(bytes.value(), offset);
-    if (found.mState == frame_state::Complete) {
-      ApplyBatch(found.mPayload);
-      offset = found.mEnd;
+    if (auto found = ParseFrame(bytes.value(), offset)) {
+      ApplyBatch(found->mPayload);
+      offset = found->mEnd;
       continue;
     }
-    if (found.mState == frame_state::Torn && aIsLast) {
+    // A batch is written only after the one before it was synced, so a damaged
+    // batch that none follows is the last one, which was never acknowledged.
+    if (aIsLast && !HasFrameAfter(bytes.value(), offset)) {
       log_event("torn_tail_cut", log_event::severity::Warning)
         .Add("file", path)
         .Add("offset", offset)
--- a/drivers/refusal_store.cpp
+++ b/drivers/refusal_store.cpp
@@ -84,11 +84,8 @@
   // batches appended after it.
   std::size_t validBytes = 0;
   if (auto bytes = ReadWholeFile(path)) {
-    frame next;
-    while (validBytes < bytes.value().size() &&
-           (next = ParseFrame(bytes.value(), validBytes)).mState ==
-             frame_state::Complete) {
-      validBytes = next.mEnd;
+    while (auto next = ParseFrame(bytes.value(), validBytes)) {
+      validBytes = next->mEnd;
     }
     if (validBytes < bytes.value().size()) {
       log_event("refusals_cut", log_event::severity::Warning)
@@ -130,15 +127,14 @@
     }
     auto bytes = ReadWholeFile(mFolder / (kPrefix + std::to_string(day)));
     std::size_t offset = 0;
-    while (bytes && offset < bytes.value().size()) {
-      frame next = ParseFrame(bytes.value(), offset);
+    while (bytes) {
+      auto next = ParseFrame(bytes.value(), offset);
       wire::RefusalBatch batch;
-      if (next.mState != frame_state::Complete ||
-          !batch.ParseFromString(next.mPayload)) {
+      if (!next || !batch.ParseFromString(next->mPayload)) {
         break;
       }
       batches.push_back(ReadRefusals(batch));
-      offset = next.mEnd;
+      offset = next->mEnd;
     }
   }
   return batches;
--- a/drivers/synced_file.cpp
+++ b/drivers/synced_file.cpp
@@ -1,6 +1,5 @@
 #include "drivers/synced_file.h"
 
-#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <fstream>
@@ -114,45 +113,42 @@
   return bytes + aPayload;
 }
 
-frame
+std::optional<frame>
 ParseFrame(const std::string& aBytes, std::size_t aOffset)
 {
-  frame parsed;
-  std::size_t remaining = aBytes.size() - aOffset;
-  bool isZeroFilled =
-    std::all_of(aBytes.begin() + static_cast<std::ptrdiff_t>(aOffset),
-                aBytes.end(),
-                [](char aByte) { return aByte == '\0'; });
-  // A file whose size was written before its data ends in zeros.
-  if (remaining < sizeof(frame_header) || isZeroFilled) {
-    parsed.mState = frame_state::Torn;
-    return parsed;
-  }
   frame_header header;
+  if (aBytes.size() < aOffset + sizeof header) {
+    return std::nullopt;
+  }
   std::memcpy(&header, aBytes.data() + aOffset, sizeof header);
+  std::size_t start = aOffset + sizeof header;
   bool isHeaderValid = header.mMagic == kMagic &&
                        header.mHeaderHash == HashHeader(header) &&
                        header.mLength <= kMaxPayloadBytes;
-  if (!isHeaderValid) {
-    return parsed;
-  }
-  std::size_t start = aOffset + sizeof header;
-  parsed.mEnd = start + header.mLength;
-  if (parsed.mEnd > aBytes.size()) {
-    parsed.mState = frame_state::Torn;
-    return parsed;
+  if (!isHeaderValid || aBytes.size() - start < header.mLength) {
+    return std::nullopt;
   }
-  parsed.mPayload = aBytes.substr(start, header.mLength);
   bool isPayloadValid =
-    XXH3_64bits(parsed.mPayload.data(), parsed.mPayload.size()) ==
-    header.mPayloadHash;
-  bool isLast = parsed.mEnd == aBytes.size();
-  if (isPayloadValid) {
-    parsed.mState = frame_state::Complete;
-  } else if (isLast) {
-    parsed.mState = frame_state::Torn;
+    XXH3_64bits(aBytes.data() + start, header.mLength) == header.mPayloadHash;
+  if (!isPayloadValid) {
+    return std::nullopt;
+  }
+  return frame{ aBytes.substr(start, header.mLength), start + header.mLength };
+}
+
+bool
+HasFrameAfter(const std::string& aBytes, std::size_t aOffset)
+{
+  std::string magic(sizeof kMagic, '\0');
+  std::memcpy(magic.data(), &kMagic, sizeof kMagic);
+  std::size_t found = aBytes.find(magic, aOffset + 1);
+  while (found != std::string::npos) {
+    if (ParseFrame(aBytes, found)) {
+      return true;
+    }
+    found = aBytes.find(magic, found + 1);
   }
-  return parsed;
+  return false;
 }
 
 }
--- a/drivers/synced_file.h
+++ b/drivers/synced_file.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <optional>
 #include <string>
 
 namespace hibiscusspool {
@@ -36,18 +37,9 @@
 result<void, file_error>
 AppendAndSync(int aFile, const std::string& aBytes);
 
-enum class frame_state
-{
-  Complete,
-  /** The file ends before the frame does. */
-  Torn,
-  Corrupt,
-};
-
 /** A sequence of bytes in a file, protected by checksums. */
 struct frame
 {
-  frame_state mState = frame_state::Corrupt;
   std::string mPayload;
   /** Offset of the byte after the frame. */
   std::size_t mEnd = 0;
@@ -57,8 +49,13 @@
 std::string
 MakeFrame(const std::string& aPayload);
 
-/** Reads the frame at an offset. */
-frame
+/** Reads the frame at an offset; nothing if the bytes there are not one complete
+ * frame. */
+std::optional<frame>
 ParseFrame(const std::string& aBytes, std::size_t aOffset);
 
+/** True if a complete frame starts anywhere after an offset. */
+bool
+HasFrameAfter(const std::string& aBytes, std::size_t aOffset);
+
 }
--- a/tests/drivers/raft_storage_test.cpp
+++ b/tests/drivers/raft_storage_test.cpp
@@ -179,7 +179,7 @@
   }
   auto path = mFolder / "log-1";
   std::string complete = ReadWholeFile(path).value();
-  std::size_t firstEnd = ParseFrame(complete, 0).mEnd;
+  std::size_t firstEnd = ParseFrame(complete, 0)->mEnd;
   for (std::size_t cut = firstEnd; cut < complete.size(); ++cut) {
     std::ofstream(path, std::ios::binary) << complete.substr(0, cut);
     auto storage = raft_storage::Create(mFolder, "a");
--- a/tests/fuzz/fuzz_input.cpp
+++ b/tests/fuzz/fuzz_input.cpp
@@ -36,13 +36,10 @@
 TestFrames(const std::string& aBytes)
 {
   std::size_t offset = 0;
-  while (offset < aBytes.size()) {
-    frame next = ParseFrame(aBytes, offset);
-    if (next.mState != frame_state::Complete) {
-      return;
-    }
-    offset = next.mEnd;
+  while (auto next = ParseFrame(aBytes, offset)) {
+    offset = next->mEnd;
   }
+  HasFrameAfter(aBytes, offset);
 }
 
 /** Checks that a subquery that can be read survives encoding. */
