Sync the cut of a torn last write

A control host that had cut a torn write at a start and lost power again could find the old bytes back, now in a segment that is no longer the last: "log-1 at offset 183 is corrupt", code 1 at every start. The cut before a new segment was not synced either.

--- a/drivers/data_folder.cpp
+++ b/drivers/data_folder.cpp
@@ -127,10 +127,22 @@
 data_folder::Resize(const std::string& aName, std::uint64_t aSize) const
 {
   std::filesystem::path path = mPath / aName;
-  if (truncate(path.c_str(), static_cast<off_t>(aSize)) != 0) {
+  int file = open(path.c_str(), O_WRONLY | O_CLOEXEC);
+  if (file < 0) {
+    return FailWithErrno(file_error::CannotWrite, path);
+  }
+  bool isResized = ftruncate(file, static_cast<off_t>(aSize)) == 0;
+  if (isResized) {
+    Report({ file_operation_kind::Resized, aName, {}, aSize, {} });
+  }
+  bool isSynced = isResized && fdatasync(file) == 0;
+  int cause = errno;
+  close(file);
+  if (!isSynced) {
+    errno = cause;
     return FailWithErrno(file_error::CannotWrite, path);
   }
-  Report({ file_operation_kind::Resized, aName, {}, aSize, {} });
+  Report({ file_operation_kind::Synced, aName, {}, 0, {} });
   return boost::outcome_v2::success();
 }
 
--- a/drivers/data_folder.h
+++ b/drivers/data_folder.h
@@ -93,7 +93,8 @@
                                                 const std::string& aName,
                                                 std::uint64_t aSize,
                                                 const std::string& aBytes) const;
-  /** Sets a file's size. */
+  /** Sets a file's size and syncs it: otherwise the bytes that were cut off may
+   * return after a loss of power. */
   [[nodiscard]] result<void, file_error> Resize(const std::string& aName,
                                                 std::uint64_t aSize) const;
   /** Replaces a file by one with these bytes: writes and syncs a new file,
