--- a/drivers/raft_storage.cpp
+++ b/drivers/raft_storage.cpp
@@ -162,6 +162,7 @@
 raft_storage::LoadSegments()
 {
   std::vector<std::uint64_t> numbers = mFolder.Numbers(kSegmentPrefix);
+  numbers.erase(numbers.begin(), FirstNeededSegment(numbers));
   for (std::uint64_t number : numbers) {
     auto loaded = LoadSegment(number, number == numbers.back());
     if (!loaded) {
@@ -181,6 +182,24 @@
   return boost::outcome_v2::success();
 }
 
+std::vector<std::uint64_t>::const_iterator
+raft_storage::FirstNeededSegment(
+  const std::vector<std::uint64_t>& aNumbers) const
+{
+  for (auto number = aNumbers.end(); number != aNumbers.begin();) {
+    --number;
+    auto bytes = mFolder.Read(SegmentName(*number));
+    auto first = bytes ? ParseFrame(bytes.value(), 0) : std::nullopt;
+    wire::DiskBatch batch;
+    bool replacesOlder = first && batch.ParseFromString(first->mPayload) &&
+                         batch.follows_snapshot() != 0;
+    if (replacesOlder) {
+      return number;
+    }
+  }
+  return aNumbers.begin();
+}
+
 result<void, storage_error>
 raft_storage::LoadSegment(std::uint64_t aNumber, bool aIsLast)
 {
@@ -329,6 +348,7 @@
     return started.error();
   }
   wire::DiskBatch batch;
+  batch.set_follows_snapshot(aSnapshot.mIndex);
   WriteHardState(aHardState, *batch.mutable_hard_state());
   for (const raft_entry& entry : aTail) {
     WriteEntry(entry, *batch.add_entries());
--- a/drivers/raft_storage.h
+++ b/drivers/raft_storage.h
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace hibiscusspool {
 
@@ -57,6 +58,10 @@
   result<void, storage_error> LoadDiskId();
   result<void, storage_error> LoadSnapshot();
   result<void, storage_error> LoadSegments();
+  /** The newest segment that begins with the log after a snapshot, or the first
+   * one. Removed segments before it may have returned after a loss of power. */
+  [[nodiscard]] std::vector<std::uint64_t>::const_iterator FirstNeededSegment(
+    const std::vector<std::uint64_t>& aNumbers) const;
   result<void, storage_error> LoadSegment(std::uint64_t aNumber, bool aIsLast);
   void ApplyBatch(const std::string& aBatch);
   result<void, storage_error> CutTornTail();
--- a/tests/drivers/raft_storage_crash_test.cpp
+++ b/tests/drivers/raft_storage_crash_test.cpp
@@ -198,7 +198,7 @@
   void LosePower(const std::vector<storage_step>& aSteps)
   {
     constexpr std::size_t kStatesOnce = 300;
-    constexpr std::size_t kStatesTwice = 6;
+    constexpr std::size_t kStatesTwice = 12;
     Play({}, {}, aSteps, [&](const crash_disk& aDisk,
                              const member_state& aHeld,
                              const member_state& aNext) {
