--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -336,10 +336,11 @@
       .Add("index", aSnapshot.mIndex);
     return false;
   }
-  // The log tail is persisted with the actions that follow; the hard state is
-  // stored here so that the vote is not lost.
+  // Storing a snapshot drops the old log, so all of it that is still needed is
+  // stored here: the vote, and the entries after the snapshot.
   if (!RetryUntilWritten([&] {
-        return mHooks.mStoreSnapshot(aSnapshot, mNode.HardState(), {});
+        return mHooks.mStoreSnapshot(
+          aSnapshot, mNode.HardState(), mNode.Log());
       })) {
     return false;
   }
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -244,7 +244,7 @@
   /** This host and those that replied within the last election time-out. */
   [[nodiscard]] std::set<host_id> ActiveHosts(steady_time aNow) const;
   [[nodiscard]] std::uint64_t HeartbeatRound() const { return mRound; }
-  /** The log after the snapshot, for tests. */
+  /** The log after the snapshot. */
   [[nodiscard]] const std::deque<raft_entry>& Log() const { return mLog; }
 };
 
--- a/tests/controllers/control_group_test.cpp
+++ b/tests/controllers/control_group_test.cpp
@@ -24,6 +24,8 @@
   std::mutex mLock;
   std::condition_variable mSent;
   std::vector<raft_message> mMessages;
+  /** The log after each stored snapshot. */
+  std::vector<std::deque<raft_entry>> mStoredTails;
   std::unique_ptr<control_group> mGroup;
   std::thread mThread;
   std::atomic<bool> mHasEndedNormally{ false };
@@ -79,9 +81,12 @@
       }
       return true;
     };
-    hooks.mStoreSnapshot = [](const raft_snapshot& /*aSnapshot*/,
-                              const raft_hard_state& /*aHardState*/,
-                              const std::deque<raft_entry>& /*aTail*/) {
+    hooks.mStoreSnapshot = [this](const raft_snapshot& /*aSnapshot*/,
+                                  const raft_hard_state& /*aHardState*/,
+                                  const std::deque<raft_entry>& aTail) {
+      std::lock_guard guard(mLock);
+      mStoredTails.push_back(aTail);
+      mSent.notify_all();
       return true;
     };
     hooks.mSend = [this](std::vector<raft_message> aMessages) {
@@ -169,3 +174,30 @@
   CHECK(group.Propose() == propose_status::Applied);
   CHECK(!group.mHasEndedNormally);
 }
+
+TEST(control_group, EntriesAfterAnInstalledSnapshotAreStoredWithIt)
+{
+  running_group group({ "a", "b", "c" }, [] { return steady_time{}; });
+  raft_message append;
+  append.mKind = raft_message_kind::Append;
+  append.mFrom = group.mVoters[1].mId;
+  append.mTo = group.mVoters[0].mId;
+  append.mTerm = 2;
+  for (log_index index = 1; index <= 5; ++index) {
+    append.mEntries.push_back({ 2, index, "command", std::nullopt });
+  }
+  raft_message install = append;
+  install.mKind = raft_message_kind::Snapshot;
+  install.mEntries.clear();
+  install.mSnapshot = raft_snapshot{ 3, 2, group.mVoters, "state" };
+  group.mGroup->Receive({ append });
+  CHECK(group.WaitForMessage(raft_message_kind::AppendReply));
+  group.mGroup->Receive({ install });
+  std::unique_lock guard(group.mLock);
+  CHECK(group.mSent.wait_for(guard, kReactionTimeout, [&] {
+    return !group.mStoredTails.empty();
+  }));
+  // The member has acknowledged these, and the old log is dropped.
+  LONGS_EQUAL(2, group.mStoredTails.front().size());
+  LONGS_EQUAL(4, group.mStoredTails.front().front().mIndex);
+}
