Wait at the start for a disk that refuses to be read or written

A control host that was started while its disk was full or failing ended with code 1, again at every restart, and left the group one host short without a word to its callers. It now stays up, logs start_waits_for_disk with the cause once, and tries again every 500 ms; SIGTERM ends it with code 0. A damaged folder still ends the start: its operator decides.

--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -49,6 +49,14 @@
   return text.str();
 }
 
+role_error
+ToRoleError(storage_error aError)
+{
+  bool isDamaged =
+    aError == storage_error::Corrupt || aError == storage_error::Locked;
+  return isDamaged ? role_error::DiskFailed : role_error::DiskUnavailable;
+}
+
 /** The hosts of the group's voters, sorted. */
 std::vector<control_host>
 VotersOf(const control_group_status& aStatus,
@@ -108,12 +116,12 @@
   std::filesystem::path folder(aSettings.mControlDataFolder);
   auto storage = raft_storage::Create(folder / "log", RandomHex(4));
   if (!storage) {
-    return Fail(role_error::DiskFailed, storage.error().mDetail);
+    return Fail(ToRoleError(storage.error().mCode), storage.error().mDetail);
   }
   auto refusals =
     refusal_store::Create(folder / "refusals", aSettings.mControlRefusalDays);
   if (!refusals) {
-    return Fail(role_error::DiskFailed, refusals.error().mDetail);
+    return Fail(role_error::DiskUnavailable, refusals.error().mDetail);
   }
   auto client =
     control_client::Create(aContext.get_executor(), ControlHosts(aSettings));
--- a/main/role_error.h
+++ b/main/role_error.h
@@ -8,15 +8,19 @@
 enum class role_error
 {
   BadSettings,
+  /** The data folder is damaged or in use. */
   DiskFailed,
+  /** The disk refused to be read or written, which may pass. */
+  DiskUnavailable,
   CannotListen,
   CannotStart,
 };
 
 template<>
-inline constexpr name_table<role_error, 4> kNames<role_error>{ {
+inline constexpr name_table<role_error, 5> kNames<role_error>{ {
   { role_error::BadSettings, "bad_settings" },
   { role_error::DiskFailed, "disk_failed" },
+  { role_error::DiskUnavailable, "disk_unavailable" },
   { role_error::CannotListen, "cannot_listen" },
   { role_error::CannotStart, "cannot_start" },
 } };
--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -25,6 +25,9 @@
 /** Threads for all work other than callers' requests. */
 constexpr int kBackgroundThreads = 2;
 
+/** Time between attempts to open a data folder that the disk refuses. */
+constexpr milliseconds kDiskRetryInterval{ 500 };
+
 /** Lets the main thread wait for the shutdown. */
 struct shutdown_event
 {
@@ -41,6 +44,12 @@
     mChanged.notify_all();
   }
 
+  bool IsStopping()
+  {
+    std::lock_guard guard(mLock);
+    return mIsStopping;
+  }
+
   bool Wait()
   {
     std::unique_lock guard(mLock);
@@ -92,6 +101,36 @@
   std::unique_ptr<entry_role> mEntry;
 };
 
+using control_result = result<std::unique_ptr<control_role>, role_error>;
+
+/** Creates the control role. While the disk is full or fails, tries again until
+ * the process is stopped: a host that ends is restarted only to end again. */
+control_result
+CreateControl(asio::io_context& aContext,
+              const settings& aSettings,
+              shutdown_event& aShutdown)
+{
+  std::string lastCause;
+  while (true) {
+    auto control = control_role::Create(
+      aContext, aSettings, [&aShutdown] { aShutdown.Set(true); });
+    bool mayPass =
+      !control && control.error().mCode == role_error::DiskUnavailable;
+    if (!mayPass) {
+      return control;
+    }
+    if (control.error().mDetail != lastCause) {
+      lastCause = control.error().mDetail;
+      log_event("start_waits_for_disk", log_event::severity::Error)
+        .Add("cause", lastCause);
+    }
+    aContext.run_for(kDiskRetryInterval);
+    if (aShutdown.IsStopping()) {
+      return control;
+    }
+  }
+}
+
 bool
 StartRoles(asio::io_context& aContext,
            const settings& aSettings,
@@ -105,8 +144,10 @@
     return false;
   };
   if (aSettings.IsControl()) {
-    auto control = control_role::Create(
-      aContext, aSettings, [&aShutdown] { aShutdown.Set(true); });
+    auto control = CreateControl(aContext, aSettings, aShutdown);
+    if (!control && aShutdown.IsStopping()) {
+      return false;
+    }
     if (!control) {
       return report(control.error());
     }
@@ -150,7 +191,8 @@
       .Add("control", aSettings.mControlAddress);
   }
 
-  bool isClean = isStarted && shutdown.Wait();
+  bool isStopped = isStarted || shutdown.IsStopping();
+  bool isClean = isStopped && shutdown.Wait();
   if (running.mEntry != nullptr) {
     running.mEntry->Stop();
   }
--- a/tests/integration/control_side_test.cpp
+++ b/tests/integration/control_side_test.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <fstream>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -283,6 +284,30 @@
   LONGS_EQUAL(1, system.StopProcess("c1", 0));
 }
 
+TEST(control_side, AControlHostWaitsForADiskThatRefusesItsStart)
+{
+  system_options options;
+  options.mControlHosts = 1;
+  options.mEntryHosts = 1;
+  test_system system(options);
+  // A file in the folder's place refuses it, as a full disk would.
+  auto blocked = system.Folder() / "data-c1";
+  std::ofstream(blocked) << "not a folder";
+  system.Start("c1");
+  std::this_thread::sleep_for(milliseconds(1500));
+  std::filesystem::remove(blocked);
+  CHECK(WaitFor([&] {
+    return system.Put("/v1/templates/one", R"({"services":"a"})").mStatus ==
+           200;
+  }));
+  LONGS_EQUAL(0, system.StopProcess("c1", SIGTERM));
+  std::filesystem::remove_all(blocked);
+  std::ofstream(blocked) << "not a folder";
+  system.Start("c1");
+  std::this_thread::sleep_for(milliseconds(1000));
+  LONGS_EQUAL(0, system.StopProcess("c1", SIGTERM));
+}
+
 TEST(control_side, AnnouncementsOutOfRangeOrWithAUsedAddressAreRefused)
 {
   system_options options;
