Keep the old log segment until a new one is durable

A control host whose new log segment could not be opened (a full disk) had closed the old one before: every later write failed with EBADF, also once the disk had room again, and the host stayed stalled until it was restarted. The old segment stays open now. As the new one may be left empty behind it, the last segment that holds anything counts as the last.

Both tests failed before: WritesOnWhenANewSegmentCanNotBeStarted at Persist(4), CutsATornTailBeforeAnEmptySegment at the start.

--- a/drivers/data_folder.cpp
+++ b/drivers/data_folder.cpp
@@ -83,6 +83,14 @@
   return std::filesystem::exists(mPath / aName, problem);
 }
 
+std::uint64_t
+data_folder::Size(const std::string& aName) const
+{
+  std::error_code problem;
+  std::uint64_t size = std::filesystem::file_size(mPath / aName, problem);
+  return problem ? 0 : size;
+}
+
 result<std::string, file_error>
 data_folder::Read(const std::string& aName) const
 {
--- a/drivers/data_folder.h
+++ b/drivers/data_folder.h
@@ -81,6 +81,8 @@
   [[nodiscard]] std::vector<std::uint64_t> Numbers(
     const std::string& aPrefix) const;
   [[nodiscard]] bool Contains(const std::string& aName) const;
+  /** A file's size in bytes; 0 if it can't be read. */
+  [[nodiscard]] std::uint64_t Size(const std::string& aName) const;
   [[nodiscard]] result<std::string, file_error> Read(
     const std::string& aName) const;
 
--- a/drivers/raft_storage.cpp
+++ b/drivers/raft_storage.cpp
@@ -163,12 +163,16 @@
 {
   std::vector<std::uint64_t> numbers = mFolder.Numbers(kSegmentPrefix);
   numbers.erase(numbers.begin(), FirstNeededSegment(numbers));
+  mSegmentNumber = numbers.empty() ? 0 : numbers.back();
+  // Segments in which nothing was written.
+  while (!numbers.empty() && mFolder.Size(SegmentName(numbers.back())) == 0) {
+    numbers.pop_back();
+  }
   for (std::uint64_t number : numbers) {
     auto loaded = LoadSegment(number, number == numbers.back());
     if (!loaded) {
       return loaded.error();
     }
-    mSegmentNumber = number;
   }
   log_index expected = mPersisted.mSnapshot.mIndex + 1;
   for (const raft_entry& entry : mPersisted.mEntries) {
@@ -273,26 +277,27 @@
 result<void, storage_error>
 raft_storage::StartSegment()
 {
-  if (mSegmentFile >= 0) {
-    // Only the last segment may end in an incomplete batch.
-    auto truncated = CutTornTail();
-    if (!truncated) {
-      return truncated.error();
-    }
-    close(mSegmentFile);
-    mSegmentFile = -1;
+  // Only the last segment that holds anything may end in a damaged batch.
+  auto truncated = CutTornTail();
+  if (!truncated) {
+    return truncated.error();
   }
-  ++mSegmentNumber;
-  mSegmentBytes = 0;
-  auto file = mFolder.OpenForAppend(SegmentName(mSegmentNumber));
+  auto file = mFolder.OpenForAppend(SegmentName(mSegmentNumber + 1));
   if (!file) {
     return ToStorageError(file.error());
   }
-  mSegmentFile = file.value();
   auto synced = mFolder.Sync();
   if (!synced) {
+    // Batches go to the old segment until a new one is durable.
+    close(file.value());
     return ToStorageError(synced.error());
   }
+  if (mSegmentFile >= 0) {
+    close(mSegmentFile);
+  }
+  mSegmentFile = file.value();
+  ++mSegmentNumber;
+  mSegmentBytes = 0;
   return boost::outcome_v2::success();
 }
 
--- a/tests/drivers/raft_storage_test.cpp
+++ b/tests/drivers/raft_storage_test.cpp
@@ -141,6 +141,38 @@
   LONGS_EQUAL(6, kept.mEntries.size());
 }
 
+TEST(raft_storage, WritesOnWhenANewSegmentCanNotBeStarted)
+{
+  raft_snapshot snapshot;
+  snapshot.mIndex = 3;
+  snapshot.mTerm = 1;
+  {
+    auto storage = raft_storage::Create(mFolder, "a");
+    storage.value().Persist(Entries(1, 3, 1)).value();
+    // A folder in the segment's place.
+    std::filesystem::create_directory(mFolder / "log-2");
+    CHECK(!storage.value().StoreSnapshot(snapshot, { 1, {} }, {}).has_value());
+    CHECK(storage.value().Persist(Entries(4, 4, 1)).has_value());
+    std::filesystem::remove(mFolder / "log-2");
+    CHECK(storage.value().Persist(Entries(5, 5, 1)).has_value());
+  }
+  auto storage = raft_storage::Create(mFolder, "a");
+  LONGS_EQUAL(2, storage.value().TakePersisted().mEntries.size());
+}
+
+TEST(raft_storage, CutsATornTailBeforeAnEmptySegment)
+{
+  {
+    auto storage = raft_storage::Create(mFolder, "a");
+    storage.value().Persist(Entries(1, 3, 1)).value();
+  }
+  std::ofstream(mFolder / "log-1", std::ios::app) << "half";
+  std::ofstream(mFolder / "log-2").close();
+  auto storage = raft_storage::Create(mFolder, "a");
+  CHECK(storage.has_value());
+  LONGS_EQUAL(3, storage.value().TakePersisted().mEntries.size());
+}
+
 TEST(raft_storage, LocksOutASecondProcess)
 {
   auto first = raft_storage::Create(mFolder, "a");
