Log what a control host finds in its data folder

A start said nothing of the segments, entries and term it read, and an entry that can't be decoded was skipped without a line, so that a log that was refused, one that lost entries and one that holds undecodable ones looked alike. log_opened and entry_undecodable tell them apart; a batch whose checksums match but that can't be parsed is now corruption in place of an empty batch.

--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -359,6 +359,12 @@
   std::optional<change_command> command;
   if (!aEntry.mPayload.empty()) {
     command = mHooks.mDecodeCommand(aEntry.mPayload);
+    if (!command) {
+      log_event("entry_undecodable", log_event::severity::Error)
+        .Add("index", aEntry.mIndex)
+        .Add("term", aEntry.mTerm)
+        .Add("bytes", aEntry.mPayload.size());
+    }
   }
   {
     std::lock_guard guard(mStateLock);
--- a/drivers/raft_storage.cpp
+++ b/drivers/raft_storage.cpp
@@ -90,6 +90,7 @@
       return done.error();
     }
   }
+  storage.LogOpened();
   return storage;
 }
 
@@ -215,14 +216,14 @@
   }
   std::size_t offset = 0;
   while (offset < bytes.value().size()) {
-    if (auto found = ParseFrame(bytes.value(), offset)) {
-      ApplyBatch(found->mPayload);
+    auto found = ParseFrame(bytes.value(), offset);
+    if (found && ApplyBatch(found->mPayload)) {
       offset = found->mEnd;
       continue;
     }
     // A batch is written only after the one before it was synced, so a damaged
     // batch that none follows is the last one, which was never acknowledged.
-    if (aIsLast && !HasFrameAfter(bytes.value(), offset)) {
+    if (!found && aIsLast && !HasFrameAfter(bytes.value(), offset)) {
       log_event("torn_tail_cut", log_event::severity::Warning)
         .Add("file", path)
         .Add("offset", offset)
@@ -240,11 +241,13 @@
   return boost::outcome_v2::success();
 }
 
-void
+bool
 raft_storage::ApplyBatch(const std::string& aBatch)
 {
   wire::DiskBatch batch;
-  batch.ParseFromString(aBatch);
+  if (!batch.ParseFromString(aBatch)) {
+    return false;
+  }
   if (batch.has_hard_state()) {
     mPersisted.mHardState = ReadHardState(batch.hard_state());
   }
@@ -258,6 +261,19 @@
       entries.push_back(std::move(entry));
     }
   }
+  return true;
+}
+
+void
+raft_storage::LogOpened() const
+{
+  log_event("log_opened")
+    .Add("folder", mFolder.Path().string())
+    .Add("disk", mDiskId.mValue)
+    .Add("segment", mSegmentNumber)
+    .Add("snapshot", mPersisted.mSnapshot.mIndex)
+    .Add("entries", mPersisted.mEntries.size())
+    .Add("term", mPersisted.mHardState.mTerm);
 }
 
 result<void, storage_error>
--- a/drivers/raft_storage.h
+++ b/drivers/raft_storage.h
@@ -63,7 +63,9 @@
   [[nodiscard]] std::vector<std::uint64_t>::const_iterator FirstNeededSegment(
     const std::vector<std::uint64_t>& aNumbers) const;
   result<void, storage_error> LoadSegment(std::uint64_t aNumber, bool aIsLast);
-  void ApplyBatch(const std::string& aBatch);
+  /** Applies a batch to `mPersisted`; false if it can't be decoded. */
+  bool ApplyBatch(const std::string& aBatch);
+  void LogOpened() const;
   result<void, storage_error> CutTornTail();
   result<void, storage_error> StartSegment();
   result<void, storage_error> WriteBatch(const std::string& aBatch);
