--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -120,7 +120,7 @@
   mQueueChanged.notify_one();
 }
 
-result<void, group_error>
+void
 control_group::Run()
 {
   while (true) {
@@ -143,14 +143,10 @@
     mNode.Tick(now);
     TransferIfDomainOut(now);
     RetryReads(now);
-    bool isExecuted = ExecuteActions(mNode.TakeActions());
-    if (!isExecuted && IsStopping()) {
+    if (!ExecuteActions(mNode.TakeActions())) {
       break;
     }
-    if (!isExecuted) {
-      return Fail(group_error::BadSnapshot,
-                  "The snapshot sent by the leader can't be decoded.");
-    }
+    mReceivedStates.clear();
     CompactIfDue();
     bool roleChanged = UpdateRole();
     UpdateStatus();
@@ -159,7 +155,6 @@
     }
   }
   FailPendingOnStop();
-  return boost::outcome_v2::success();
 }
 
 void
@@ -212,10 +207,32 @@
 control_group::Handle(receive_event& aEvent, steady_time aNow)
 {
   for (const raft_message& message : aEvent.mMessages) {
-    mNode.Step(message, aNow);
+    // A snapshot replaces the log, so one that can't be used must not get
+    // there.
+    if (IsDecodable(message)) {
+      mNode.Step(message, aNow);
+    }
   }
 }
 
+bool
+control_group::IsDecodable(const raft_message& aMessage)
+{
+  if (!aMessage.mSnapshot) {
+    return true;
+  }
+  auto state = mHooks.mDecodeState(aMessage.mSnapshot->mState);
+  if (!state) {
+    log_event("snapshot_refused", log_event::severity::Error)
+      .Add("index", aMessage.mSnapshot->mIndex)
+      .Add("from", aMessage.mFrom.mHost.mValue);
+    return false;
+  }
+  mReceivedStates.insert_or_assign(aMessage.mSnapshot->mIndex,
+                                   std::move(*state));
+  return true;
+}
+
 void
 control_group::Handle(read_event& aEvent, steady_time aNow)
 {
@@ -236,13 +253,6 @@
   mNode.TransferLeadership({}, aNow);
 }
 
-bool
-control_group::IsStopping()
-{
-  std::lock_guard guard(mQueueLock);
-  return mIsStopping;
-}
-
 void
 control_group::BeginStall()
 {
@@ -330,23 +340,16 @@
 bool
 control_group::InstallSnapshot(const raft_snapshot& aSnapshot)
 {
-  auto state = mHooks.mDecodeState(aSnapshot.mState);
-  if (!state) {
-    log_event("snapshot_refused", log_event::severity::Error)
-      .Add("index", aSnapshot.mIndex);
-    return false;
-  }
   // Storing a snapshot drops the old log, so all of it that is still needed is
   // stored here: the vote, and the entries after the snapshot.
   if (!RetryUntilWritten([&] {
-        return mHooks.mStoreSnapshot(
-          aSnapshot, mNode.HardState(), mNode.Log());
+        return mHooks.mStoreSnapshot(aSnapshot, mNode.HardState(), mNode.Log());
       })) {
     return false;
   }
   {
     std::lock_guard guard(mStateLock);
-    mState = std::move(*state);
+    mState = std::move(mReceivedStates.at(aSnapshot.mIndex));
   }
   mHooks.mOnStateReplaced(aSnapshot.mIndex);
   return true;
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -101,13 +101,11 @@
 enum class group_error
 {
   BadStart,
-  BadSnapshot,
 };
 
 template<>
-inline constexpr name_table<group_error, 2> kNames<group_error>{ {
+inline constexpr name_table<group_error, 1> kNames<group_error>{ {
   { group_error::BadStart, "bad_start" },
-  { group_error::BadSnapshot, "bad_snapshot" },
 } };
 
 /**
@@ -175,6 +173,8 @@
   std::multimap<log_index, read_callback> mConfirmedReads;
   /** Proposals of claims that another attempt holds, by claim name. */
   std::multimap<std::string, propose_callback> mClaimWaiters;
+  /** States of the snapshots in the events at hand, by index. */
+  std::map<log_index, control_state> mReceivedStates;
   std::uint64_t mNextToken = 1;
   /** The leader to which the pending reads were sent. */
   raft_peer_id mReadLeader;
@@ -192,11 +192,13 @@
   void Handle(read_event& aEvent, steady_time aNow);
   void Handle(bootstrap_event& aEvent, steady_time aNow);
   void Handle(transfer_event& aEvent, steady_time aNow);
-  bool IsStopping();
   void BeginStall();
   /** Retries until the write succeeds; false if the group is stopped. */
   bool RetryUntilWritten(const std::function<bool()>& aWrite);
+  /** False if the group is stopped meanwhile. */
   bool ExecuteActions(raft_actions aActions);
+  /** Decodes the state of a snapshot message; true for other messages. */
+  bool IsDecodable(const raft_message& aMessage);
   bool InstallSnapshot(const raft_snapshot& aSnapshot);
   void Apply(const raft_entry& aEntry);
   void CompleteProposal(const raft_entry& aEntry, change_effects& aEffects);
@@ -232,11 +234,8 @@
   /** Transfers leadership to another member if this one is the leader. */
   void TransferLeadership();
 
-  /**
-   * Runs until `Stop`, and waits while the disk rejects writes. Fails if the
-   * leader sends a snapshot that can't be decoded.
-   */
-  result<void, group_error> Run();
+  /** Runs until `Stop`, and waits while the disk rejects writes. */
+  void Run();
   void Stop();
 
   [[nodiscard]] control_group_status Status() const;
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -109,9 +109,7 @@
 }
 
 result<std::unique_ptr<control_role>, role_error>
-control_role::Create(asio::io_context& aContext,
-                     const settings& aSettings,
-                     std::function<void()> aOnFailure)
+control_role::Create(asio::io_context& aContext, const settings& aSettings)
 {
   std::filesystem::path folder(aSettings.mControlDataFolder);
   auto storage = raft_storage::Create(folder / "log", RandomHex(4));
@@ -134,7 +132,7 @@
                      std::move(storage.value()),
                      std::move(refusals.value()),
                      std::move(client.value())));
-  auto group = role->SetUpGroup(std::move(aOnFailure));
+  auto group = role->SetUpGroup();
   if (!group) {
     return group.error();
   }
@@ -239,7 +237,7 @@
 }
 
 result<void, role_error>
-control_role::SetUpGroup(std::function<void()> aOnFailure)
+control_role::SetUpGroup()
 {
   control_group_config config;
   config.mRaft.mSelf = { host_id{ mSettings.mHostId }, mStorage.DiskId() };
@@ -267,15 +265,7 @@
   // The hub starts at the index of the stored snapshot: log entries up to it
   // are not published.
   mHub->ResetStreams(mGroup->Status().mApplied);
-  mGroupThread = std::thread([this, onFailure = std::move(aOnFailure)] {
-    auto ended = mGroup->Run();
-    if (!ended) {
-      mHasFailed = true;
-      log_event("control_group_failed", log_event::severity::Error)
-        .Add("cause", ended.error().mDetail);
-      onFailure();
-    }
-  });
+  mGroupThread = std::thread([this] { mGroup->Run(); });
   return boost::outcome_v2::success();
 }
 
@@ -644,7 +634,7 @@
 {
   bool isLeader = mGroup->Status().mRole == raft_role::Leader;
   bool isAlone = mGroup->Status().mPeers.size() <= 1;
-  if (isLeader && !isAlone && !mHasFailed) {
+  if (isLeader && !isAlone) {
     mGroup->TransferLeadership();
     mStopWaiter.WaitUntil(SteadyNow() + kLeadershipTransferTimeout, [this] {
       return mGroup->Status().mRole != raft_role::Leader;
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -48,7 +48,6 @@
   membership mMembership;
   std::thread mGroupThread;
   std::atomic<bool> mIsStopping{ false };
-  std::atomic<bool> mHasFailed{ false };
   std::atomic<std::uint64_t> mNextChangeNumber{ 1 };
 
   control_role(boost::asio::io_context& aContext,
@@ -57,7 +56,7 @@
                refusal_store aRefusals,
                control_client aClient);
 
-  result<void, role_error> SetUpGroup(std::function<void()> aOnFailure);
+  result<void, role_error> SetUpGroup();
   result<void, role_error> SetUpService();
   result<void, role_error> SetUpOperators();
   result<void, role_error> SetUpPlatform();
@@ -85,11 +84,10 @@
   control_role(const control_role&) = delete;
   control_role& operator=(const control_role&) = delete;
 
-  /** Creates and starts the role; `aOnFailure` is called if its group fails. */
+  /** Creates and starts the role. */
   static result<std::unique_ptr<control_role>, role_error> Create(
     boost::asio::io_context& aContext,
-    const settings& aSettings,
-    std::function<void()> aOnFailure);
+    const settings& aSettings);
 
   /** Transfers leadership and stops; blocks until stopped. */
   void Stop();
--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -34,13 +34,11 @@
   std::mutex mLock;
   std::condition_variable mChanged;
   bool mIsStopping = false;
-  bool mHasFailed = false;
 
-  void Set(bool aHasFailed)
+  void Set()
   {
     std::lock_guard guard(mLock);
     mIsStopping = true;
-    mHasFailed = mHasFailed || aHasFailed;
     mChanged.notify_all();
   }
 
@@ -50,11 +48,10 @@
     return mIsStopping;
   }
 
-  bool Wait()
+  void Wait()
   {
     std::unique_lock guard(mLock);
     mChanged.wait(guard, [&] { return mIsStopping; });
-    return !mHasFailed;
   }
 };
 
@@ -89,7 +86,7 @@
     if (aSignal == SIGHUP) {
       Reload(aPath);
     } else {
-      aShutdown.Set(false);
+      aShutdown.Set();
     }
     AwaitSignals(aSignals, aPath, aShutdown);
   });
@@ -112,8 +109,7 @@
 {
   std::string lastCause;
   while (true) {
-    auto control = control_role::Create(
-      aContext, aSettings, [&aShutdown] { aShutdown.Set(true); });
+    auto control = control_role::Create(aContext, aSettings);
     bool mayPass =
       !control && control.error().mCode == role_error::DiskUnavailable;
     if (!mayPass) {
@@ -191,8 +187,10 @@
       .Add("control", aSettings.mControlAddress);
   }
 
-  bool isStopped = isStarted || shutdown.IsStopping();
-  bool isClean = isStopped && shutdown.Wait();
+  bool isClean = isStarted || shutdown.IsStopping();
+  if (isClean) {
+    shutdown.Wait();
+  }
   if (running.mEntry != nullptr) {
     running.mEntry->Stop();
   }
--- a/tests/controllers/control_group_test.cpp
+++ b/tests/controllers/control_group_test.cpp
@@ -14,6 +14,8 @@
  * frozen clock defers retries. */
 constexpr std::chrono::seconds kReactionTimeout{ 5 };
 
+const std::string kUndecodable = "undecodable";
+
 /** A group on its own thread, with hooks that record the messages it sends. */
 struct running_group
 {
@@ -46,8 +48,10 @@
     mGroup = std::move(
       control_group::Create(std::move(config), Hooks(), persisted, mNow())
         .value());
-    mThread =
-      std::thread([this] { mHasEndedNormally = mGroup->Run().has_value(); });
+    mThread = std::thread([this] {
+      mGroup->Run();
+      mHasEndedNormally = true;
+    });
   }
 
   ~running_group()
@@ -70,8 +74,10 @@
     hooks.mEncodeState = [](const control_state& /*aState*/) {
       return std::string();
     };
-    hooks.mDecodeState = [](const std::string& /*aBytes*/) {
-      return std::optional<control_state>(control_state({}));
+    hooks.mDecodeState = [](const std::string& aBytes) {
+      return aBytes == kUndecodable
+               ? std::nullopt
+               : std::optional<control_state>(control_state({}));
     };
     hooks.mPersist = [this](const raft_actions& aActions) {
       bool isWrite = aActions.mHardState || !aActions.mAppend.empty();
@@ -194,10 +200,29 @@
   CHECK(group.WaitForMessage(raft_message_kind::AppendReply));
   group.mGroup->Receive({ install });
   std::unique_lock guard(group.mLock);
-  CHECK(group.mSent.wait_for(guard, kReactionTimeout, [&] {
-    return !group.mStoredTails.empty();
-  }));
+  CHECK(group.mSent.wait_for(
+    guard, kReactionTimeout, [&] { return !group.mStoredTails.empty(); }));
   // The member has acknowledged these, and the old log is dropped.
   LONGS_EQUAL(2, group.mStoredTails.front().size());
   LONGS_EQUAL(4, group.mStoredTails.front().front().mIndex);
 }
+
+TEST(control_group, ASnapshotThatCanNotBeDecodedDoesNotEndTheGroup)
+{
+  running_group group({ "a", "b", "c" }, [] { return steady_time{}; });
+  raft_message install;
+  install.mKind = raft_message_kind::Snapshot;
+  install.mFrom = group.mVoters[1].mId;
+  install.mTo = group.mVoters[0].mId;
+  install.mTerm = 2;
+  install.mSnapshot = raft_snapshot{ 3, 2, group.mVoters, kUndecodable };
+  raft_message append = install;
+  append.mKind = raft_message_kind::Append;
+  append.mSnapshot.reset();
+  append.mEntries.push_back({ 2, 1, "command", std::nullopt });
+  group.mGroup->Receive({ install });
+  group.mGroup->Receive({ append });
+  CHECK(group.WaitForMessage(raft_message_kind::AppendReply));
+  LONGS_EQUAL(0, group.mGroup->Status().mApplied);
+  CHECK(group.mStoredTails.empty());
+}
