Refuse numbers out of range in heartbeats and configurations

A heartbeat with 2^32 + 1 slots was taken for one slot, a start time past 2^63 for a negative one, and a configuration with a time of 1e300 ms or 5e9 attempts was confirmed with whatever the conversion gave, which differs between x86-64 and arm64. Each number has a maximum now, and beyond it the body is refused with the field and the range.

--- a/messages/json_reader.cpp
+++ b/messages/json_reader.cpp
@@ -118,15 +118,17 @@
 }
 
 double
-json_reader::Decimal(const std::string& aKey)
+json_reader::Decimal(const std::string& aKey, double aMax)
 {
   const json::value* found = Find(aKey, true);
   if (found == nullptr) {
     return 0;
   }
   double number = found->is_number() ? found->to_number<double>() : -1;
-  if (!std::isfinite(number) || number < 0) {
-    FailAt(json_error::OutOfRange, aKey, "must be a number of 0 or more.");
+  if (!std::isfinite(number) || number < 0 || number > aMax) {
+    std::ostringstream allowed;
+    allowed << "must be a number from 0 to " << aMax << ".";
+    FailAt(json_error::OutOfRange, aKey, allowed.str());
     return 0;
   }
   return number;
--- a/messages/json_reader.h
+++ b/messages/json_reader.h
@@ -85,8 +85,8 @@
                        std::uint64_t aMax,
                        bool aIsRequired = true);
   std::vector<std::uint64_t> Numbers(const std::string& aKey);
-  /** A non-negative number, with or without a fraction. */
-  double Decimal(const std::string& aKey);
+  /** A number from 0 to a maximum, with or without a fraction. */
+  double Decimal(const std::string& aKey, double aMax);
   std::vector<std::string> Strings(const std::string& aKey);
   /** Runs `aRead` on each object of a list and keeps the first failure. */
   void ForEachObject(const std::string& aKey,
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -111,6 +111,38 @@
   }
 }
 
+TEST(platform_decoding, RejectsHeartbeatsWithNumbersOutOfRange)
+{
+  const std::string start = R"({"service":"s","address":"10.0.0.1:80",)"
+                            R"("zone":"z","state":"ready","slots":)";
+  CHECK(DecodeBody(start + "3}").has_value());
+  // 2^32 + 1, which must not be taken for 1.
+  CHECK(!DecodeBody(start + "4294967297}").has_value());
+  CHECK(!DecodeBody(start + "1e400}").has_value());
+  CHECK(!DecodeBody(start + "-1}").has_value());
+  CHECK(!DecodeBody(start + R"(3,"born":9223372036854775808})").has_value());
+  std::string deep(100'000, '[');
+  CHECK(!DecodeBody(start + "3,\"x\":" + deep).has_value());
+}
+
+TEST(platform_decoding, RejectsConfigurationsWithNumbersOutOfRange)
+{
+  auto isAccepted = [](const std::string& aFrom, const std::string& aTo) {
+    std::string document = kDocument;
+    document.replace(document.find(aFrom), aFrom.size(), aTo);
+    return platform::DecodeConfiguration(document).has_value();
+  };
+  const std::string timeout = R"("timeout_ms":800)";
+  CHECK(isAccepted(timeout, R"("timeout_ms":800.5)"));
+  CHECK(!isAccepted(timeout, R"("timeout_ms":1e300)"));
+  CHECK(!isAccepted(timeout, R"("timeout_ms":-1)"));
+  CHECK(!isAccepted(R"("priority":1)", R"("priority":5e9)"));
+  CHECK(!isAccepted(R"("max_attempts":2)", R"("max_attempts":1e20)"));
+  CHECK(!isAccepted(R"("max_conns":66)", R"("max_conns":1e20)"));
+  CHECK(!isAccepted(R"("warmup_s":3.0)", R"("warmup_s":1e200)"));
+  CHECK(!isAccepted(R"("top_k":20)", R"("top_k":4294967297)"));
+}
+
 TEST(platform_decoding, ClassifiesServerResponses)
 {
   backend_protocol protocol = platform::MakePlatformProtocol();
