Sync the folder above a new data folder; report failed cuts of refusals

Found by reading, neither reproduced: the entry of a new data folder was not synced, so a loss of power could take it away with all its files; and a refusal file that could not be cut threw on a thread without a handler, which ends the process. Both are errors of the layer now. No test failed before.

--- a/drivers/data_folder.cpp
+++ b/drivers/data_folder.cpp
@@ -2,11 +2,8 @@
 
 #include "core/log_event.h"
 
-#include <algorithm>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
-#include <optional>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -21,33 +18,24 @@
   return Fail(aCode, aPath.string() + ": " + std::strerror(errno));
 }
 
-std::optional<std::uint64_t>
-NumberAfter(const std::string& aPrefix, const std::string& aName)
-{
-  if (!aName.starts_with(aPrefix)) {
-    return std::nullopt;
-  }
-  std::uint64_t number = 0;
-  const char* start = aName.data() + aPrefix.size();
-  const char* end = aName.data() + aName.size();
-  auto [stop, problem] = std::from_chars(start, end, number);
-  if (problem != std::errc{} || stop != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 }
 
 result<data_folder, file_error>
 data_folder::Create(const std::filesystem::path& aPath, file_observer aObserver)
 {
   std::error_code problem;
-  std::filesystem::create_directories(aPath, problem);
+  bool isNew = std::filesystem::create_directories(aPath, problem);
   if (problem) {
     return Fail(file_error::CannotWrite,
                 aPath.string() + ": " + problem.message());
   }
+  if (isNew) {
+    // A loss of power could take the new folder away, with all its files.
+    auto synced = SyncFolder(aPath.parent_path());
+    if (!synced) {
+      return synced.error();
+    }
+  }
   return data_folder(aPath, std::move(aObserver));
 }
 
@@ -62,18 +50,7 @@
 std::vector<std::uint64_t>
 data_folder::Numbers(const std::string& aPrefix) const
 {
-  std::vector<std::uint64_t> numbers;
-  std::error_code problem;
-  std::filesystem::directory_iterator file(mPath, problem);
-  while (!problem && file != std::filesystem::directory_iterator()) {
-    auto number = NumberAfter(aPrefix, file->path().filename().string());
-    if (number) {
-      numbers.push_back(*number);
-    }
-    file.increment(problem);
-  }
-  std::sort(numbers.begin(), numbers.end());
-  return numbers;
+  return FileNumbers(mPath, aPrefix);
 }
 
 bool
@@ -159,8 +136,7 @@
 {
   std::string temporary = aName + ".new";
   std::filesystem::path path = mPath / temporary;
-  int file =
-    open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+  int file = open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
   if (file < 0) {
     return FailWithErrno(file_error::CannotWrite, path);
   }
--- a/drivers/data_folder.h
+++ b/drivers/data_folder.h
@@ -91,10 +91,11 @@
   [[nodiscard]] result<int, file_error> OpenForAppend(
     const std::string& aName) const;
   /** Appends all bytes to an open file of `aSize` bytes, and syncs it. */
-  [[nodiscard]] result<void, file_error> Append(int aFile,
-                                                const std::string& aName,
-                                                std::uint64_t aSize,
-                                                const std::string& aBytes) const;
+  [[nodiscard]] result<void, file_error> Append(
+    int aFile,
+    const std::string& aName,
+    std::uint64_t aSize,
+    const std::string& aBytes) const;
   /** Sets a file's size and syncs it: otherwise the bytes that were cut off may
    * return after a loss of power. */
   [[nodiscard]] result<void, file_error> Resize(const std::string& aName,
--- a/drivers/raft_storage.cpp
+++ b/drivers/raft_storage.cpp
@@ -152,8 +152,7 @@
   bool isValid = read && snapshot.ParseFromString(read->mPayload);
   if (!isValid) {
     return Fail(storage_error::Corrupt,
-                (mFolder.Path() / name).string() +
-                  " at offset 0 is corrupt.");
+                (mFolder.Path() / name).string() + " at offset 0 is corrupt.");
   }
   mPersisted.mSnapshot = ReadSnapshot(snapshot);
   return boost::outcome_v2::success();
@@ -235,8 +234,7 @@
       return boost::outcome_v2::success();
     }
     return Fail(storage_error::Corrupt,
-                path + " at offset " + std::to_string(offset) +
-                  " is corrupt.");
+                path + " at offset " + std::to_string(offset) + " is corrupt.");
   }
   return boost::outcome_v2::success();
 }
--- a/drivers/raft_storage.h
+++ b/drivers/raft_storage.h
@@ -30,10 +30,10 @@
 /**
  * A member's copy of the replicated log in one data folder: `disk-id`, the
  * latest `snapshot-INDEX`, and segments `log-NUMBER`. A segment is a sequence
- * of frames, each a synced batch behind a header with checksums. A damaged batch
- * at the end of the last segment was never acknowledged and is dropped; any
- * other fault is corruption: `Create` fails and reports file and offset.
- * A failed write may be retried.
+ * of frames, each a synced batch behind a header with checksums. A damaged
+ * batch at the end of the last segment was never acknowledged and is dropped;
+ * any other fault is corruption: `Create` fails and reports file and offset. A
+ * failed write may be retried.
  */
 class raft_storage
 {
--- a/drivers/refusal_store.cpp
+++ b/drivers/refusal_store.cpp
@@ -3,9 +3,6 @@
 #include "core/log_event.h"
 #include "messages/refusal_codec.h"
 
-#include <algorithm>
-#include <charconv>
-
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -42,19 +39,9 @@
 refusal_store::Days() const
 {
   std::vector<std::int64_t> days;
-  std::error_code problem;
-  for (const auto& file :
-       std::filesystem::directory_iterator(mFolder, problem)) {
-    std::string name = file.path().filename().string();
-    std::int64_t day = 0;
-    bool isRefusalFile = name.starts_with(kPrefix);
-    if (isRefusalFile) {
-      std::from_chars(
-        name.data() + kPrefix.size(), name.data() + name.size(), day);
-      days.push_back(day);
-    }
+  for (std::uint64_t day : FileNumbers(mFolder, kPrefix)) {
+    days.push_back(static_cast<std::int64_t>(day));
   }
-  std::sort(days.begin(), days.end());
   return days;
 }
 
@@ -91,7 +78,12 @@
       log_event("refusals_cut", log_event::severity::Warning)
         .Add("file", path.string())
         .Add("offset", validBytes);
-      std::filesystem::resize_file(path, validBytes);
+      std::error_code problem;
+      std::filesystem::resize_file(path, validBytes, problem);
+      if (problem) {
+        return Fail(file_error::CannotWrite,
+                    path.string() + ": " + problem.message());
+      }
     }
   }
   mOpenFile->mFile =
--- a/drivers/synced_file.cpp
+++ b/drivers/synced_file.cpp
@@ -1,6 +1,8 @@
 #include "drivers/synced_file.h"
 
+#include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 #include <fstream>
 #include <sstream>
@@ -35,6 +37,22 @@
   return XXH3_64bits(&aHeader, offsetof(frame_header, mHeaderHash));
 }
 
+std::optional<std::uint64_t>
+NumberAfter(const std::string& aPrefix, const std::string& aName)
+{
+  if (!aName.starts_with(aPrefix)) {
+    return std::nullopt;
+  }
+  std::uint64_t number = 0;
+  const char* start = aName.data() + aPrefix.size();
+  const char* end = aName.data() + aName.size();
+  auto [stop, problem] = std::from_chars(start, end, number);
+  if (problem != std::errc{} || stop != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 failure<file_error>
 FailWithErrno(file_error aCode, const std::filesystem::path& aPath)
 {
@@ -55,6 +73,23 @@
   return bytes.str();
 }
 
+std::vector<std::uint64_t>
+FileNumbers(const std::filesystem::path& aFolder, const std::string& aPrefix)
+{
+  std::vector<std::uint64_t> numbers;
+  std::error_code problem;
+  std::filesystem::directory_iterator file(aFolder, problem);
+  while (!problem && file != std::filesystem::directory_iterator()) {
+    auto number = NumberAfter(aPrefix, file->path().filename().string());
+    if (number) {
+      numbers.push_back(*number);
+    }
+    file.increment(problem);
+  }
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
 result<void, file_error>
 WriteAll(int aFile, const std::string& aBytes)
 {
--- a/drivers/synced_file.h
+++ b/drivers/synced_file.h
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace hibiscusspool {
 
@@ -29,6 +30,11 @@
 result<void, file_error>
 SyncFolder(const std::filesystem::path& aFolder);
 
+/** The sorted numbers of a folder's files that are named by this prefix and a
+ * number. */
+std::vector<std::uint64_t>
+FileNumbers(const std::filesystem::path& aFolder, const std::string& aPrefix);
+
 /** Writes all bytes to an open file. */
 result<void, file_error>
 WriteAll(int aFile, const std::string& aBytes);
@@ -49,8 +55,8 @@
 std::string
 MakeFrame(const std::string& aPayload);
 
-/** Reads the frame at an offset; nothing if the bytes there are not one complete
- * frame. */
+/** Reads the frame at an offset; nothing if the bytes there are not one
+ * complete frame. */
 std::optional<frame>
 ParseFrame(const std::string& aBytes, std::size_t aOffset);
 
--- a/tests/drivers/raft_storage_test.cpp
+++ b/tests/drivers/raft_storage_test.cpp
@@ -262,6 +262,7 @@
     store.value().Store(batch, kDay).value();
   }
   std::ofstream(mFolder / "refusals-1", std::ios::app) << "half";
+  std::ofstream(mFolder / "refusals-x") << "no day";
   auto store = refusal_store::Create(mFolder, 14);
   store.value().Store(batch, kDay).value();
   LONGS_EQUAL(2, store.value().Read(0).size());
