Heed servers that leave and servers that ask for time

A server that was leaving, or had answered 503 with Retry-After, got requests of this host for as long as the control hosts' news called it ready: neither notice was read.

Choose asks them for regular attempts, retries, hedges and subqueries alike, borrowed connections and each attempt just before it is sent too. A service whose servers all ask for more time than is left is given up at once (missing reason paused), and Retry-After is the time until they are back, spread over a quarter of it.

--- a/controllers/backend_choice.cpp
+++ b/controllers/backend_choice.cpp
@@ -55,7 +55,8 @@
   // The share is checked before the lists, since this host has no share of most
   // servers.
   if (share == 0 || !hasConnection || !CanAnswer(aBackend, aDomainsOut) ||
-      aBackend.mOutstanding >= ConcurrencyLimit(aBackend, aNow)) {
+      aBackend.mOutstanding >= ConcurrencyLimit(aBackend, aNow) ||
+      !MayAsk(aBackend, aNow)) {
     return false;
   }
   bool hasSnapshot = aRequest.mAcceptsAnySnapshot ||
@@ -72,6 +73,21 @@
                    record.mServer) == aRequest.mExcludedServers.end();
 }
 
+bool
+backend_controller::MayAsk(const backend& aBackend, steady_time aNow) const
+{
+  switch (aBackend.mNotices.Willingness(mConfig.mNoticeLimits, aNow)) {
+    case server_willingness::Willing:
+    case server_willingness::LastResort:
+      return true;
+    case server_willingness::Trial:
+      return aBackend.mOutstanding == 0;
+    case server_willingness::Unwilling:
+      break;
+  }
+  return false;
+}
+
 bool
 backend_controller::ShouldAvoid(const backend& aBackend, steady_time aNow) const
 {
@@ -126,7 +142,7 @@
     std::size_t index = any(aPool.mRandom);
     const backend& entry = aPool.mBackends[index];
     bool isNew = !first || first->mPosition != index;
-    if (!isNew || ShouldAvoid(entry, aNow) ||
+    if (!isNew || ShouldAvoid(entry, aNow) || entry.mNotices.IsLeaving() ||
         !IsCandidate(entry, aRequest, aDomainsOut, aNow)) {
       continue;
     }
@@ -147,6 +163,7 @@
 {
   std::vector<replica_candidate> inAvoidedDomain;
   std::vector<replica_candidate> preferred;
+  std::vector<replica_candidate> leaving;
   std::vector<replica_candidate> failing;
   for (std::size_t index = 0; index < aPool.mBackends.size(); ++index) {
     const backend& entry = aPool.mBackends[index];
@@ -157,12 +174,17 @@
       failing.push_back(ToCandidate(entry, index, aNow));
       continue;
     }
+    if (entry.mNotices.IsLeaving()) {
+      leaving.push_back(ToCandidate(entry, index, aNow));
+      continue;
+    }
     bool isAvoided = entry.mRecord.mFailureDomain == aRequest.mAvoidedDomain;
     (isAvoided ? inAvoidedDomain : preferred)
       .push_back(ToCandidate(entry, index, aNow));
   }
   if (inAvoidedDomain.empty() && preferred.empty()) {
-    return PickReplica(std::move(failing), aPool.mRandom);
+    return PickReplica(std::move(leaving.empty() ? failing : leaving),
+                       aPool.mRandom);
   }
   auto& chosen = preferred.empty() ? inAvoidedDomain : preferred;
   return PickReplica(std::move(chosen), aPool.mRandom);
@@ -260,6 +282,8 @@
   std::vector<std::function<void()>> waiters;
   bool turnedCold = false;
   bool isKnown = false;
+  bool isChanged = false;
+  server_notices notices;
   mServices.UpdateIfPresent(aPermit.mService, [&](service_pool& aPool) {
     auto found = FindBackend(aPool, aPermit.mServer);
     isKnown = found != aPool.mBackends.end() &&
@@ -269,12 +293,15 @@
     }
     --found->mOutstanding;
     RecordOutcome(*found, aPool, aReport, aNow);
+    isChanged = RecordNotice(found->mNotices, aPermit, aReport, aNow);
+    notices = found->mNotices;
     if (aReport.mConnection == 0) {
       --found->mOpenConnections;
     } else {
       found->mIdleConnections.push_back(aReport.mConnection);
     }
-    closed = TakeSurplus(*found, aNow);
+    closed = found->mNotices.IsLeaving() ? TakeIdle(*found)
+                                         : TakeSurplus(*found, aNow);
     turnedCold = !found->mIsTreatedAsCold && mConfig.mColdAfterRefusals > 0 &&
                  found->mRecord.mState == server_state::Ready &&
                  found->mConsecutiveOverloads >= mConfig.mColdAfterRefusals;
@@ -292,6 +319,13 @@
   if (!isKnown && aReport.mConnection != 0) {
     closed.push_back(aReport.mConnection);
   }
+  if (!isKnown) {
+    notices = RecallNotices(aPermit.mServer, aPermit.mIncarnation);
+    isChanged = RecordNotice(notices, aPermit, aReport, aNow);
+  }
+  if (isChanged) {
+    RememberNotices(aPermit, notices, aReport.mNotice);
+  }
   mHooks.mCloseConnections(closed);
   if (turnedCold) {
     mHooks.mOnTurnedCold(aPermit.mServer);
--- a/controllers/backend_connections.cpp
+++ b/controllers/backend_connections.cpp
@@ -62,6 +62,14 @@
   }
 }
 
+std::vector<connection_id>
+backend_controller::TakeIdle(backend& aBackend)
+{
+  aBackend.mOpenConnections -=
+    static_cast<std::uint32_t>(aBackend.mIdleConnections.size());
+  return std::exchange(aBackend.mIdleConnections, {});
+}
+
 std::vector<connection_id>
 backend_controller::TakeSurplus(service_pool& aPool, steady_time aNow) const
 {
@@ -88,7 +96,7 @@
 }
 
 std::optional<connection_id>
-backend_controller::BorrowIdle(const server_id& aServer)
+backend_controller::BorrowIdle(const server_id& aServer, steady_time aNow)
 {
   std::optional<connection_id> borrowed;
   auto service = mServiceOf.Get(aServer);
@@ -97,7 +105,11 @@
   }
   mServices.UpdateIfPresent(*service, [&](service_pool& aPool) {
     auto found = FindBackend(aPool, aServer);
-    if (found != aPool.mBackends.end() && !found->mIdleConnections.empty()) {
+    bool isUsable = found != aPool.mBackends.end() &&
+                    !found->mIdleConnections.empty() &&
+                    found->mNotices.Willingness(mConfig.mNoticeLimits, aNow) !=
+                      server_willingness::Unwilling;
+    if (isUsable) {
       borrowed = found->mIdleConnections.back();
       found->mIdleConnections.pop_back();
     }
@@ -146,12 +158,8 @@
   std::vector<connection_id> closed;
   mServices.ForEach([&](const service_id& /*aName*/, service_pool& aPool) {
     for (backend& entry : aPool.mBackends) {
-      closed.insert(closed.end(),
-                    entry.mIdleConnections.begin(),
-                    entry.mIdleConnections.end());
-      entry.mOpenConnections -=
-        static_cast<std::uint32_t>(entry.mIdleConnections.size());
-      entry.mIdleConnections.clear();
+      std::vector<connection_id> idle = TakeIdle(entry);
+      closed.insert(closed.end(), idle.begin(), idle.end());
     }
   });
   mHooks.mCloseConnections(closed);
--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -83,6 +83,7 @@
   }
   mServiceOf.Set(aRecord.mServer, aRecord.mService);
   auto ring = Ring();
+  server_notices notices = RecallNotices(aRecord.mServer, aRecord.mIncarnation);
   std::vector<connection_id> closed;
   std::vector<std::function<void()>> waiters;
   mServices.Update(aRecord.mService, [&](service_pool& aPool) {
@@ -110,6 +111,7 @@
       found = aPool.mBackends.insert(found, backend{});
       // A server that is already ready when first seen needs no ramp.
       found->mReadySince = aNow - mConfig.mRampDuration;
+      found->mNotices = notices;
     }
     bool turnsReady = found->mRecord.mState == server_state::Cold &&
                       aRecord.mState == server_state::Ready &&
@@ -139,11 +141,7 @@
                        aNow);
     }
     if (!CanAnswer(*found, {})) {
-      // Idle connections must not keep a leaving server from shutting down.
-      found->mOpenConnections -=
-        static_cast<std::uint32_t>(found->mIdleConnections.size());
-      std::vector<connection_id> unused =
-        std::exchange(found->mIdleConnections, {});
+      std::vector<connection_id> unused = TakeIdle(*found);
       closed.insert(closed.end(), unused.begin(), unused.end());
     }
     std::vector<connection_id> surplus = TakeSurplus(aPool, aNow);
@@ -190,7 +188,7 @@
           std::find(entry.mDomains.begin(), entry.mDomains.end(), domain) !=
           entry.mDomains.end();
         if (!isKnown && CanAnswer(server, *domainsOut) &&
-            !ShouldAvoid(server, aNow)) {
+            MayAsk(server, aNow) && !ShouldAvoid(server, aNow)) {
           entry.mDomains.push_back(domain);
         }
       }
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -6,6 +6,7 @@
 #include "decisions/replica_choice.h"
 #include "decisions/server_health.h"
 #include "decisions/server_limit.h"
+#include "decisions/server_notice.h"
 #include "decisions/share.h"
 #include "decisions/snapshot_choice.h"
 #include "decisions/subquery_plan.h"
@@ -89,6 +90,7 @@
   microseconds mDuration{ 0 };
   /** The connection to reuse, or 0 if it was closed. */
   connection_id mConnection = 0;
+  server_notice mNotice{};
 };
 
 /** What a server must meet to be chosen for an attempt. */
@@ -130,6 +132,7 @@
   std::uint32_t mColdAfterRefusals = 8;
   /** Avoid failing servers while another server can answer. */
   bool mSuspendsFailing = false;
+  notice_limits mNoticeLimits{};
   std::uint64_t mSeed = 0;
 };
 
@@ -170,6 +173,7 @@
     server_limit mLimit;
     service_time mServiceTime;
     server_health mHealth;
+    server_notices mNotices;
     steady_time mReadySince;
     /** Consecutive attempts that were shed, reset, timed out or not sent. */
     std::uint32_t mConsecutiveOverloads = 0;
@@ -191,6 +195,11 @@
   backend_hooks mHooks;
   sharded_map<service_id, service_pool> mServices;
   sharded_map<server_id, service_id> mServiceOf;
+  /** Notices by server, which outlive the records: a server that is removed and
+   * recorded again is still leaving. */
+  sharded_map<server_id, server_notices> mNotices;
+  /** Without any notice, none is looked up for each attempt. */
+  std::atomic<bool> mHasNotices{ false };
 
   mutable std::mutex mTopologyLock;
   /** The hosts that divide the servers' connections, sorted. */
@@ -225,6 +234,9 @@
                         steady_time aNow) const;
   [[nodiscard]] std::vector<connection_id> TakeSurplus(backend& aBackend,
                                                        steady_time aNow) const;
+  /** Takes all idle connections: they must not keep a leaving server from
+   * shutting down. */
+  [[nodiscard]] static std::vector<connection_id> TakeIdle(backend& aBackend);
   [[nodiscard]] std::vector<connection_id> TakeSurplus(service_pool& aPool,
                                                        steady_time aNow) const;
   [[nodiscard]] static bool IsCold(const backend& aBackend);
@@ -236,8 +248,23 @@
                                  const choice_request& aRequest,
                                  const std::set<failure_domain_id>& aDomainsOut,
                                  steady_time aNow) const;
+  /** True if the server's own notices allow one more request of this host. */
+  [[nodiscard]] bool MayAsk(const backend& aBackend, steady_time aNow) const;
+  /** Applies what a response says of its server; true if that is news. */
+  [[nodiscard]] bool RecordNotice(server_notices& aNotices,
+                                  const attempt_permit& aPermit,
+                                  const attempt_report& aReport,
+                                  steady_time aNow) const;
   [[nodiscard]] bool ShouldAvoid(const backend& aBackend,
                                  steady_time aNow) const;
+  /** Stores and logs what the server of an attempt has said of itself. */
+  void RememberNotices(const attempt_permit& aPermit,
+                       const server_notices& aNotices,
+                       const server_notice& aNews);
+  /** What an incarnation of a server has said of itself. */
+  [[nodiscard]] server_notices RecallNotices(
+    const server_id& aServer,
+    incarnation_number aIncarnation) const;
   /** Latency penalty that is added to a server's mean service time. */
   [[nodiscard]] microseconds PenaltyOf(const backend& aBackend,
                                        steady_time aNow) const;
@@ -288,12 +315,26 @@
   void Finish(const attempt_permit& aPermit,
               const attempt_report& aReport,
               steady_time aNow);
+  /** True while the server takes requests of this host; asked once more just
+   * before a request is sent. */
+  [[nodiscard]] bool IsWilling(const attempt_permit& aPermit,
+                               steady_time aNow) const;
+  /**
+   * When the first of the servers that could answer takes requests again, if
+   * all of them are leaving or have asked for time; `steady_time::max()` if
+   * none will.
+   */
+  std::optional<steady_time> WillingAt(const choice_request& aRequest,
+                                       steady_time aNow);
+  /** Forgets notices of servers that must have ended long ago. */
+  void ForgetOldNotices(steady_time aNow);
   /** Calls `aCallback` once, when a server of the service may have a free slot.
    */
   void NotifyOnCapacity(const service_id& aService,
                         std::function<void()> aCallback);
   /** Takes an idle connection for sending a cancellation, if there is one. */
-  std::optional<connection_id> BorrowIdle(const server_id& aServer);
+  std::optional<connection_id> BorrowIdle(const server_id& aServer,
+                                          steady_time aNow);
   void ReturnIdle(const server_id& aServer, connection_id aConnection);
 
   /** Accounts for a borrowed connection that was closed. */
--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -3,6 +3,7 @@
 #include "core/address.h"
 #include "core/sharded_map.h"
 #include "core/worker_number.h"
+#include "drivers/retry_after.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -40,6 +41,7 @@
  */
 constexpr milliseconds kMaxIdleForRun{ 1000 };
 constexpr milliseconds kCancelTimeout{ 500 };
+constexpr unsigned kUnavailable = 503;
 /** Maximum number of buffered bytes that are not part of a body yet. */
 constexpr std::size_t kMaxBufferBytes = 128 << 10;
 
@@ -155,7 +157,6 @@
 ClassifyNative(const server_request& aRequest, const server_response& aResponse)
 {
   constexpr unsigned kOk = 200;
-  constexpr unsigned kUnavailable = 503;
   // A response to another request proves that the connection is out of sync.
   if (aResponse.Field("request-id") != aRequest.mAttemptId.mValue) {
     return attempt_status::BadResponse;
@@ -175,6 +176,25 @@
   return attempt_status::Answered;
 }
 
+server_notice
+ReadNoticeNative(const server_response& aResponse, wall_ms aNow)
+{
+  server_notice notice;
+  notice.mIsLeaving = aResponse.Field("leaving") == "true";
+  if (aResponse.mStatus == kUnavailable) {
+    notice.mPause = ParseRetryAfter(aResponse.Field("retry-after"), aNow);
+  }
+  return notice;
+}
+
+wall_ms
+WallTime()
+{
+  return std::chrono::duration_cast<milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 }
 
 backend_protocol
@@ -183,6 +203,7 @@
   return { EncodeNative,
            ClassifyNative,
            [](const server_request&, const server_response&) { return false; },
+           ReadNoticeNative,
            true };
 }
 
@@ -323,6 +344,9 @@
     outcome.mStatus = isMismatched
                         ? attempt_status::BadResponse
                         : protocol.mClassify(aRequest, outcome.mResponse);
+    if (!isMismatched) {
+      outcome.mNotice = protocol.mReadNotice(outcome.mResponse, WallTime());
+    }
     bool isUsable = outcome.mStatus != attempt_status::BadResponse &&
                     keepsAlive && aConnection->mBuffer.size() == 0;
     if (isUsable) {
--- a/drivers/backend_client.h
+++ b/drivers/backend_client.h
@@ -29,6 +29,8 @@
   /** True for a response to another request, which precedes the right one. */
   std::function<bool(const server_request&, const server_response&)>
     mIsMismatched;
+  /** What the server says of itself in a response, at the wall time. */
+  std::function<server_notice(const server_response&, wall_ms)> mReadNotice;
   /**
    * When an attempt is cancelled, its connection is closed and the server is
    * also sent a cancellation on another connection.
--- a/filters/deliver.cpp
+++ b/filters/deliver.cpp
@@ -14,7 +14,9 @@
 RefuseUnanswered(request_context& aRequest, const std::string& aDetail)
 {
   if (aRequest.mRan == execution_status::No) {
-    aRequest.Refuse(refusal_reason::NoServer, aDetail, kRetryAfter);
+    aRequest.Refuse(refusal_reason::NoServer,
+                    aDetail,
+                    aRequest.mServersBackIn.value_or(kRetryAfter));
     return;
   }
   aRequest.Refuse(aRequest.mIsMerged ? refusal_reason::CoverageTooLow
--- a/filters/request_context.h
+++ b/filters/request_context.h
@@ -51,13 +51,16 @@
   NoServer,
   NoResponseInTime,
   Failed,
+  /** All servers are leaving or asked for more time than is left. */
+  Paused,
 };
 
 template<>
-inline constexpr name_table<missing_reason, 3> kNames<missing_reason>{ {
+inline constexpr name_table<missing_reason, 4> kNames<missing_reason>{ {
   { missing_reason::NoServer, "no_server" },
   { missing_reason::NoResponseInTime, "no_answer_in_time" },
   { missing_reason::Failed, "failed" },
+  { missing_reason::Paused, "paused" },
 } };
 
 struct service_response
@@ -157,6 +160,9 @@
   /** The latest error response of a server. */
   std::optional<server_response> mFailedResponse;
 
+  /** When the servers that asked for time may answer a retry, if any did. */
+  std::optional<milliseconds> mServersBackIn;
+
   std::size_t mAttempts = 0;
   std::size_t mHedges = 0;
   std::size_t mRetries = 0;
--- a/filters/scatter.h
+++ b/filters/scatter.h
@@ -34,6 +34,7 @@
   server_response mResponse;
   /** The connection to reuse, or 0 if it was closed. */
   connection_id mConnection = 0;
+  server_notice mNotice{};
 };
 
 /** How a request proceeds after a crash. */
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -116,9 +116,30 @@
   }
 }
 
+void
+scatter_operation::AwaitServerOrGiveUp(service_progress& aService,
+                                       steady_time aBackAt)
+{
+  if (aBackAt < mDeadline) {
+    aService.mExcludedServers.clear();
+    aService.mNextAttemptAt = aBackAt;
+    return;
+  }
+  // A retry is useless until the servers of each such service are back.
+  if (aBackAt != steady_time::max()) {
+    mServersBackAt = std::max(mServersBackAt.value_or(aBackAt), aBackAt);
+  }
+  GiveUp(aService, missing_reason::Paused);
+}
+
 void
 scatter_operation::AwaitCapacityOrGiveUp(service_progress& aService)
 {
+  auto backAt = mBackends.WillingAt(MakeChoiceRequest(aService), mHooks.mNow());
+  if (backAt) {
+    AwaitServerOrGiveUp(aService, *backAt);
+    return;
+  }
   auto available = mBackends.Snapshots({ aService.mService });
   const auto& snapshots = available.front().mSnapshots;
   bool hasServer = !snapshots.empty();
@@ -225,6 +246,7 @@
   attempt_report report;
   report.mStatus = result.mStatus;
   report.mConnection = result.mConnection;
+  report.mNotice = result.mNotice;
   report.mDuration =
     std::chrono::duration_cast<microseconds>(now - permit.mStartedAt);
   aOperation->mBackends.Finish(permit, report, now);
--- a/filters/scatter_operation.cpp
+++ b/filters/scatter_operation.cpp
@@ -290,6 +290,13 @@
   if (mCaller != nullptr) {
     mCaller->mOnDisconnect = nullptr;
   }
+  if (mServersBackAt) {
+    auto left =
+      std::chrono::ceil<milliseconds>(*mServersBackAt - mHooks.mNow());
+    aRequest.mServersBackIn =
+      RetryAfterPause(std::max(milliseconds(0), left),
+                      std::hash<std::string>{}(mRequest.mValue));
+  }
   aRequest.mFailedResponse = std::move(mFailedResponse);
   aRequest.mResponses = std::move(mResponses);
   aRequest.mMissing = std::move(mMissing);
@@ -341,7 +348,7 @@
   constexpr milliseconds kRetryAfter{ 200 };
   aRequest.Refuse(refusal_reason::NoServer,
                   "No server accepted the request in time.",
-                  kRetryAfter);
+                  aRequest.mServersBackIn.value_or(kRetryAfter));
 }
 
 }
--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -143,6 +143,8 @@
   bool mIsSuspect = false;
   std::function<void(std::string)> mOnLateResponse;
   std::optional<server_response> mFailedResponse;
+  /** When all services whose servers asked for time are back. */
+  std::optional<steady_time> mServersBackAt;
   std::size_t mAttempts = 0;
   std::size_t mHedges = 0;
   std::size_t mRetries = 0;
@@ -187,6 +189,9 @@
   void CountAttempt(service_progress& aService,
                     attempt_reason aReason,
                     steady_time aNow);
+  /** Waits until servers that asked for time are back, or gives up if that is
+   * after the deadline. */
+  void AwaitServerOrGiveUp(service_progress& aService, steady_time aBackAt);
   /** Waits for a free slot or a retry if one is possible, else gives up. */
   void AwaitCapacityOrGiveUp(service_progress& aService);
   [[nodiscard]] std::size_t IndexOf(const service_id& aService) const;
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -73,6 +73,8 @@
   config.mColdAfterRefusals =
     static_cast<std::uint32_t>(aSettings.mEntryColdAfterRefusals);
   config.mSuspendsFailing = aSettings.mEntrySuspendsFailing;
+  config.mNoticeLimits = { milliseconds(aSettings.mEntryLeavingGraceMs),
+                           milliseconds(aSettings.mEntryMaxPauseMs) };
   config.mSeed = std::random_device{}();
   return config;
 }
@@ -165,11 +167,12 @@
   config.mMaxIdleTime = milliseconds(mSettings.mEntryMaxIdleMs);
   backend_client_hooks hooks;
   hooks.mMaySend = [this](const server_request& aRequest, steady_time aNow) {
-    return aRequest.mForwarded != nullptr ? MayForward(aNow)
-                                          : mLease.IsValid(aNow);
+    bool isConfirmed =
+      aRequest.mForwarded != nullptr ? MayForward(aNow) : mLease.IsValid(aNow);
+    return isConfirmed && mBackends.IsWilling(aRequest.mPermit, aNow);
   };
   hooks.mBorrowConnection = [this](const server_id& aServer) {
-    return mBackends.BorrowIdle(aServer);
+    return mBackends.BorrowIdle(aServer, SteadyNow());
   };
   hooks.mReturnConnection = [this](const server_id& aServer,
                                    connection_id aNumber) {
@@ -293,6 +296,7 @@
 entry_role::CloseSurplusConnections()
 {
   steady_time now = SteadyNow();
+  mBackends.ForgetOldNotices(now);
   // Idle connections count against the server's limit too, so a host that may
   // have lost its share without knowing must close them.
   if (MayForward(now)) {
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -215,6 +215,22 @@
            10 * kMinuteMs,
            "Time over which the load of a server rises to its full limit after "
            "a cold start."),
+    Number("entry",
+           "leaving_grace_ms",
+           type::Milliseconds,
+           &settings::mEntryLeavingGraceMs,
+           0,
+           10 * kMinuteMs,
+           "How long after a server has said that it leaves requests may still "
+           "go to it where no other server can answer."),
+    Number("entry",
+           "longest_pause_ms",
+           type::Milliseconds,
+           &settings::mEntryMaxPauseMs,
+           1,
+           24 * 60 * kMinuteMs,
+           "Longest time for which a server that asks for time gets no "
+           "requests; limits the harm of a wrong Retry-After."),
     Number("entry",
            "hedge_percent",
            type::Count,
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -89,6 +89,8 @@
   std::int64_t mEntryMaxConnections = 4096;
   std::int64_t mEntryHostLimit = 512;
   std::int64_t mEntryRampDurationMs = 10'000;
+  std::int64_t mEntryLeavingGraceMs = 3'000;
+  std::int64_t mEntryMaxPauseMs = 600'000;
   std::int64_t mEntryHedgeBudgetPercent = 5;
   std::int64_t mEntryRetryBudgetPercent = 10;
   std::int64_t mEntryMaxIdleMs = 5000;
--- a/tests/controllers/backend_controller_test.cpp
+++ b/tests/controllers/backend_controller_test.cpp
@@ -241,3 +241,95 @@
   lease.Renew({ kNow + milliseconds(100), suspended });
   CHECK(lease.IsValid(kNow + milliseconds(200)));
 }
+
+TEST(backend_controller, ALeavingServerGetsOnlyWhatNoOtherCanAnswer)
+{
+  mBackends.Put(Server("a1"), true, kNow);
+  mBackends.Put(Server("a2"), true, kNow);
+  auto first = mBackends.Choose(mChoice, kNow);
+  attempt_report leaving{ attempt_status::Answered, microseconds(1000), 7 };
+  leaving.mNotice.mIsLeaving = true;
+  mBackends.Finish(*first, leaving, kNow);
+  // Its idle connection is closed.
+  LONGS_EQUAL(7, mClosed.front());
+  for (int attempt = 0; attempt < 20; ++attempt) {
+    auto permit = mBackends.Choose(mChoice, kNow);
+    CHECK(permit->mServer != first->mServer);
+    Finish(*permit, attempt_status::Answered);
+  }
+  auto other = mBackends.Choose(mChoice, kNow);
+  mChoice.mExcludedServers = { other->mServer };
+  CHECK(mBackends.Choose(mChoice, kNow)->mServer == first->mServer);
+  steady_time end = kNow + notice_limits{}.mLeavingGrace;
+  CHECK(mBackends.IsWilling(*first, end - milliseconds(1)));
+  CHECK(!mBackends.Choose(mChoice, end));
+  CHECK(!mBackends.IsWilling(*first, end));
+}
+
+TEST(backend_controller, ALeavingServerStaysOutHoweverItIsRecordedAgain)
+{
+  mBackends.Put(Server("a1"), true, kNow);
+  auto permit = mBackends.Choose(mChoice, kNow);
+  attempt_report leaving{ attempt_status::Answered, microseconds(1000), 0 };
+  leaving.mNotice.mIsLeaving = true;
+  mBackends.Finish(*permit, leaving, kNow);
+  steady_time later = kNow + std::chrono::seconds(20);
+  mBackends.Put(Server("a1"), false, later);
+  CHECK(!mBackends.Choose(mChoice, later));
+  mBackends.Remove(server_id{ "a1" }, later);
+  mBackends.Put(Server("a1"), true, later);
+  CHECK(!mBackends.Choose(mChoice, later));
+  CHECK(mBackends.WillingAt(mChoice, later) == steady_time::max());
+  server_record restarted = Server("a1");
+  restarted.mIncarnation = 2;
+  mBackends.Put(restarted, true, later);
+  CHECK(mBackends.Choose(mChoice, later).has_value());
+}
+
+TEST(backend_controller, APausedServerGetsNothingAndThenOneTrial)
+{
+  mBackends.Put(Server("a1"), true, kNow);
+  auto permit = mBackends.Choose(mChoice, kNow);
+  attempt_report paused{ attempt_status::Shed, microseconds(1000), 7 };
+  paused.mNotice.mPause = milliseconds(2000);
+  mBackends.Finish(*permit, paused, kNow);
+  steady_time end = kNow + milliseconds(2000);
+  CHECK(!mBackends.Choose(mChoice, kNow + milliseconds(1)));
+  CHECK(!mBackends.Choose(mChoice, end - milliseconds(1)));
+  CHECK(!mBackends.IsWilling(*permit, end - milliseconds(1)));
+  CHECK(!mBackends.BorrowIdle(server_id{ "a1" }, end - milliseconds(1)));
+  CHECK(mBackends.WillingAt(mChoice, kNow) == end);
+  auto trial = mBackends.Choose(mChoice, end);
+  CHECK(trial.has_value());
+  CHECK(!mBackends.Choose(mChoice, end));
+  Finish(*trial, attempt_status::Answered, 0, end);
+  CHECK(mBackends.Choose(mChoice, end).has_value());
+  CHECK(mBackends.Choose(mChoice, end).has_value());
+}
+
+TEST(backend_controller, ServersLeftByAPauseGetNoMoreThanTheirLimits)
+{
+  for (const char* name : { "a1", "a2", "a3" }) {
+    mBackends.Put(Server(name), true, kNow);
+  }
+  auto inUse = [&] {
+    std::uint32_t sum = 0;
+    std::uint32_t limit = 0;
+    for (const backend_status& server : mBackends.Statuses(kNow)) {
+      sum += server.mOutstanding;
+      limit += server.mConcurrencyLimit;
+      CHECK(server.mOutstanding <= server.mConcurrencyLimit);
+    }
+    return std::pair(sum, limit);
+  };
+  auto first = mBackends.Choose(mChoice, kNow);
+  attempt_report paused{ attempt_status::Shed, microseconds(1000), 0 };
+  paused.mNotice.mPause = milliseconds(2000);
+  mBackends.Finish(*first, paused, kNow);
+  while (auto permit = mBackends.Choose(mChoice, kNow)) {
+    CHECK(permit->mServer != first->mServer);
+  }
+  auto [sum, limit] = inUse();
+  CHECK(sum > 0);
+  CHECK(sum < limit);
+}
--- a/tests/drivers/crash_disk.h
+++ b/tests/drivers/crash_disk.h
@@ -56,8 +56,9 @@
   void Follow(const file_operation& aOperation);
   /** All states that a loss of power may leave now, or that many of them,
    * drawn at random. */
-  [[nodiscard]] std::vector<folder_state> States(std::size_t aMax,
-                                                 std::mt19937_64& aRandom) const;
+  [[nodiscard]] std::vector<folder_state> States(
+    std::size_t aMax,
+    std::mt19937_64& aRandom) const;
 };
 
 /** Replaces a folder's files by those of a state. */
--- a/tests/drivers/raft_storage_crash_test.cpp
+++ b/tests/drivers/raft_storage_crash_test.cpp
@@ -134,8 +134,8 @@
 
   /** Runs the steps on a disk in a state, and calls `aCheck` at each point at
    * which power may be lost, with what was acknowledged and what may be. */
-  using crash_check = std::function<
-    void(const crash_disk&, const member_state&, const member_state&)>;
+  using crash_check = std::function<void(
+    const crash_disk&, const member_state&, const member_state&)>;
   void Play(const folder_state& aState,
             member_state aHeld,
             const std::vector<storage_step>& aSteps,
@@ -147,9 +147,8 @@
     std::vector<std::function<void()>> checks;
     auto observe = [&](const file_operation& aOperation) {
       disk.Follow(aOperation);
-      checks.push_back([disk, aHeld, next, &aCheck] {
-        aCheck(disk, aHeld, next);
-      });
+      checks.push_back(
+        [disk, aHeld, next, &aCheck] { aCheck(disk, aHeld, next); });
     };
     {
       auto storage = raft_storage::Create(mFolder, "disk", observe);
@@ -160,9 +159,8 @@
         next = step.After(aHeld);
         CHECK(step.Run(storage.value()).has_value());
         aHeld = next;
-        checks.push_back([disk, aHeld, &aCheck] {
-          aCheck(disk, aHeld, aHeld);
-        });
+        checks.push_back(
+          [disk, aHeld, &aCheck] { aCheck(disk, aHeld, aHeld); });
       }
     }
     for (const auto& check : checks) {
@@ -199,33 +197,39 @@
   {
     constexpr std::size_t kStatesOnce = 300;
     constexpr std::size_t kStatesTwice = 12;
-    Play({}, {}, aSteps, [&](const crash_disk& aDisk,
-                             const member_state& aHeld,
-                             const member_state& aNext) {
-      for (const folder_state& state : aDisk.States(kStatesOnce, mRandom)) {
-        member_state found = Open(state, aHeld, aNext);
-        if (mRandom() % 4 == 0) {
-          LosePowerAgain(state, found, kStatesTwice);
-        }
-      }
-    });
+    Play({},
+         {},
+         aSteps,
+         [&](const crash_disk& aDisk,
+             const member_state& aHeld,
+             const member_state& aNext) {
+           for (const folder_state& state :
+                aDisk.States(kStatesOnce, mRandom)) {
+             member_state found = Open(state, aHeld, aNext);
+             if (mRandom() % 4 == 0) {
+               LosePowerAgain(state, found, kStatesTwice);
+             }
+           }
+         });
   }
 
-  void LosePowerAgain(const folder_state& aState,
-                      const member_state& aHeld,
-                      std::size_t aStates)
+  void LosePowerAgain(
+    const folder_state& aState, const member_state& aHeld, std::size_t aStates)
   {
     log_index last =
       aHeld.mEntries.empty() ? aHeld.mSnapshot : aHeld.mEntries.rbegin()->first;
     std::vector<storage_step> steps{ Write(
       last + 1, last + 2, aHeld.mTerm + 1) };
-    Play(aState, aHeld, steps, [&](const crash_disk& aDisk,
-                                   const member_state& aOldest,
-                                   const member_state& aNewest) {
-      for (const folder_state& state : aDisk.States(aStates, mRandom)) {
-        Open(state, aOldest, aNewest);
-      }
-    });
+    Play(aState,
+         aHeld,
+         steps,
+         [&](const crash_disk& aDisk,
+             const member_state& aOldest,
+             const member_state& aNewest) {
+           for (const folder_state& state : aDisk.States(aStates, mRandom)) {
+             Open(state, aOldest, aNewest);
+           }
+         });
   }
 };
 
--- a/tests/filters/scatter_test.cpp
+++ b/tests/filters/scatter_test.cpp
@@ -55,6 +55,8 @@
   std::vector<attempt_status> mOutcomes;
   /** Servers that got the request, by service. */
   std::map<std::string, std::vector<std::string>> mSentTo;
+  /** What all servers say of themselves in their responses. */
+  server_notice mNotice;
   int mCancelled = 0;
   /** Attempts end without having waited for anything. */
   bool mEndsAtOnce = false;
@@ -94,6 +96,7 @@
       aServerRequest.mPermit.mServer.mValue);
     attempt_result result;
     result.mStatus = mOutcomes.front();
+    result.mNotice = mNotice;
     if (mOutcomes.size() > 1) {
       mOutcomes.erase(mOutcomes.begin());
     }
@@ -244,3 +247,41 @@
   CHECK(duration < milliseconds(900));
   CHECK(mRequest.mRan == execution_status::Unknown);
 }
+
+TEST(scatter, RequestIsRefusedAtOnceIfAllServersAskForMoreTimeThanIsLeft)
+{
+  mRequest.mServices.clear();
+  AddService("p", 2);
+  for (request_kind kind :
+       { request_kind::Forward, request_kind::ForwardOnce }) {
+    mContext.restart();
+    mSentTo.clear();
+    mRequest.mRefusal.reset();
+    mRequest.mKind = kind;
+    mNotice.mPause = milliseconds(3000);
+    mOutcomes = { attempt_status::Shed };
+    CHECK(Serve() < milliseconds(200));
+    CheckRefused(refusal_reason::NoServer);
+    CHECK(mRequest.mRan == execution_status::No);
+    CHECK(mRequest.mMissing.back().mReason == missing_reason::Paused);
+    milliseconds retry = mRequest.mRefusal->mRetryAfter;
+    CHECK(retry > milliseconds(2500));
+    CHECK(retry <= milliseconds(3750));
+    // No server is asked twice.
+    LONGS_EQUAL(kind == request_kind::Forward ? 2 : 0, mSentTo["p"].size());
+  }
+}
+
+TEST(scatter, RequestWaitsForServersThatAreBackInTime)
+{
+  mRequest.mServices.clear();
+  AddService("p", 2);
+  mNotice.mPause = milliseconds(100);
+  mOutcomes = { attempt_status::Shed,
+                attempt_status::Shed,
+                attempt_status::Answered };
+  milliseconds took = Serve();
+  CHECK(!mRequest.mRefusal);
+  CHECK(took >= milliseconds(100));
+  LONGS_EQUAL(3, mSentTo["p"].size());
+}
