--- a/tests/drivers/backend_responses_test.cpp
+++ b/tests/drivers/backend_responses_test.cpp
@@ -175,6 +175,15 @@
   }
 }
 
+TEST(backend_responses, HeadThatEndsAtAnyByteIsNoResponse)
+{
+  std::string head = kHead + "Content-Length: 0\r\n\r\n";
+  for (std::size_t size = 1; size < head.size(); ++size) {
+    CHECK(StatusOf(head.substr(0, size), false) == attempt_status::Reset);
+  }
+  CHECK(StatusOf(head, false) == attempt_status::Answered);
+}
+
 TEST(backend_responses, ResponseWithoutLengthIsCompleteOnlyAtAnOrderlyEnd)
 {
   std::string unsized = kHead + "\r\n12345";
--- a/tests/integration/request_side_test.cpp
+++ b/tests/integration/request_side_test.cpp
@@ -179,6 +179,61 @@
   CheckComplete(Summarise(load.Stop()));
 }
 
+TEST(request_side, AServerThatSaysInResponsesThatItLeavesGetsNoNewWork)
+{
+  system_options options;
+  options.mExtraEntrySettings = "leaving_grace_ms=1000\n";
+  test_system system(options);
+  system.StartAll();
+  caller_load load(system, 4);
+  Sleep(500);
+  // Its announcements still say that it is ready.
+  system.SetBehaviour("rack2-1", R"({"leaving":true})");
+  Sleep(2500);
+  double before = system.SumCounter("rack2-1", "searches");
+  Sleep(2000);
+  DOUBLES_EQUAL(before, system.SumCounter("rack2-1", "searches"), 0);
+  // A restart is a new incarnation.
+  system.SetBehaviour("rack2-1", R"({"leaving":false,"crash":true})");
+  system.SetBehaviour("rack2-1", R"({"restart":false})");
+  CHECK(
+    WaitFor([&] { return system.SumCounter("rack2-1", "searches") > before; }));
+  CheckConsistent(Summarise(load.Stop()));
+}
+
+TEST(request_side, ServersThatAskForTimeGetItAndCallersAreToldAtOnce)
+{
+  test_system system({});
+  system.StartAll();
+  caller_load load(system, 4);
+  Sleep(500);
+  // One of three servers: the others take its load.
+  system.SetBehaviour("rack2-1", R"({"pause_ms":3000})");
+  Sleep(800);
+  double before = system.SumCounter("rack2-1", "sheds");
+  CHECK(before > 0);
+  Sleep(1200);
+  DOUBLES_EQUAL(before, system.SumCounter("rack2-1", "sheds"), 0);
+  system.SetBehaviour("rack2-1", R"({"pause_ms":0})");
+  double served = system.SumCounter("rack2-1", "searches");
+  CHECK(
+    WaitFor([&] { return system.SumCounter("rack2-1", "searches") > served; }));
+  CheckComplete(Summarise(load.Stop()));
+  // All servers of a service, for longer than a request may wait.
+  system.SetBehaviour("log*", R"({"pause_ms":60000})");
+  for (int number = 0; number < 3; ++number) {
+    system.Run("e1", "key" + std::to_string(number));
+  }
+  auto start = std::chrono::steady_clock::now();
+  auto refused = system.Run("e1", "last");
+  CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(1));
+  LONGS_EQUAL(503, refused.mStatus);
+  STRCMP_EQUAL("no", refused.Text("refusal.ran").c_str());
+  double asked = system.SumCounter("log", "sheds");
+  system.Run("e1", "later");
+  DOUBLES_EQUAL(asked, system.SumCounter("log", "sheds"), 0);
+}
+
 TEST(request_side, AServerThatLeftIsNotUsedAfterARestartOfAllHosts)
 {
   test_system system({});
--- a/tests/standin/server.cpp
+++ b/tests/standin/server.cpp
@@ -191,6 +191,14 @@
     if (result.mNotRun) {
       response.set("Not-Run", "true");
     }
+    if (result.mNotRun && mOptions.mPauseMs > 0) {
+      constexpr double kMsPerSecond = 1000;
+      response.set("Retry-After",
+                   std::to_string(mOptions.mPauseMs / kMsPerSecond));
+    }
+    if (mOptions.mIsLeaving) {
+      response.set("Leaving", "true");
+    }
     response.body() = std::move(result.mBody);
     response.prepare_payload();
     if (result.mTruncates) {
@@ -286,7 +294,8 @@
     result.mClosesConnection = true;
     co_return result;
   }
-  if (mOptions.mShedsAll || mWaiters.size() >= mOptions.mMaxQueued) {
+  bool shedsAll = mOptions.mShedsAll || mOptions.mPauseMs > 0;
+  if (shedsAll || mWaiters.size() >= mOptions.mMaxQueued) {
     ++mCounts.mSheds;
     result.mStatus = http::status::service_unavailable;
     result.mNotRun = true;
@@ -472,6 +481,10 @@
       mOptions.mServiceMs = number(value);
     } else if (key == "sheds") {
       mOptions.mShedsAll = value.as_bool();
+    } else if (key == "pause_ms") {
+      mOptions.mPauseMs = static_cast<std::uint32_t>(number(value));
+    } else if (key == "leaving") {
+      mOptions.mIsLeaving = value.as_bool();
     } else if (key == "resets") {
       mOptions.mClosesConnections = value.as_bool();
     } else if (key == "silent") {
--- a/tests/standin/server.h
+++ b/tests/standin/server.h
@@ -41,6 +41,10 @@
   /** Requests that may wait for a slot; further ones are shed. */
   std::uint32_t mMaxQueued = 64;
   bool mShedsAll = false;
+  /** Not 0: sheds all requests and asks for this time, in milliseconds. */
+  std::uint32_t mPauseMs = 0;
+  /** Says in each response that it leaves; its announcements don't. */
+  bool mIsLeaving = false;
   bool mClosesConnections = false;
   bool mIsSilent = false;
   bool mWrongId = false;
