--- a/drivers/data_folder.cpp
+++ b/drivers/data_folder.cpp
@@ -40,7 +40,7 @@
 }
 
 void
-data_folder::Report(file_operation aOperation) const
+data_folder::Report(const file_operation& aOperation) const
 {
   if (mObserver) {
     mObserver(aOperation);
--- a/drivers/data_folder.h
+++ b/drivers/data_folder.h
@@ -67,7 +67,7 @@
   {
   }
 
-  void Report(file_operation aOperation) const;
+  void Report(const file_operation& aOperation) const;
 
 public:
   /** Opens the folder and creates it if it is missing. */
