Ignore notices in answers of a server that was not asked

A server that got the address of one that ended answers 421, and may say in that answer that it leaves: that was taken for a notice of the server that was asked. Found by reading; ReadsNoticesOfTheServerThatWasAsked failed before at the 421.

--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -111,6 +111,21 @@
   }
 }
 
+TEST(platform_decoding, ReadsNoticesOfTheServerThatWasAsked)
+{
+  auto read = [](unsigned aStatus, std::vector<header_field> aFields) {
+    return platform::MakePlatformProtocol().mReadNotice(
+      Response(aStatus, std::move(aFields)), 0);
+  };
+  CHECK(read(200, { { "Server-Leaving", "1" } }).mIsLeaving);
+  CHECK(read(500, { { "Server-Leaving", "1" } }).mIsLeaving);
+  CHECK(!read(200, {}).mIsLeaving);
+  CHECK(read(503, { { "Retry-After", "1.5" } }).mPause == milliseconds(1500));
+  CHECK(!read(200, { { "Retry-After", "1.5" } }).mPause);
+  // Sent by the server that has the address of the one that was asked.
+  CHECK(!read(421, { { "Server-Leaving", "1" } }).mIsLeaving);
+}
+
 TEST(platform_decoding, RejectsHeartbeatsWithNumbersOutOfRange)
 {
   const std::string start = R"({"service":"s","address":"10.0.0.1:80",)"
