Sync every folder above a new data folder

Only the folder right above was synced; with a data folder that is new itself, its own entry could be lost with the power. Found by reading, no test failed before.

--- a/controllers/backend_notices.cpp
+++ b/controllers/backend_notices.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/** No server takes longer to stop, or asks for more time, than this. */
+/** How long a notice is kept after a server began to leave or its pause ended.
+ * By then, one that was leaving has ended. */
 constexpr std::chrono::hours kNoticeRetention{ 1 };
 
 void
--- a/drivers/data_folder.cpp
+++ b/drivers/data_folder.cpp
@@ -24,14 +24,20 @@
 data_folder::Create(const std::filesystem::path& aPath, file_observer aObserver)
 {
   std::error_code problem;
-  bool isNew = std::filesystem::create_directories(aPath, problem);
+  std::vector<std::filesystem::path> missing;
+  for (auto path = std::filesystem::absolute(aPath, problem);
+       path.has_relative_path() && !std::filesystem::exists(path, problem);
+       path = path.parent_path()) {
+    missing.push_back(path);
+  }
+  std::filesystem::create_directories(aPath, problem);
   if (problem) {
     return Fail(file_error::CannotWrite,
                 aPath.string() + ": " + problem.message());
   }
-  if (isNew) {
-    // A loss of power could take the new folder away, with all its files.
-    auto synced = SyncFolder(aPath.parent_path());
+  // A loss of power could take a new folder away, with all its files.
+  for (const std::filesystem::path& path : missing) {
+    auto synced = SyncFolder(path.parent_path());
     if (!synced) {
       return synced.error();
     }
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -6,7 +6,6 @@
 
 constexpr std::int64_t kMebibyte = 1 << 20;
 constexpr std::int64_t kMinuteMs = 60'000;
-constexpr std::int64_t kDayMs = 86'400'000;
 constexpr std::int64_t kHourMs = 60 * kMinuteMs;
 constexpr std::int64_t kMaxClaimHours = 720; // 30 days
 
@@ -229,7 +228,7 @@
            type::Milliseconds,
            &settings::mEntryMaxPauseMs,
            1,
-           kDayMs,
+           24 * kHourMs,
            "Longest time for which a server that asks for time gets no "
            "requests; limits the harm of a wrong Retry-After."),
     Number("entry",
