Read the rates that servers announce, and log their use

Nothing of the log or the metrics could tell whether a server's limit was known here, or which requests exceeded it. The limit of a response is now read (Server-Limit on the platform, Rate-Limit on our own interface), with what is no number never taken for no limit, and kept by the order of requests and responses. server_rate has a line for each change, and every 4 s the requests in the window, the extra ones among them, and this host's part; hibiscusspool_rate_limited_servers counts the servers.

No decision uses it yet. New tests: announced_rate, rate_field, and lines in platform_decoding/ReadsNoticesOfTheServerThatWasAsked.

--- a/controllers/backend_choice.cpp
+++ b/controllers/backend_choice.cpp
@@ -212,6 +212,11 @@
     permit->mFailureDomain = chosen.mRecord.mFailureDomain;
     permit->mIsCold = IsCold(chosen);
     permit->mStartedAt = aNow;
+    permit->mRateRequest = aRequest.mRateRequest;
+    if (chosen.mRate.IsInForce(aNow)) {
+      permit->mRateEntry = ++aPool.mLastRateEntry;
+      chosen.mRate.Add(permit->mRateEntry, aRequest.mRateRequest, aNow);
+    }
     ++chosen.mOutstanding;
     if (chosen.mIdleConnections.empty()) {
       ++chosen.mOpenConnections;
@@ -284,6 +289,7 @@
   bool isKnown = false;
   bool isChanged = false;
   server_notices notices;
+  auto ring = Ring();
   mServices.UpdateIfPresent(aPermit.mService, [&](service_pool& aPool) {
     auto found = FindBackend(aPool, aPermit.mServer);
     isKnown = found != aPool.mBackends.end() &&
@@ -295,6 +301,7 @@
     RecordOutcome(*found, aPool, aReport, aNow);
     isChanged = RecordNotice(found->mNotices, aPermit, aReport, aNow);
     notices = found->mNotices;
+    RecordRate(aPool, *found, aPermit, aReport, *ring, aNow);
     if (aReport.mConnection == 0) {
       --found->mOpenConnections;
     } else {
--- a/controllers/backend_connections.cpp
+++ b/controllers/backend_connections.cpp
@@ -48,6 +48,7 @@
     coldSlots.push_back(
       { record.mServer, record.mColdSlots, record.mFailureDomain });
   }
+  aPool.mDividedSince = aNow;
   auto shares = aRing.Allocate(aService, connections);
   auto coldShares = aRing.Allocate(aService, coldSlots);
   for (std::size_t index = 0; index < aPool.mBackends.size(); ++index) {
@@ -60,6 +61,7 @@
     entry.mShare.SetTarget(shares[index], aNow, mConfig.mHandoverDelay);
     entry.mColdShare.SetTarget(coldShares[index], aNow, mConfig.mHandoverDelay);
   }
+  DivideRates(aService, aPool, aRing, aNow);
 }
 
 std::vector<connection_id>
--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -84,6 +84,7 @@
   mServiceOf.Set(aRecord.mServer, aRecord.mService);
   auto ring = Ring();
   server_notices notices = RecallNotices(aRecord.mServer, aRecord.mIncarnation);
+  rate_limit rate = RecallRate(aRecord.mServer, aRecord.mIncarnation);
   std::vector<connection_id> closed;
   std::vector<std::function<void()>> waiters;
   mServices.Update(aRecord.mService, [&](service_pool& aPool) {
@@ -112,6 +113,7 @@
       // A server that is already ready when first seen needs no ramp.
       found->mReadySince = aNow - mConfig.mRampDuration;
       found->mNotices = notices;
+      found->mRate = rate;
     }
     bool turnsReady = found->mRecord.mState == server_state::Cold &&
                       aRecord.mState == server_state::Ready &&
@@ -264,7 +266,10 @@
                              entry.mOpenConnections,
                              entry.mOutstanding,
                              ConcurrencyLimit(entry, aNow),
-                             entry.mServiceTime.Mean() });
+                             entry.mServiceTime.Mean(),
+                             entry.mRate.Announced().IsLimited(),
+                             entry.mRate.Announced().PerSecond(),
+                             entry.mRate.Quota(true, aNow).mRequests });
       }
     });
   return statuses;
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -2,6 +2,7 @@
 
 #include "core/sharded_map.h"
 #include "core/worker_number.h"
+#include "decisions/rate_limit.h"
 #include "decisions/records.h"
 #include "decisions/replica_choice.h"
 #include "decisions/server_health.h"
@@ -81,6 +82,9 @@
   /** The attempt uses one of the server's cold slots. */
   bool mIsCold = false;
   steady_time mStartedAt;
+  rate_request mRateRequest{};
+  /** Entry in the window of the server's announced rate; 0 if there is none. */
+  rate_entry_number mRateEntry = 0;
 };
 
 /** The outcome of a permitted attempt. */
@@ -108,6 +112,9 @@
   worker_number mWorker = 0;
   /** If not empty, only these servers are candidates. */
   std::vector<server_id> mAllowedServers;
+  rate_request mRateRequest{};
+  /** This host's view of the other hosts is confirmed. */
+  bool mIsConfirmed = true;
 };
 
 struct backend_config
@@ -133,6 +140,8 @@
   /** Avoid failing servers while another server can answer. */
   bool mSuspendsFailing = false;
   notice_limits mNoticeLimits{};
+  /** Time before a larger part of a server's announced rate may be used. */
+  milliseconds mRateHandover{ kRateWindow };
   std::uint64_t mSeed = 0;
 };
 
@@ -153,6 +162,11 @@
   std::uint32_t mOutstanding = 0;
   std::uint32_t mConcurrencyLimit = 0;
   microseconds mServiceTime{ 0 };
+  /** The server has announced a limit to its rate. */
+  bool mIsRateLimited = false;
+  double mRatePerSecond = 0;
+  /** Requests of this host in each window of the limit. */
+  std::uint32_t mRateQuota = 0;
 };
 
 /**
@@ -174,6 +188,8 @@
     service_time mServiceTime;
     server_health mHealth;
     server_notices mNotices;
+    rate_limit mRate;
+    steady_time mRateLoggedAt;
     steady_time mReadySince;
     /** Consecutive attempts that were shed, reset, timed out or not sent. */
     std::uint32_t mConsecutiveOverloads = 0;
@@ -189,6 +205,15 @@
     std::mt19937_64 mRandom;
     /** Callbacks of requests that wait for a free slot. */
     std::vector<std::function<void()>> mWaiters;
+    /** Since when the servers are divided among hosts as they are now. */
+    steady_time mDividedSince;
+    rate_entry_number mLastRateEntry = 0;
+  };
+
+  struct remembered_rate
+  {
+    incarnation_number mIncarnation = 0;
+    rate_limit mRate;
   };
 
   backend_config mConfig;
@@ -200,6 +225,10 @@
   sharded_map<server_id, server_notices> mNotices;
   /** Without any notice, none is looked up for each attempt. */
   std::atomic<bool> mHasNotices{ false };
+  /** Announced limits by server, which outlive the records too. */
+  sharded_map<server_id, remembered_rate> mRates;
+  /** Without any limit, none is looked up for each attempt. */
+  std::atomic<bool> mHasRates{ false };
 
   mutable std::mutex mTopologyLock;
   /** The hosts that divide the servers' connections, sorted. */
@@ -265,6 +294,28 @@
   [[nodiscard]] server_notices RecallNotices(
     const server_id& aServer,
     incarnation_number aIncarnation) const;
+  /** Sets this host's parts of limits after a change of hosts or servers. */
+  void DivideRates(const service_id& aService,
+                   service_pool& aPool,
+                   const share_ring& aRing,
+                   steady_time aNow) const;
+  /** This host's part of each server of a service. */
+  [[nodiscard]] static std::vector<rate_part> RateParts(
+    const service_id& aService,
+    const service_pool& aPool,
+    const share_ring& aRing);
+  /** Applies what a response says of its server's rate, and stops counting a
+   * request that was never sent. */
+  void RecordRate(service_pool& aPool,
+                  backend& aBackend,
+                  const attempt_permit& aPermit,
+                  const attempt_report& aReport,
+                  const share_ring& aRing,
+                  steady_time aNow);
+  void LogRate(backend& aBackend, rate_change aChange, steady_time aNow) const;
+  /** What an incarnation of a server has announced, for a new record of it. */
+  [[nodiscard]] rate_limit RecallRate(const server_id& aServer,
+                                      incarnation_number aIncarnation) const;
   /** Latency penalty that is added to a server's mean service time. */
   [[nodiscard]] microseconds PenaltyOf(const backend& aBackend,
                                        steady_time aNow) const;
--- a/decisions/server_notice.h
+++ b/decisions/server_notice.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/name_table.h"
+#include "decisions/announced_rate.h"
 
 #include <cstdint>
 #include <optional>
@@ -16,6 +17,7 @@
   bool mIsLeaving = false;
   /** It rejected the request and wants none for this long. */
   std::optional<milliseconds> mPause;
+  rate_notice mRate{};
 };
 
 /** Whether a server takes requests of this host. */
--- a/decisions/share.h
+++ b/decisions/share.h
@@ -63,6 +63,7 @@
   static share_ring Create(std::vector<share_holder> aHosts,
                            const host_id& aSelf);
 
+  [[nodiscard]] std::size_t HostCount() const { return mHostCount; }
   /** This host's units of each server of one service. `aServers` must be in the
    * same order on all hosts. */
   [[nodiscard]] std::vector<std::uint32_t> Allocate(
--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -3,6 +3,7 @@
 #include "core/address.h"
 #include "core/sharded_map.h"
 #include "core/worker_number.h"
+#include "drivers/rate_field.h"
 #include "drivers/retry_after.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -181,6 +182,7 @@
 {
   server_notice notice;
   notice.mIsLeaving = aResponse.Field("leaving") == "true";
+  notice.mRate = ReadRateField(aResponse, "rate-limit");
   if (aResponse.mStatus == kUnavailable) {
     notice.mPause = ParseRetryAfter(aResponse.Field("retry-after"), aNow);
   }
--- a/drivers/metrics_page.cpp
+++ b/drivers/metrics_page.cpp
@@ -99,6 +99,7 @@
     std::uint64_t mOpen = 0;
     std::uint64_t mOutstanding = 0;
     std::uint64_t mServers = 0;
+    std::uint64_t mRateLimited = 0;
   };
   std::map<std::string, service_sum> services;
   for (const backend_status& view : aBackends) {
@@ -108,6 +109,7 @@
     sum.mOutstanding += view.mOutstanding;
     bool isReady = view.mRecord.mState == server_state::Ready;
     sum.mServers += isReady ? 1 : 0;
+    sum.mRateLimited += view.mIsRateLimited ? 1 : 0;
   }
   auto add = [&](std::string_view aName,
                  std::string_view aHelp,
@@ -124,6 +126,9 @@
       "Connections that this host may open.",
       &service_sum::mShare);
   add("connections_open", "Connections that are open.", &service_sum::mOpen);
+  add("rate_limited_servers",
+      "Backend servers that have announced a limit to their rate.",
+      &service_sum::mRateLimited);
   add("attempts_outstanding",
       "Attempts that are under way.",
       &service_sum::mOutstanding);
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -26,7 +26,8 @@
 }
 
 choice_request
-scatter_operation::MakeChoiceRequest(const service_progress& aService) const
+scatter_operation::MakeChoiceRequest(const service_progress& aService,
+                                     attempt_reason aReason) const
 {
   choice_request choice;
   choice.mService = aService.mService;
@@ -48,6 +49,11 @@
   }
   choice.mAvoidedDomain = aService.mFirstDomain;
   choice.mWorker = CurrentWorker();
+  choice.mRateRequest.mPriority = mPriority;
+  // A retry that no server has got yet is the service's first attempt.
+  choice.mRateRequest.mIsExtra =
+    aReason == attempt_reason::Hedge ||
+    (aReason == attempt_reason::Retry && !aService.mTried.empty());
   return choice;
 }
 
@@ -61,7 +67,7 @@
     GiveUp(aService, missing_reason::NoServer);
     return;
   }
-  auto permit = mBackends.Choose(MakeChoiceRequest(aService), aNow);
+  auto permit = mBackends.Choose(MakeChoiceRequest(aService, aReason), aNow);
   if (!permit) {
     if (aReason != attempt_reason::Hedge) {
       AwaitCapacityOrGiveUp(aService);
@@ -135,7 +141,8 @@
 void
 scatter_operation::AwaitCapacityOrGiveUp(service_progress& aService)
 {
-  auto backAt = mBackends.WillingAt(MakeChoiceRequest(aService), mHooks.mNow());
+  auto backAt = mBackends.WillingAt(
+    MakeChoiceRequest(aService, aService.mNextReason), mHooks.mNow());
   if (backAt) {
     AwaitServerOrGiveUp(aService, *backAt);
     return;
--- a/filters/scatter_operation.cpp
+++ b/filters/scatter_operation.cpp
@@ -49,6 +49,7 @@
   , mReportBy(aRequest.mReportBy)
   , mIsMerged(aRequest.mIsMerged)
   , mMaxAttempts(aRequest.mMaxAttempts)
+  , mPriority(aRequest.mPriority)
   , mRequiredResponses(NeededServices(aRequest.mServices.size(),
                                       aRequest.mPolicy.mMinimumCoverage))
   , mSnapshot(aRequest.mSnapshot)
--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -112,6 +112,7 @@
   /** Maximum time from an attempt to its hedge. */
   std::optional<microseconds> mMaxHedgeDelay;
   std::uint32_t mMaxAttempts;
+  std::uint32_t mPriority;
   /** Minimum number of services that must answer. */
   std::size_t mRequiredResponses;
   snapshot_number mSnapshot;
@@ -180,7 +181,8 @@
     const service_progress& aService) const;
   [[nodiscard]] steady_time NextDue(steady_time aNow) const;
   [[nodiscard]] choice_request MakeChoiceRequest(
-    const service_progress& aService) const;
+    const service_progress& aService,
+    attempt_reason aReason) const;
   void StartAttempt(service_progress& aService,
                     attempt_reason aReason,
                     steady_time aNow);
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -124,6 +124,13 @@
   CHECK(!read(200, { { "Retry-After", "1.5" } }).mPause);
   // Sent by the server that has the address of the one that was asked.
   CHECK(!read(421, { { "Server-Leaving", "1" } }).mIsLeaving);
+  for (unsigned status : { 200U, 404U, 500U, 503U }) {
+    rate_notice rate = read(status, { { "Server-Limit", "3.5" } }).mRate;
+    CHECK(rate.mKind == rate_notice_kind::Limited);
+    DOUBLES_EQUAL(3.5, rate.mPerSecond, 0);
+    CHECK(read(status, {}).mRate.mKind == rate_notice_kind::Unlimited);
+  }
+  CHECK(read(421, {}).mRate.mKind == rate_notice_kind::Unknown);
 }
 
 TEST(platform_decoding, RejectsHeartbeatsWithNumbersOutOfRange)
