Keep the rate that servers announce, as a sum over all hosts

Change: the limit times 4 s, in whole requests, is divided among the hosts along the shares of the server's connections, which add up in any view of hosts. A part that grows waits for a window and a lease; each host keeps a sliding window of what it sent. Choose looks at it, and the time just before the write counts, so that an attempt that was chosen earlier is checked again. Extra attempts and less urgent requests leave room. A host without a part makes a rare trial; after the end the allowance doubles each second. A server that refuses for its rate is neither failing nor cold.

--- a/controllers/backend_choice.cpp
+++ b/controllers/backend_choice.cpp
@@ -56,7 +56,7 @@
   // servers.
   if (share == 0 || !hasConnection || !CanAnswer(aBackend, aDomainsOut) ||
       aBackend.mOutstanding >= ConcurrencyLimit(aBackend, aNow) ||
-      !MayAsk(aBackend, aNow)) {
+      !MayAsk(aBackend, aNow) || RateRoomAt(aBackend, aRequest, aNow) > aNow) {
     return false;
   }
   bool hasSnapshot = aRequest.mAcceptsAnySnapshot ||
@@ -266,6 +266,13 @@
     }
     return;
   }
+  bool isWithinRate = aReport.mStatus == attempt_status::Shed &&
+                      aReport.mNotice.mRate.mKind == rate_notice_kind::Limited;
+  if (isWithinRate) {
+    // The server refused because of its rate, so it is neither failing nor
+    // cold.
+    return;
+  }
   if (aReport.mStatus == attempt_status::Shed) {
     aBackend.mHealth.OnRefusal(aNow);
   } else {
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -205,6 +205,8 @@
     std::mt19937_64 mRandom;
     /** Callbacks of requests that wait for a free slot. */
     std::vector<std::function<void()>> mWaiters;
+    /** Turns of requests that found no room within the servers' rates. */
+    return_schedule mReturns;
     /** Since when the servers are divided among hosts as they are now. */
     steady_time mDividedSince;
     rate_entry_number mLastRateEntry = 0;
@@ -312,6 +314,10 @@
                   const attempt_report& aReport,
                   const share_ring& aRing,
                   steady_time aNow);
+  /** When the server's announced rate has room for the request. */
+  [[nodiscard]] static steady_time RateRoomAt(const backend& aBackend,
+                                              const choice_request& aRequest,
+                                              steady_time aNow);
   void LogRate(backend& aBackend, rate_change aChange, steady_time aNow) const;
   /** What an incarnation of a server has announced, for a new record of it. */
   [[nodiscard]] rate_limit RecallRate(const server_id& aServer,
@@ -366,17 +372,30 @@
   void Finish(const attempt_permit& aPermit,
               const attempt_report& aReport,
               steady_time aNow);
-  /** True while the server takes requests of this host; asked once more just
-   * before a request is sent. */
+  /** True while the server takes requests of this host. */
   [[nodiscard]] bool IsWilling(const attempt_permit& aPermit,
                                steady_time aNow) const;
+  /**
+   * True if an attempt may be sent now; asked just before it is. The time of
+   * this call is what counts against the server's announced rate.
+   */
+  bool ConfirmSend(const attempt_permit& aPermit,
+                   bool aIsConfirmed,
+                   steady_time aNow);
   /**
    * When the first of the servers that could answer takes requests again, if
-   * all of them are leaving or have asked for time; `steady_time::max()` if
-   * none will.
+   * all of them are leaving, have asked for time, or have no room within the
+   * rate that they announced; `steady_time::max()` if none will.
    */
   std::optional<steady_time> WillingAt(const choice_request& aRequest,
                                        steady_time aNow);
+  /** True if a server of the service has announced a limit to its rate. */
+  bool HasRateLimit(const service_id& aService, steady_time aNow);
+  /** The turn of a request that finds room within the rates at `aRoomAt` at
+   * the earliest. */
+  steady_time TakeTurn(const choice_request& aRequest,
+                       steady_time aRoomAt,
+                       steady_time aNow);
   /** Forgets notices of servers that must have ended long ago. */
   void ForgetOldNotices(steady_time aNow);
   /** Calls `aCallback` once, when a server of the service may have a free slot.
--- a/controllers/backend_notices.cpp
+++ b/controllers/backend_notices.cpp
@@ -88,7 +88,8 @@
         continue;
       }
       steady_time willingAt =
-        entry.mNotices.WillingAt(mConfig.mNoticeLimits, aNow);
+        std::max(entry.mNotices.WillingAt(mConfig.mNoticeLimits, aNow),
+                 RateRoomAt(entry, aRequest, aNow));
       earliest = earliest ? std::min(*earliest, willingAt) : willingAt;
     }
   });
--- a/controllers/backend_rates.cpp
+++ b/controllers/backend_rates.cpp
@@ -3,6 +3,7 @@
 #include "core/log_event.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 
 namespace hibiscusspool {
@@ -13,6 +14,10 @@
 constexpr milliseconds kUseLogInterval{ 4000 };
 /** Minimum interval between lines on new values of one server's limit. */
 constexpr milliseconds kChangeLogInterval{ 1000 };
+/** Turns of requests that found no room are given out up to this time ahead. */
+constexpr milliseconds kMaxReturnWait = 2 * kRateWindow;
+constexpr double kMsPerSecond = 1e3;
+constexpr double kUsPerSecond = 1e6;
 
 bool
 IsResponse(attempt_status aStatus)
@@ -109,6 +114,90 @@
   LogRate(aBackend, change, aNow);
 }
 
+steady_time
+backend_controller::RateRoomAt(const backend& aBackend,
+                               const choice_request& aRequest,
+                               steady_time aNow)
+{
+  return aBackend.mRate.RoomAt(
+    aRequest.mRateRequest, aRequest.mIsConfirmed, aNow);
+}
+
+bool
+backend_controller::ConfirmSend(const attempt_permit& aPermit,
+                                bool aIsConfirmed,
+                                steady_time aNow)
+{
+  if (!IsWilling(aPermit, aNow)) {
+    return false;
+  }
+  if (!mHasRates) {
+    return true;
+  }
+  bool maySend = true;
+  mServices.UpdateIfPresent(aPermit.mService, [&](service_pool& aPool) {
+    auto found = FindBackend(aPool, aPermit.mServer);
+    bool isLimited = found != aPool.mBackends.end() &&
+                     found->mRecord.mIncarnation == aPermit.mIncarnation &&
+                     found->mRate.IsInForce(aNow);
+    if (!isLimited) {
+      return;
+    }
+    rate_limit& rate = found->mRate;
+    // A request that was counted when its server was chosen gives way to none
+    // that came later.
+    bool wasCounted = rate.Remove(aPermit.mRateEntry);
+    rate_request request = wasCounted ? rate_request{} : aPermit.mRateRequest;
+    maySend = rate.RoomAt(request, aIsConfirmed, aNow) <= aNow;
+    if (maySend) {
+      rate.Add(wasCounted ? aPermit.mRateEntry : ++aPool.mLastRateEntry,
+               aPermit.mRateRequest,
+               aNow);
+    }
+  });
+  return maySend;
+}
+
+bool
+backend_controller::HasRateLimit(const service_id& aService, steady_time aNow)
+{
+  bool hasLimit = false;
+  if (!mHasRates) {
+    return hasLimit;
+  }
+  mServices.UpdateIfPresent(aService, [&](service_pool& aPool) {
+    hasLimit = std::any_of(
+      aPool.mBackends.begin(),
+      aPool.mBackends.end(),
+      [&](const backend& aEntry) { return aEntry.mRate.IsInForce(aNow); });
+  });
+  return hasLimit;
+}
+
+steady_time
+backend_controller::TakeTurn(const choice_request& aRequest,
+                             steady_time aRoomAt,
+                             steady_time aNow)
+{
+  auto domainsOut = DomainsOut();
+  steady_time turn = aRoomAt;
+  mServices.UpdateIfPresent(aRequest.mService, [&](service_pool& aPool) {
+    double perSecond = 0;
+    for (const backend& entry : aPool.mBackends) {
+      if (CanAnswer(entry, *domainsOut) && entry.mRate.IsInForce(aNow)) {
+        rate_quota quota = entry.mRate.Quota(aRequest.mIsConfirmed, aNow);
+        perSecond += quota.mRequests * kMsPerSecond /
+                     static_cast<double>(quota.mWindow.count());
+      }
+    }
+    microseconds interval =
+      perSecond > 0 ? microseconds(std::llround(kUsPerSecond / perSecond))
+                    : std::chrono::duration_cast<microseconds>(kMaxReturnWait);
+    turn = aPool.mReturns.TakeTurn(aRoomAt, interval, kMaxReturnWait, aNow);
+  });
+  return turn;
+}
+
 void
 backend_controller::LogRate(backend& aBackend,
                             rate_change aChange,
@@ -144,7 +233,11 @@
 {
   auto known = mHasRates ? mRates.Get(aServer) : std::nullopt;
   bool isSame = known && known->mIncarnation == aIncarnation;
-  return isSame ? known->mRate : rate_limit();
+  if (!isSame) {
+    return {};
+  }
+  known->mRate.DropPart();
+  return known->mRate;
 }
 
 }
--- a/decisions/rate_limit.cpp
+++ b/decisions/rate_limit.cpp
@@ -110,6 +110,13 @@
   mShare.SetTarget(OwnPart(aPart, mTotal.mRequests), aNow, aHandover);
 }
 
+void
+rate_limit::DropPart()
+{
+  mShare.SetInitial(0);
+  mWindow.Clear();
+}
+
 bool
 rate_limit::IsInForce(steady_time aNow) const
 {
--- a/decisions/rate_limit.h
+++ b/decisions/rate_limit.h
@@ -78,6 +78,9 @@
   void SetPart(const rate_part& aPart,
                milliseconds aHandover,
                steady_time aNow);
+  /** Drops the part and what was counted, for a server whose requests were not
+   * counted for a while. */
+  void DropPart();
   /** True while requests are counted. */
   [[nodiscard]] bool IsInForce(steady_time aNow) const;
   [[nodiscard]] const announced_rate& Announced() const { return mAnnounced; }
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -75,6 +75,7 @@
   config.mSuspendsFailing = aSettings.mEntrySuspendsFailing;
   config.mNoticeLimits = { milliseconds(aSettings.mEntryLeavingGraceMs),
                            milliseconds(aSettings.mEntryMaxPauseMs) };
+  config.mRateHandover = kRateWindow + milliseconds(aSettings.mEntryLeaseMs);
   config.mSeed = std::random_device{}();
   return config;
 }
@@ -169,7 +170,8 @@
   hooks.mMaySend = [this](const server_request& aRequest, steady_time aNow) {
     bool isConfirmed =
       aRequest.mForwarded != nullptr ? MayForward(aNow) : mLease.IsValid(aNow);
-    return isConfirmed && mBackends.IsWilling(aRequest.mPermit, aNow);
+    return isConfirmed &&
+           mBackends.ConfirmSend(aRequest.mPermit, mLease.IsValid(aNow), aNow);
   };
   hooks.mBorrowConnection = [this](const server_id& aServer) {
     return mBackends.BorrowIdle(aServer, SteadyNow());
--- a/tests/controllers/backend_controller_test.cpp
+++ b/tests/controllers/backend_controller_test.cpp
@@ -333,3 +333,101 @@
   CHECK(sum > 0);
   CHECK(sum < limit);
 }
+
+namespace {
+
+attempt_report
+Announcing(attempt_status aStatus, double aPerSecond)
+{
+  attempt_report report{ aStatus, microseconds(1000), 0 };
+  report.mNotice.mRate = { rate_notice_kind::Limited, aPerSecond };
+  return report;
+}
+
+/** Requests that a controller sends at once, up to 50. */
+int
+SendAll(backend_controller& aBackends,
+        const choice_request& aChoice,
+        steady_time aNow)
+{
+  int sent = 0;
+  while (sent < 50) {
+    auto permit = aBackends.Choose(aChoice, aNow);
+    if (!permit) {
+      break;
+    }
+    ++sent;
+    aBackends.Finish(*permit, Announcing(attempt_status::Answered, 4), aNow);
+  }
+  return sent;
+}
+
+}
+
+TEST(backend_controller, AServerThatRefusesForItsRateIsNeitherFailingNorCold)
+{
+  mBackends.Put(Server("a1"), true, kNow);
+  steady_time now = kNow + std::chrono::seconds(10);
+  std::uint32_t limit = mBackends.Statuses(now)[0].mConcurrencyLimit;
+  for (int attempt = 0; attempt < 30; ++attempt) {
+    now += milliseconds(5000);
+    auto permit = mBackends.Choose(mChoice, now);
+    CHECK(permit.has_value());
+    mBackends.Finish(*permit, Announcing(attempt_status::Shed, 2), now);
+  }
+  LONGS_EQUAL(0, mTurnedColdServers.size());
+  LONGS_EQUAL(limit, mBackends.Statuses(now)[0].mConcurrencyLimit);
+}
+
+TEST(backend_controller, EveryWayToARateLimitedServerCounts)
+{
+  mBackends.Put(Server("a1"), true, kNow);
+  steady_time now = kNow + std::chrono::seconds(10);
+  // Chosen before the limit is known, and sent after it.
+  auto early = mBackends.Choose(mChoice, now);
+  auto late = mBackends.Choose(mChoice, now);
+  mBackends.Finish(*early, Announcing(attempt_status::Answered, 0.25), now);
+  // The other host has the only request of the window, or this one has.
+  bool hasPart = mBackends.Statuses(now)[0].mRateQuota == 1;
+  LONGS_EQUAL(hasPart, mBackends.ConfirmSend(*late, true, now));
+  CHECK(!mBackends.Choose(mChoice, now));
+  CHECK(!mBackends.ConfirmSend(*late, true, now));
+  CHECK(*mBackends.WillingAt(mChoice, now) > now + milliseconds(3000));
+}
+
+TEST(backend_controller, TheTimeOfSendingCountsAndUnsentRequestsDont)
+{
+  mBackends.SetHosts({ share_holder{ host_id{ "e1" }, {} } }, kNow);
+  mBackends.Put(Server("a1"), true, kNow);
+  steady_time now = kNow + std::chrono::seconds(10);
+  auto first = mBackends.Choose(mChoice, now);
+  mBackends.Finish(*first, Announcing(attempt_status::Answered, 0.25), now);
+  auto permit = mBackends.Choose(mChoice, now);
+  CHECK(permit.has_value());
+  CHECK(!mBackends.Choose(mChoice, now));
+  // It waits for its connection for 3 s, so the window ends 3 s later.
+  steady_time sentAt = now + milliseconds(3000);
+  CHECK(mBackends.ConfirmSend(*permit, true, sentAt));
+  CHECK(!mBackends.Choose(mChoice, now + milliseconds(4000)));
+  auto next = mBackends.Choose(mChoice, sentAt + milliseconds(4000));
+  CHECK(next.has_value());
+  Finish(*next, attempt_status::NotSent, 0, sentAt + milliseconds(4001));
+  CHECK(mBackends.Choose(mChoice, sentAt + milliseconds(4001)).has_value());
+}
+
+TEST(backend_controller, ARateHoldsHoweverItsServerIsRecordedAgain)
+{
+  mBackends.SetHosts({ share_holder{ host_id{ "e1" }, {} } }, kNow);
+  mBackends.Put(Server("a1"), true, kNow);
+  steady_time now = kNow + std::chrono::seconds(10);
+  auto first = mBackends.Choose(mChoice, now);
+  mBackends.Finish(*first, Announcing(attempt_status::Answered, 4), now);
+  LONGS_EQUAL(4, SendAll(mBackends, mChoice, now));
+  mBackends.Remove(server_id{ "a1" }, now);
+  mBackends.Put(Server("a1"), true, now + milliseconds(10));
+  LONGS_EQUAL(0, SendAll(mBackends, mChoice, now + milliseconds(10)));
+  server_record restarted = Server("a1");
+  restarted.mIncarnation = 2;
+  mBackends.Put(restarted, true, now + milliseconds(20));
+  CHECK(mBackends.Choose(mChoice, now + milliseconds(20)).has_value());
+}
--- /dev/null
+++ b/tests/decisions/rate_limit_test.cpp
@@ -0,0 +1,189 @@
+#include "decisions/rate_limit.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace hibiscusspool;
+
+const steady_time kNow{ std::chrono::hours(1) };
+constexpr milliseconds kHandover{ 5500 };
+constexpr rate_notice kUnlimited{ rate_notice_kind::Unlimited, 0 };
+
+rate_notice
+Limit(double aPerSecond)
+{
+  return { rate_notice_kind::Limited, aPerSecond };
+}
+
+steady_time
+At(int aMilliseconds)
+{
+  return kNow + milliseconds(aMilliseconds);
+}
+
+}
+
+TEST_GROUP(rate_limit)
+{
+  rate_limit mRate;
+
+  /** Gives this host the whole rate. */
+  void Learn(double aPerSecond)
+  {
+    mRate.OnResponse(Limit(aPerSecond), At(-20), kNow, 0);
+    mRate.SetFirstPart({ 1, 1, 0, 1 }, At(-60'000), kHandover, kNow);
+  }
+
+  /** Requests that are sent at once at a time, up to a bound. */
+  int SendAllAt(int aMilliseconds, rate_request aRequest = {})
+  {
+    int sent = 0;
+    while (sent < 1000 && mRate.RoomAt(aRequest, true, At(aMilliseconds)) <=
+                            At(aMilliseconds)) {
+      mRate.Add(1, aRequest, At(aMilliseconds));
+      ++sent;
+    }
+    return sent;
+  }
+};
+
+TEST(rate_limit, QuotasAreWholeRequestsAWindow)
+{
+  LONGS_EQUAL(12, TotalQuota(3.2).mRequests);
+  LONGS_EQUAL(1, TotalQuota(0.2).mRequests);
+  CHECK(TotalQuota(0.2).mWindow == milliseconds(5000));
+  CHECK(TotalQuota(0).mRequests == 1);
+  CHECK(TotalQuota(0).mWindow == milliseconds(10'000));
+}
+
+TEST(rate_limit, PartsAddUpToTheQuota)
+{
+  for (std::uint32_t hosts : { 1U, 5U, 17U, 291U }) {
+    std::vector<share_holder> holders;
+    for (std::uint32_t host = 0; host < hosts; ++host) {
+      holders.push_back({ host_id{ "e" + std::to_string(host) },
+                          failure_domain_id{ std::to_string(host % 3) } });
+    }
+    for (std::uint32_t connections : { 3U, 55U, 94U }) {
+      for (std::uint32_t requests : { 1U, 12U, 17U, 170U, 4001U }) {
+        server_id name{ "b" };
+        std::uint32_t sum = 0;
+        for (const share_holder& holder : holders) {
+          auto ring = share_ring::Create(holders, holder.mHost);
+          rate_part part;
+          part.mConnections = connections;
+          part.mOwnConnections =
+            ring.Allocate(service_id{ "s" }, { { name, connections } })[0];
+          part.mOwnRemainder = ring.Allocate(
+            service_id{ "s" }, { { name, requests % connections } })[0];
+          std::uint32_t own = OwnPart(part, requests);
+          // A part without a connection could not be used.
+          CHECK(own == 0 || part.mOwnConnections > 0);
+          sum += own;
+        }
+        LONGS_EQUAL(requests, sum);
+      }
+    }
+  }
+}
+
+TEST(rate_limit, NoWindowHasMoreThanTheQuotaAndBurstsAreShort)
+{
+  Learn(10);
+  LONGS_EQUAL(10, SendAllAt(0));
+  LONGS_EQUAL(0, SendAllAt(999));
+  LONGS_EQUAL(10, SendAllAt(1000));
+  LONGS_EQUAL(10, SendAllAt(2000));
+  LONGS_EQUAL(10, SendAllAt(3000));
+  LONGS_EQUAL(0, SendAllAt(3999));
+  LONGS_EQUAL(10, SendAllAt(4000));
+}
+
+TEST(rate_limit, ExtraAttemptsLeaveAQuarterAndLessUrgentOnesAnEighth)
+{
+  Learn(2);
+  LONGS_EQUAL(2, SendAllAt(0, { 0, true }));
+  LONGS_EQUAL(2, SendAllAt(1000, { 0, true }));
+  LONGS_EQUAL(2, SendAllAt(2000, { 0, true }));
+  LONGS_EQUAL(0, SendAllAt(3000, { 0, true }));
+  // The less urgent request leaves one of eight to the urgent ones.
+  CHECK(mRate.RoomAt({ 1, false }, true, At(3000)) <= At(3000));
+  LONGS_EQUAL(1, SendAllAt(3000, { 1, false }));
+  LONGS_EQUAL(1, SendAllAt(3000, { 0, false }));
+  // A rate of one request a window has none for extra attempts.
+  Learn(0.25);
+  CHECK(mRate.RoomAt({ 0, true }, true, At(60'000)) == steady_time::max());
+}
+
+TEST(rate_limit, APartThatGrowsWaitsUntilTheHostThatHadItIsDone)
+{
+  Learn(1);
+  mRate.SetPart({ 4, 1, 0, 4 }, kHandover, At(100));
+  LONGS_EQUAL(1, mRate.Quota(true, At(100)).mRequests);
+  mRate.SetPart({ 2, 1, 0, 2 }, kHandover, At(200));
+  LONGS_EQUAL(
+    1, mRate.Quota(true, At(200) + kHandover - milliseconds(1)).mRequests);
+  LONGS_EQUAL(2, mRate.Quota(true, At(200) + kHandover).mRequests);
+}
+
+TEST(rate_limit, ALimitLearntDuringAChangeOfHostsStartsAfterTheHandover)
+{
+  mRate.OnResponse(Limit(10), At(-20), kNow, 0);
+  mRate.SetFirstPart({ 1, 1, 0, 1 }, At(-1500), kHandover, kNow);
+  LONGS_EQUAL(0, mRate.Quota(true, At(3999)).mRequests);
+  LONGS_EQUAL(40, mRate.Quota(true, At(4000)).mRequests);
+}
+
+TEST(rate_limit, AnUnconfirmedHostUsesHalfOfItsPart)
+{
+  Learn(10);
+  LONGS_EQUAL(20, mRate.Quota(false, kNow).mRequests);
+}
+
+TEST(rate_limit, AHostWithoutAPartAsksAtLongIntervals)
+{
+  mRate.OnResponse(Limit(0), At(-20), kNow, 0);
+  mRate.SetFirstPart({ 10, 1, 0, 10 }, At(-60'000), kHandover, kNow);
+  steady_time trial = mRate.RoomAt({}, true, kNow);
+  CHECK(trial >= At(40'000));
+  CHECK(trial < At(140'000));
+  CHECK(mRate.RoomAt({ 0, true }, true, kNow) == steady_time::max());
+  mRate.Add(1, {}, trial);
+  CHECK(mRate.RoomAt({}, true, trial) > trial + milliseconds(40'000));
+}
+
+TEST(rate_limit, TheAllowanceDoublesAfterTheLimitHasEnded)
+{
+  Learn(1);
+  CHECK(mRate.OnResponse(kUnlimited, At(10), At(20), 0) == rate_change::Ended);
+  LONGS_EQUAL(8, mRate.Quota(true, At(20)).mRequests);
+  LONGS_EQUAL(16, mRate.Quota(true, At(1020)).mRequests);
+  LONGS_EQUAL(64, mRate.Quota(true, At(3020)).mRequests);
+  CHECK(mRate.IsInForce(At(4019)));
+  CHECK(!mRate.IsInForce(At(4020)));
+  CHECK(mRate.RoomAt({}, true, At(4020)) == At(4020));
+}
+
+TEST(rate_limit, AHugeLimitIsKeptToo)
+{
+  Learn(1e6);
+  LONGS_EQUAL(1000, SendAllAt(0));
+}
+
+TEST(rate_limit, RequestsThatFoundNoRoomReturnOneAfterTheOther)
+{
+  return_schedule schedule;
+  constexpr microseconds kInterval{ 100'000 };
+  constexpr milliseconds kMaxWait{ 350 };
+  auto turn = [&](int aRoomAt, int aNow) {
+    return schedule.TakeTurn(At(aRoomAt), kInterval, kMaxWait, At(aNow));
+  };
+  CHECK(turn(50, 0) == At(50));
+  CHECK(turn(50, 0) == At(150));
+  CHECK(turn(50, 10) == At(250));
+  // Turns are not given out far ahead.
+  CHECK(turn(50, 10) == At(350));
+  CHECK(turn(50, 10) == At(360));
+  CHECK(turn(900, 800) == At(900));
+}
