Refuse at once what the rates of servers exclude

A request waited for a server without room until its deadline, and a fan-out asked all other shards before it failed for one. Now a fan-out that can't reach its minimum is refused before any server is asked, with the time until enough services have room as its Retry-After; other parts without room are named as missing at once. A request to one service waits for its turn if the response can still be in time, else it is refused. Turns are given out at the rate at which room returns, so that callers don't return together.

Failed before: scatter/FanOutIsRefusedBeforeAnyServerIsAskedIfRatesExclude- ItsMinimum (refused with the coverage after 4 servers had run it) and RequestWaitsForItsTurnOnlyIfTheResponseIsInTime (waited 1 s beyond its objective). FanOutNamesPartsWithoutRoomAsMissingAtOnce passed before but for the name of the reason.

--- a/filters/request_context.h
+++ b/filters/request_context.h
@@ -53,14 +53,17 @@
   Failed,
   /** All servers are leaving or asked for more time than is left. */
   Paused,
+  /** No server has room in time within the rate that it announced. */
+  RateLimited,
 };
 
 template<>
-inline constexpr name_table<missing_reason, 4> kNames<missing_reason>{ {
+inline constexpr name_table<missing_reason, 5> kNames<missing_reason>{ {
   { missing_reason::NoServer, "no_server" },
   { missing_reason::NoResponseInTime, "no_answer_in_time" },
   { missing_reason::Failed, "failed" },
   { missing_reason::Paused, "paused" },
+  { missing_reason::RateLimited, "rate_limited" },
 } };
 
 struct service_response
--- a/filters/scatter.h
+++ b/filters/scatter.h
@@ -75,6 +75,9 @@
   /** Chooses another index version after the first became unavailable. */
   std::function<std::optional<snapshot_number>(const request_context&)> mReplan;
   std::function<bool(steady_time)> mIsLeaseValid;
+  /** Whether this host's view of the other hosts is confirmed, which requests
+   * need not be; unset if it always is. */
+  std::function<bool(steady_time)> mIsConfirmed;
   /** Send a query whose fingerprint is new to one service first. */
   bool mUsesCanary = true;
   /** Maximum time before an attempt is hedged, in percent of the time from
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -54,6 +54,8 @@
   choice.mRateRequest.mIsExtra =
     aReason == attempt_reason::Hedge ||
     (aReason == attempt_reason::Retry && !aService.mTried.empty());
+  choice.mIsConfirmed =
+    !mHooks.mIsConfirmed || mHooks.mIsConfirmed(mHooks.mNow());
   return choice;
 }
 
@@ -122,10 +124,72 @@
   }
 }
 
+void
+scatter_operation::AwaitRateOrGiveUp(service_progress& aService,
+                                     steady_time aRoomAt)
+{
+  steady_time now = mHooks.mNow();
+  steady_time turn = aRoomAt;
+  if (aRoomAt != steady_time::max()) {
+    turn = mBackends.TakeTurn(
+      MakeChoiceRequest(aService, aService.mNextReason), aRoomAt, now);
+  }
+  // A part isn't worth waiting for: its share of the rate is used anyway, and
+  // the parts that are ready would wait too.
+  bool mayWait = !mIsMerged && turn < std::min(mDeadline, mSoftDeadline);
+  if (mayWait) {
+    aService.mExcludedServers.clear();
+    aService.mNextAttemptAt = turn;
+    return;
+  }
+  if (turn != steady_time::max()) {
+    mServersBackAt = std::max(mServersBackAt.value_or(turn), turn);
+  }
+  GiveUp(aService, missing_reason::RateLimited);
+}
+
+void
+scatter_operation::EndIfRatesExcludeMinimum(steady_time aNow)
+{
+  // Hosts that get subqueries have their own parts of the rates.
+  bool isWhole = mIsMerged && !mOnProgress && mSubqueries.empty();
+  if (!isWhole || !mHooks.mIsLeaseValid(aNow)) {
+    return;
+  }
+  std::vector<steady_time> closedUntil;
+  for (const service_progress& service : mServices) {
+    if (!mBackends.HasRateLimit(service.mService, aNow)) {
+      continue;
+    }
+    auto willingAt = mBackends.WillingAt(
+      MakeChoiceRequest(service, attempt_reason::Regular), aNow);
+    if (willingAt) {
+      closedUntil.push_back(*willingAt);
+    }
+  }
+  std::size_t open = mServices.size() - closedUntil.size();
+  if (open >= mRequiredResponses) {
+    return;
+  }
+  auto last = closedUntil.begin() +
+              static_cast<std::ptrdiff_t>(mRequiredResponses - open - 1);
+  std::nth_element(closedUntil.begin(), last, closedUntil.end());
+  if (*last != steady_time::max()) {
+    mServersBackAt = *last;
+  }
+  for (service_progress& service : mServices) {
+    GiveUp(service, missing_reason::RateLimited);
+  }
+}
+
 void
 scatter_operation::AwaitServerOrGiveUp(service_progress& aService,
                                        steady_time aBackAt)
 {
+  if (mBackends.HasRateLimit(aService.mService, mHooks.mNow())) {
+    AwaitRateOrGiveUp(aService, aBackAt);
+    return;
+  }
   if (aBackAt < mDeadline) {
     aService.mExcludedServers.clear();
     aService.mNextAttemptAt = aBackAt;
--- a/filters/scatter_operation.cpp
+++ b/filters/scatter_operation.cpp
@@ -72,6 +72,7 @@
   mIsCanary = isNew && mKind == request_kind::Query && mServices.size() > 1;
   ObserveCaller();
   StartSubqueries(mHooks.mNow());
+  EndIfRatesExcludeMinimum(mHooks.mNow());
   int replans = 0;
   while (true) {
     mIsWoken = false;
--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -194,6 +194,12 @@
   /** Waits until servers that asked for time are back, or gives up if that is
    * after the deadline. */
   void AwaitServerOrGiveUp(service_progress& aService, steady_time aBackAt);
+  /** Waits for its turn within the rates that the servers announced, or gives
+   * up if the response would be late. */
+  void AwaitRateOrGiveUp(service_progress& aService, steady_time aRoomAt);
+  /** Ends a fan-out before any server is asked if too few services have room
+   * within the rates that their servers announced. */
+  void EndIfRatesExcludeMinimum(steady_time aNow);
   /** Waits for a free slot or a retry if one is possible, else gives up. */
   void AwaitCapacityOrGiveUp(service_progress& aService);
   [[nodiscard]] std::size_t IndexOf(const service_id& aService) const;
--- a/main/entry_hooks.cpp
+++ b/main/entry_hooks.cpp
@@ -126,6 +126,7 @@
   hooks.mIsLeaseValid = [this](steady_time aNow) {
     return mLease.IsValid(aNow);
   };
+  hooks.mIsConfirmed = hooks.mIsLeaseValid;
   return hooks;
 }
 
--- a/tests/filters/scatter_test.cpp
+++ b/tests/filters/scatter_test.cpp
@@ -33,6 +33,7 @@
   config.mRampDuration = milliseconds(0);
   config.mColdAfterRefusals = 0;
   config.mSuspendsFailing = true;
+  config.mRateHandover = milliseconds(0);
   return config;
 }
 
@@ -89,6 +90,19 @@
     }
   }
 
+  /** Makes a service's only server announce a rate, and uses up its burst. */
+  void UseUpRate(const std::string& aService, double aPerSecond)
+  {
+    attempt_report named{ attempt_status::Answered, microseconds(1), 0 };
+    named.mNotice.mRate = { rate_notice_kind::Limited, aPerSecond };
+    choice_request choice;
+    choice.mService.mValue = aService;
+    choice.mAcceptsAnySnapshot = true;
+    while (auto permit = mBackends.Choose(choice, Now())) {
+      mBackends.Finish(*permit, named, Now());
+    }
+  }
+
   asio::awaitable<attempt_result> SendAttempt(server_request aServerRequest)
   {
     co_await asio::this_coro::throw_if_cancelled(false);
@@ -285,3 +299,62 @@
   CHECK(took >= milliseconds(100));
   LONGS_EQUAL(3, mSentTo["p"].size());
 }
+
+TEST(scatter, FanOutIsRefusedBeforeAnyServerIsAskedIfRatesExcludeItsMinimum)
+{
+  AddService("t", 1);
+  UseUpRate("t", 0.25);
+  mRequest.mIsMerged = true;
+  mRequest.mPolicy.mMinimumCoverage = 1;
+  mOutcomes = { attempt_status::Answered };
+  CHECK(Serve() < milliseconds(200));
+  CheckRefused(refusal_reason::NoServer);
+  CHECK(mRequest.mRan == execution_status::No);
+  LONGS_EQUAL(0, mSentTo["s"].size());
+  LONGS_EQUAL(0, mSentTo["t"].size());
+  // The rate has room again in 4 s.
+  milliseconds retry = mRequest.mRefusal->mRetryAfter;
+  CHECK(retry > milliseconds(3500));
+  CHECK(retry <= milliseconds(5000));
+}
+
+TEST(scatter, FanOutNamesPartsWithoutRoomAsMissingAtOnce)
+{
+  AddService("t", 1);
+  UseUpRate("t", 0.25);
+  mRequest.mIsMerged = true;
+  mRequest.mPolicy.mMinimumCoverage = 0.5;
+  mOutcomes = { attempt_status::Answered };
+  CHECK(Serve() < milliseconds(200));
+  CHECK(!mRequest.mRefusal);
+  LONGS_EQUAL(1, mRequest.mResponses.size());
+  LONGS_EQUAL(1, mRequest.mMissing.size());
+  CHECK(mRequest.mMissing[0].mReason == missing_reason::RateLimited);
+  LONGS_EQUAL(0, mSentTo["t"].size());
+}
+
+TEST(scatter, RequestWaitsForItsTurnOnlyIfTheResponseIsInTime)
+{
+  mRequest.mServices.clear();
+  AddService("p", 1);
+  // A quarter of the window's 8 requests each second.
+  UseUpRate("p", 2);
+  mOutcomes = { attempt_status::Answered };
+  mRequest.mDeadline = Now() + std::chrono::seconds(5);
+  mRequest.mGiveUpAt = mRequest.mDeadline;
+  mRequest.mSoftDeadline = Now() + milliseconds(2500);
+  milliseconds took = Serve();
+  CHECK(!mRequest.mRefusal);
+  CHECK(took > milliseconds(800));
+  CHECK(took < milliseconds(2500));
+  LONGS_EQUAL(1, mSentTo["p"].size());
+
+  mContext.restart();
+  UseUpRate("p", 2);
+  mRequest.mSoftDeadline = Now() + milliseconds(100);
+  CHECK(Serve() < milliseconds(90));
+  CheckRefused(refusal_reason::NoServer);
+  CHECK(mRequest.mRefusal->mRetryAfter >= milliseconds(400));
+  CHECK(mRequest.mMissing.back().mReason == missing_reason::RateLimited);
+  LONGS_EQUAL(1, mSentTo["p"].size());
+}
