Keep the part in use when a limit changes during a change of hosts

Cause: a new value that came within the handover after a change of hosts or servers set this host's part to 0 until the handover's end, so that a server whose limit varies got nothing for seconds. Change: such a value lowers the part at once and raises it after the handover, like any other change.

Failed before: rate_limit/ANewValueDuringAChangeOfHostsKeepsThePartInUse (0 for 32).

--- a/decisions/rate_limit.cpp
+++ b/decisions/rate_limit.cpp
@@ -97,7 +97,6 @@
     mShare.SetInitial(own);
     return;
   }
-  mShare.SetInitial(0);
   mShare.SetTarget(own, aDividedSince, aHandover);
 }
 
--- a/tests/decisions/rate_limit_test.cpp
+++ b/tests/decisions/rate_limit_test.cpp
@@ -1,5 +1,7 @@
 #include "decisions/rate_limit.h"
 
+#include <random>
+
 #include <CppUTest/TestHarness.h>
 
 namespace {
@@ -135,6 +137,111 @@
   LONGS_EQUAL(40, mRate.Quota(true, At(4000)).mRequests);
 }
 
+TEST(rate_limit, ANewValueDuringAChangeOfHostsKeepsThePartInUse)
+{
+  Learn(10);
+  rate_part part{ 1, 1, 0, 1 };
+  mRate.SetPart(part, kHandover, At(1000));
+  mRate.OnResponse(Limit(8), At(1100), At(1200), 0);
+  mRate.SetFirstPart(part, At(1000), kHandover, At(1200));
+  LONGS_EQUAL(32, mRate.Quota(true, At(1200)).mRequests);
+  mRate.OnResponse(Limit(20), At(1300), At(1400), 0);
+  mRate.SetFirstPart(part, At(1000), kHandover, At(1400));
+  LONGS_EQUAL(32, mRate.Quota(true, At(1400)).mRequests);
+  LONGS_EQUAL(80, mRate.Quota(true, At(1000) + kHandover).mRequests);
+}
+
+TEST(rate_limit, TheSumIsKeptWhileHostsLearnOfChangesAtDifferentTimes)
+{
+  constexpr std::uint32_t kConnections = 20;
+  constexpr double kPerSecond = 5;
+  constexpr milliseconds kLease{ 1500 };
+  constexpr milliseconds kStep{ 50 };
+  const service_id service{ "s" };
+  const server_id server{ "b" };
+  struct host_state
+  {
+    rate_limit mRate;
+    std::size_t mView = 0;
+    steady_time mConfirmedAt;
+  };
+  std::uint32_t allowed = TotalQuota(kPerSecond).mRequests;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    std::mt19937_64 random(seed);
+    std::vector<share_holder> all;
+    for (int host = 0; host < 7; ++host) {
+      all.push_back({ host_id{ "e" + std::to_string(host) },
+                      failure_domain_id{ std::to_string(host % 2) } });
+    }
+    std::vector<std::vector<bool>> views{ std::vector<bool>(7, true) };
+    auto partIn = [&](std::size_t aView, std::size_t aHost) {
+      std::vector<share_holder> holders;
+      for (std::size_t host = 0; host < all.size(); ++host) {
+        if (views[aView][host]) {
+          holders.push_back(all[host]);
+        }
+      }
+      auto ring = share_ring::Create(holders, all[aHost].mHost);
+      auto units = [&](std::uint32_t aUnits) {
+        return ring.Allocate(service, { { server, aUnits } })[0];
+      };
+      return rate_part{ kConnections,
+                        units(kConnections),
+                        units(allowed % kConnections),
+                        std::min<std::uint32_t>(
+                          static_cast<std::uint32_t>(holders.size()),
+                          kConnections) };
+    };
+    std::vector<host_state> hosts(all.size());
+    steady_time now = kNow;
+    for (std::size_t host = 0; host < all.size(); ++host) {
+      hosts[host].mRate.OnResponse(Limit(kPerSecond), now, now, random());
+      hosts[host].mRate.SetFirstPart(
+        partIn(0, host), At(-60'000), kHandover, now);
+      hosts[host].mConfirmedAt = now;
+    }
+    std::vector<steady_time> sent;
+    std::vector<steady_time> sentUnconfirmed;
+    for (int step = 0; step < 3000; ++step) {
+      now += kStep;
+      if (random() % 40 == 0) {
+        views.push_back(views.back());
+        std::size_t host = random() % all.size();
+        views.back()[host] = !views.back()[host];
+      }
+      for (std::size_t host = 0; host < all.size(); ++host) {
+        host_state& state = hosts[host];
+        // Every third host hears of changes rarely.
+        if (random() % 30 < (host % 3 == 0 ? 1U : 12U)) {
+          while (state.mView + 1 < views.size()) {
+            ++state.mView;
+            state.mRate.SetPart(partIn(state.mView, host), kHandover, now);
+          }
+          state.mConfirmedAt = now;
+        }
+        bool isConfirmed = now - state.mConfirmedAt < kLease;
+        if (state.mRate.Quota(isConfirmed, now).mRequests > 0 &&
+            state.mRate.RoomAt({}, isConfirmed, now) <= now) {
+          state.mRate.Add(1, {}, now);
+          (isConfirmed ? sent : sentUnconfirmed).push_back(now);
+        }
+      }
+      auto countInWindow = [&](std::vector<steady_time>& aTimes) {
+        std::erase_if(
+          aTimes, [&](steady_time aAt) { return aAt + kRateWindow <= now; });
+        return aTimes.size();
+      };
+      std::size_t confirmed = countInWindow(sent);
+      std::size_t unconfirmed = countInWindow(sentUnconfirmed);
+      if (confirmed > allowed) {
+        std::printf("seed %d step %d\n", static_cast<int>(seed), step);
+      }
+      CHECK(confirmed <= allowed);
+      CHECK(confirmed + unconfirmed <= allowed + allowed / 2);
+    }
+  }
+}
+
 TEST(rate_limit, AnUnconfirmedHostUsesHalfOfItsPart)
 {
   Learn(10);
