Test announced rates with real processes

The stand-in announces a limit to its rate and counts what it gets in each window. Four callers at two entry hosts, three servers of a shard at 10 requests a second, one entry host killed and started: at most 40 in any 4 s, callers still served, and more than the limit after its end.

--- a/tests/integration/request_side_test.cpp
+++ b/tests/integration/request_side_test.cpp
@@ -234,6 +234,34 @@
   DOUBLES_EQUAL(asked, system.SumCounter("log", "sheds"), 0);
 }
 
+TEST(request_side, ServersGetNoMoreThanTheRateTheyAnnounceFromAllHosts)
+{
+  test_system system({});
+  system.StartAll();
+  caller_load load(system, 4);
+  Sleep(1000);
+  system.SetBehaviour("rack2*", R"({"rate_per_second":10})");
+  Sleep(6000);
+  // Hosts come and go while the limit holds.
+  system.StopProcess("e2", SIGKILL);
+  Sleep(2000);
+  system.Start("e2");
+  Sleep(5000);
+  for (const char* server : { "rack2-0", "rack2-1", "rack2-2" }) {
+    CHECK(system.SumCounter(server, "max_in_rate_window") <= 40);
+  }
+  double served = system.SumCounter("rack2", "searches");
+  Sleep(2000);
+  CHECK(system.SumCounter("rack2", "searches") > served);
+  system.SetBehaviour("rack2*", R"({"rate_per_second":-1})");
+  Sleep(5000);
+  served = system.SumCounter("rack2", "searches");
+  Sleep(1000);
+  // More than the limit of the three servers.
+  CHECK(system.SumCounter("rack2", "searches") > served + 30);
+  CheckConsistent(Summarise(load.Stop()));
+}
+
 TEST(request_side, AServerThatLeftIsNotUsedAfterARestartOfAllHosts)
 {
   test_system system({});
--- a/tests/standin/server.cpp
+++ b/tests/standin/server.cpp
@@ -199,6 +199,9 @@
     if (mOptions.mIsLeaving) {
       response.set("Leaving", "true");
     }
+    if (mOptions.mRatePerSecond >= 0) {
+      response.set("Rate-Limit", std::to_string(mOptions.mRatePerSecond));
+    }
     response.body() = std::move(result.mBody);
     response.prepare_payload();
     if (result.mTruncates) {
@@ -220,6 +223,23 @@
   aSocket->close(ignored);
 }
 
+void
+server::CountArrival()
+{
+  constexpr milliseconds kWindow{ 4000 };
+  auto now = steady_clock::now();
+  bool isCounted = mOptions.mRatePerSecond >= 0 && now >= mRateSince + kWindow;
+  if (!isCounted) {
+    return;
+  }
+  mArrivals.push_back(now);
+  while (mArrivals.front() + kWindow <= now) {
+    mArrivals.pop_front();
+  }
+  mCounts.mMaxInRateWindow =
+    std::max<std::uint64_t>(mCounts.mMaxInRateWindow, mArrivals.size());
+}
+
 asio::awaitable<bool>
 server::AcquireSlot(steady_clock::time_point aDeadline)
 {
@@ -286,6 +306,7 @@
     }
     co_return result;
   }
+  CountArrival();
   if (mOptions.mNetworkDelayMs > 0) {
     asio::steady_timer delay(mContext, Ms(mOptions.mNetworkDelayMs * 2));
     co_await delay.async_wait(kNoThrow);
@@ -485,6 +506,11 @@
       mOptions.mPauseMs = static_cast<std::uint32_t>(number(value));
     } else if (key == "leaving") {
       mOptions.mIsLeaving = value.as_bool();
+    } else if (key == "rate_per_second") {
+      mOptions.mRatePerSecond = number(value);
+      mRateSince = steady_clock::now();
+      mArrivals.clear();
+      mCounts.mMaxInRateWindow = 0;
     } else if (key == "resets") {
       mOptions.mClosesConnections = value.as_bool();
     } else if (key == "silent") {
@@ -537,6 +563,7 @@
            { "over_cold", mCounts.mOverColdSlots },
            { "most_open", mCounts.mMaxOpenConnections },
            { "most_cold", mCounts.mMaxColdRequests },
+           { "max_in_rate_window", mCounts.mMaxInRateWindow },
            { "while_draining", mCounts.mRequestsWhileDraining } };
 }
 
--- a/tests/standin/server.h
+++ b/tests/standin/server.h
@@ -45,6 +45,8 @@
   std::uint32_t mPauseMs = 0;
   /** Says in each response that it leaves; its announcements don't. */
   bool mIsLeaving = false;
+  /** Announces this limit to its requests per second; negative: none. */
+  double mRatePerSecond = -1;
   bool mClosesConnections = false;
   bool mIsSilent = false;
   bool mWrongId = false;
@@ -67,6 +69,8 @@
   std::uint64_t mMaxOpenConnections = 0;
   std::uint64_t mMaxColdRequests = 0;
   std::uint64_t mRequestsWhileDraining = 0;
+  /** Maximum number of requests in 4 s, from 4 s after it announced a limit. */
+  std::uint64_t mMaxInRateWindow = 0;
 };
 
 /**
@@ -91,6 +95,9 @@
   std::uint32_t mRunning = 0;
   std::deque<std::shared_ptr<boost::asio::steady_timer>> mWaiters;
   std::set<std::string> mCancelled;
+  /** Since when a limit to the rate is announced, and the requests since. */
+  std::chrono::steady_clock::time_point mRateSince;
+  std::deque<std::chrono::steady_clock::time_point> mArrivals;
   /** Executions of each idempotency key. */
   std::map<std::string, std::uint64_t> mRunsByKey;
   std::string mAnnouncedTo;
@@ -109,6 +116,7 @@
                                                 const std::string& aSnapshot,
                                                 const std::string& aKey,
                                                 std::int64_t aDeadlineMs);
+  void CountArrival();
   boost::asio::awaitable<bool> AcquireSlot(
     std::chrono::steady_clock::time_point aDeadline);
   void ReleaseSlot();
