Remember the rates of servers that were removed meanwhile

Cause: a limit that came with the answer of a server whose record had been removed was dropped, so the same incarnation got requests without a limit when it was recorded again. Limits are now kept like other notices, for an hour after they were last seen; the metric of a host's part is 0 without one.

--- a/controllers/backend_choice.cpp
+++ b/controllers/backend_choice.cpp
@@ -336,6 +336,7 @@
   if (!isKnown) {
     notices = RecallNotices(aPermit.mServer, aPermit.mIncarnation);
     isChanged = RecordNotice(notices, aPermit, aReport, aNow);
+    RecordRateOfRemoved(aPermit, aReport, aNow);
   }
   if (isChanged) {
     RememberNotices(aPermit, notices, aReport.mNotice);
--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -269,7 +269,9 @@
                              entry.mServiceTime.Mean(),
                              entry.mRate.Announced().IsLimited(),
                              entry.mRate.Announced().PerSecond(),
-                             entry.mRate.Quota(true, aNow).mRequests });
+                             entry.mRate.Announced().IsLimited()
+                               ? entry.mRate.Quota(true, aNow).mRequests
+                               : 0 });
       }
     });
   return statuses;
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -216,6 +216,7 @@
   {
     incarnation_number mIncarnation = 0;
     rate_limit mRate;
+    steady_time mRecordedAt;
   };
 
   backend_config mConfig;
@@ -318,7 +319,13 @@
   [[nodiscard]] static steady_time RateRoomAt(const backend& aBackend,
                                               const choice_request& aRequest,
                                               steady_time aNow);
-  void LogRate(backend& aBackend, rate_change aChange, steady_time aNow) const;
+  /** The same for a server whose record was removed meanwhile. */
+  void RecordRateOfRemoved(const attempt_permit& aPermit,
+                           const attempt_report& aReport,
+                           steady_time aNow);
+  /** Logs a change of a server's rate, or its use from time to time; true if it
+   * did. */
+  bool LogRate(backend& aBackend, rate_change aChange, steady_time aNow) const;
   /** What an incarnation of a server has announced, for a new record of it. */
   [[nodiscard]] rate_limit RecallRate(const server_id& aServer,
                                       incarnation_number aIncarnation) const;
@@ -396,7 +403,7 @@
   steady_time TakeTurn(const choice_request& aRequest,
                        steady_time aRoomAt,
                        steady_time aNow);
-  /** Forgets notices of servers that must have ended long ago. */
+  /** Forgets notices and limits of servers that must have ended long ago. */
   void ForgetOldNotices(steady_time aNow);
   /** Calls `aCallback` once, when a server of the service may have a free slot.
    */
--- a/controllers/backend_notices.cpp
+++ b/controllers/backend_notices.cpp
@@ -106,6 +106,12 @@
         return aNotices.IsOutdated(kNoticeRetention, aNow);
       });
   }
+  if (mHasRates) {
+    mRates.EraseIf(
+      [&](const server_id& /*aServer*/, const remembered_rate& aRate) {
+        return aNow > aRate.mRecordedAt + kNoticeRetention;
+      });
+  }
 }
 
 }
--- a/controllers/backend_rates.cpp
+++ b/controllers/backend_rates.cpp
@@ -108,10 +108,26 @@
       parts[index], aPool.mDividedSince, mConfig.mRateHandover, aNow);
     mHasRates = true;
   }
+  if (LogRate(aBackend, change, aNow) || isNewLimit) {
+    mRates.Set(aPermit.mServer, { aPermit.mIncarnation, aBackend.mRate, aNow });
+  }
+}
+
+void
+backend_controller::RecordRateOfRemoved(const attempt_permit& aPermit,
+                                        const attempt_report& aReport,
+                                        steady_time aNow)
+{
+  if (!IsResponse(aReport.mStatus)) {
+    return;
+  }
+  rate_limit rate = RecallRate(aPermit.mServer, aPermit.mIncarnation);
+  rate_change change =
+    rate.OnResponse(aReport.mNotice.mRate, aPermit.mStartedAt, aNow, 0);
   if (change != rate_change::None) {
-    mRates.Set(aPermit.mServer, { aPermit.mIncarnation, aBackend.mRate });
+    mRates.Set(aPermit.mServer, { aPermit.mIncarnation, rate, aNow });
+    mHasRates = true;
   }
-  LogRate(aBackend, change, aNow);
 }
 
 steady_time
@@ -198,7 +214,7 @@
   return turn;
 }
 
-void
+bool
 backend_controller::LogRate(backend& aBackend,
                             rate_change aChange,
                             steady_time aNow) const
@@ -209,7 +225,7 @@
       ? aBackend.mRate.IsInForce(aNow) && silence >= kUseLogInterval
       : aChange != rate_change::Changed || silence >= kChangeLogInterval;
   if (!isDue) {
-    return;
+    return false;
   }
   aBackend.mRateLoggedAt = aNow;
   const rate_limit& rate = aBackend.mRate;
@@ -225,6 +241,7 @@
     .Add("sent", rate.Window().Count())
     .Add("sent_extra", rate.Window().ExtraCount())
     .Add("source", "response");
+  return true;
 }
 
 rate_limit
--- a/tests/controllers/backend_controller_test.cpp
+++ b/tests/controllers/backend_controller_test.cpp
@@ -431,3 +431,20 @@
   mBackends.Put(restarted, true, now + milliseconds(20));
   CHECK(mBackends.Choose(mChoice, now + milliseconds(20)).has_value());
 }
+
+TEST(backend_controller, ARateThatARemovedServerAnnouncesHoldsWhenItReturns)
+{
+  mBackends.SetHosts({ share_holder{ host_id{ "e1" }, {} } }, kNow);
+  mBackends.Put(Server("a1"), true, kNow);
+  steady_time now = kNow + std::chrono::seconds(10);
+  auto permit = mBackends.Choose(mChoice, now);
+  mBackends.Remove(server_id{ "a1" }, now);
+  mBackends.Finish(*permit, Announcing(attempt_status::Answered, 4), now);
+  mBackends.Put(Server("a1"), true, now + milliseconds(10));
+  LONGS_EQUAL(0, SendAll(mBackends, mChoice, now + milliseconds(10)));
+  steady_time later = now + std::chrono::hours(2);
+  mBackends.ForgetOldNotices(later);
+  mBackends.Remove(server_id{ "a1" }, later);
+  mBackends.Put(Server("a1"), true, later);
+  CHECK(SendAll(mBackends, mChoice, later) > 0);
+}
