Keep a far turn from delaying the turns before it

Cause: one schedule of returns served rooms that open within a second and trials that are minutes ahead; a trial's turn pushed all later ones to the schedule's end, and callers were told to wait 8 s. Parts of a fan-out that are named as missing took turns too, though nobody returns for them. Turns beyond the schedule are now left out of it, parts take none, and a refused fan-out takes one at the service that binds it.

Failed before: rate_limit/RequestsThatFoundNoRoomReturnOneAfterTheOther.

--- a/decisions/rate_limit.cpp
+++ b/decisions/rate_limit.cpp
@@ -171,8 +171,12 @@
                           milliseconds aMaxWait,
                           steady_time aNow)
 {
-  steady_time next = std::max(aRoomAt, mLastTurn + aInterval);
-  mLastTurn = std::min(next, std::max(aRoomAt, aNow + aMaxWait));
+  // A turn that is far ahead must not push back those before it.
+  if (aRoomAt >= aNow + aMaxWait) {
+    return aRoomAt;
+  }
+  mLastTurn =
+    std::min(std::max(aRoomAt, mLastTurn + aInterval), aNow + aMaxWait);
   return mLastTurn;
 }
 
--- a/decisions/rate_limit.h
+++ b/decisions/rate_limit.h
@@ -116,7 +116,8 @@
   steady_time mLastTurn;
 
 public:
-  /** The next turn, at or after `aRoomAt`, but within `aMaxWait`. */
+  /** The next turn, at or after `aRoomAt`. Only turns within `aMaxWait` are
+   * kept apart. */
   steady_time TakeTurn(steady_time aRoomAt,
                        microseconds aInterval,
                        milliseconds aMaxWait,
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -128,16 +128,19 @@
 scatter_operation::AwaitRateOrGiveUp(service_progress& aService,
                                      steady_time aRoomAt)
 {
-  steady_time now = mHooks.mNow();
+  // A part isn't worth waiting for: its share of the rate is used anyway, and
+  // the parts that are ready would wait too.
+  if (mIsMerged) {
+    GiveUp(aService, missing_reason::RateLimited);
+    return;
+  }
   steady_time turn = aRoomAt;
   if (aRoomAt != steady_time::max()) {
-    turn = mBackends.TakeTurn(
-      MakeChoiceRequest(aService, aService.mNextReason), aRoomAt, now);
+    turn = mBackends.TakeTurn(MakeChoiceRequest(aService, aService.mNextReason),
+                              aRoomAt,
+                              mHooks.mNow());
   }
-  // A part isn't worth waiting for: its share of the rate is used anyway, and
-  // the parts that are ready would wait too.
-  bool mayWait = !mIsMerged && turn < std::min(mDeadline, mSoftDeadline);
-  if (mayWait) {
+  if (turn < std::min(mDeadline, mSoftDeadline)) {
     aService.mExcludedServers.clear();
     aService.mNextAttemptAt = turn;
     return;
@@ -156,7 +159,8 @@
   if (!isWhole || !mHooks.mIsLeaseValid(aNow)) {
     return;
   }
-  std::vector<steady_time> closedUntil;
+  using closed_service = std::pair<steady_time, const service_progress*>;
+  std::vector<closed_service> closedUntil;
   for (const service_progress& service : mServices) {
     if (!mBackends.HasRateLimit(service.mService, aNow)) {
       continue;
@@ -164,7 +168,7 @@
     auto willingAt = mBackends.WillingAt(
       MakeChoiceRequest(service, attempt_reason::Regular), aNow);
     if (willingAt) {
-      closedUntil.push_back(*willingAt);
+      closedUntil.emplace_back(*willingAt, &service);
     }
   }
   std::size_t open = mServices.size() - closedUntil.size();
@@ -174,8 +178,10 @@
   auto last = closedUntil.begin() +
               static_cast<std::ptrdiff_t>(mRequiredResponses - open - 1);
   std::nth_element(closedUntil.begin(), last, closedUntil.end());
-  if (*last != steady_time::max()) {
-    mServersBackAt = *last;
+  auto [roomAt, lastService] = *last;
+  if (roomAt != steady_time::max()) {
+    mServersBackAt = mBackends.TakeTurn(
+      MakeChoiceRequest(*lastService, attempt_reason::Regular), roomAt, aNow);
   }
   for (service_progress& service : mServices) {
     GiveUp(service, missing_reason::RateLimited);
--- a/tests/decisions/rate_limit_test.cpp
+++ b/tests/decisions/rate_limit_test.cpp
@@ -293,4 +293,7 @@
   CHECK(turn(50, 10) == At(350));
   CHECK(turn(50, 10) == At(360));
   CHECK(turn(900, 800) == At(900));
+  // One that waits for much longer doesn't delay the others.
+  CHECK(turn(60'000, 800) == At(60'000));
+  CHECK(turn(950, 800) == At(1000));
 }
