--- a/controllers/backend_rates.cpp
+++ b/controllers/backend_rates.cpp
@@ -104,7 +104,7 @@
   if (isNewLimit) {
     auto parts = RateParts(aPermit.mService, aPool, aRing);
     auto index = static_cast<std::size_t>(&aBackend - aPool.mBackends.data());
-    aBackend.mRate.SetFirstPart(
+    aBackend.mRate.SetAnnouncedPart(
       parts[index], aPool.mDividedSince, mConfig.mRateHandover, aNow);
     mHasRates = true;
   }
--- a/decisions/rate_limit.cpp
+++ b/decisions/rate_limit.cpp
@@ -85,10 +85,10 @@
 }
 
 void
-rate_limit::SetFirstPart(const rate_part& aPart,
-                         steady_time aDividedSince,
-                         milliseconds aHandover,
-                         steady_time aNow)
+rate_limit::SetAnnouncedPart(const rate_part& aPart,
+                             steady_time aDividedSince,
+                             milliseconds aHandover,
+                             steady_time aNow)
 {
   std::uint32_t own = OwnPart(aPart, mTotal.mRequests);
   mIdleHolders = aPart.mHolders - std::min(aPart.mHolders, mTotal.mRequests);
--- a/decisions/rate_limit.h
+++ b/decisions/rate_limit.h
@@ -70,10 +70,10 @@
                          std::uint64_t aDraw);
   /** Sets the part of a limit that was just announced. Hosts may have used it
    * otherwise until `aDividedSince`. */
-  void SetFirstPart(const rate_part& aPart,
-                    steady_time aDividedSince,
-                    milliseconds aHandover,
-                    steady_time aNow);
+  void SetAnnouncedPart(const rate_part& aPart,
+                        steady_time aDividedSince,
+                        milliseconds aHandover,
+                        steady_time aNow);
   /** Sets the part after a change of hosts or servers. */
   void SetPart(const rate_part& aPart,
                milliseconds aHandover,
--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -194,6 +194,12 @@
   /** Waits until servers that asked for time are back, or gives up if that is
    * after the deadline. */
   void AwaitServerOrGiveUp(service_progress& aService, steady_time aBackAt);
+  /** Starts the next attempt at `aUntil` if that is before `aLimit`; else gives
+   * up and tells the caller when a retry may succeed. */
+  void WaitUntilOrGiveUp(service_progress& aService,
+                         steady_time aUntil,
+                         steady_time aLimit,
+                         missing_reason aReason);
   /** Waits for its turn within the rates that the servers announced, or gives
    * up if the response would be late. */
   void AwaitRateOrGiveUp(service_progress& aService, steady_time aRoomAt);
--- a/tests/decisions/rate_limit_test.cpp
+++ b/tests/decisions/rate_limit_test.cpp
@@ -34,7 +34,7 @@
   void Learn(double aPerSecond)
   {
     mRate.OnResponse(Limit(aPerSecond), At(-20), kNow, 0);
-    mRate.SetFirstPart({ 1, 1, 0, 1 }, At(-60'000), kHandover, kNow);
+    mRate.SetAnnouncedPart({ 1, 1, 0, 1 }, At(-60'000), kHandover, kNow);
   }
 
   /** Requests that are sent at once at a time, up to a bound. */
@@ -132,7 +132,7 @@
 TEST(rate_limit, ALimitLearntDuringAChangeOfHostsStartsAfterTheHandover)
 {
   mRate.OnResponse(Limit(10), At(-20), kNow, 0);
-  mRate.SetFirstPart({ 1, 1, 0, 1 }, At(-1500), kHandover, kNow);
+  mRate.SetAnnouncedPart({ 1, 1, 0, 1 }, At(-1500), kHandover, kNow);
   LONGS_EQUAL(0, mRate.Quota(true, At(3999)).mRequests);
   LONGS_EQUAL(40, mRate.Quota(true, At(4000)).mRequests);
 }
@@ -143,10 +143,10 @@
   rate_part part{ 1, 1, 0, 1 };
   mRate.SetPart(part, kHandover, At(1000));
   mRate.OnResponse(Limit(8), At(1100), At(1200), 0);
-  mRate.SetFirstPart(part, At(1000), kHandover, At(1200));
+  mRate.SetAnnouncedPart(part, At(1000), kHandover, At(1200));
   LONGS_EQUAL(32, mRate.Quota(true, At(1200)).mRequests);
   mRate.OnResponse(Limit(20), At(1300), At(1400), 0);
-  mRate.SetFirstPart(part, At(1000), kHandover, At(1400));
+  mRate.SetAnnouncedPart(part, At(1000), kHandover, At(1400));
   LONGS_EQUAL(32, mRate.Quota(true, At(1400)).mRequests);
   LONGS_EQUAL(80, mRate.Quota(true, At(1000) + kHandover).mRequests);
 }
@@ -196,7 +196,7 @@
     steady_time now = kNow;
     for (std::size_t host = 0; host < all.size(); ++host) {
       hosts[host].mRate.OnResponse(Limit(kPerSecond), now, now, random());
-      hosts[host].mRate.SetFirstPart(
+      hosts[host].mRate.SetAnnouncedPart(
         partIn(0, host), At(-60'000), kHandover, now);
       hosts[host].mConfirmedAt = now;
     }
@@ -251,7 +251,7 @@
 TEST(rate_limit, AHostWithoutAPartAsksAtLongIntervals)
 {
   mRate.OnResponse(Limit(0), At(-20), kNow, 0);
-  mRate.SetFirstPart({ 10, 1, 0, 10 }, At(-60'000), kHandover, kNow);
+  mRate.SetAnnouncedPart({ 10, 1, 0, 10 }, At(-60'000), kHandover, kNow);
   steady_time trial = mRate.RoomAt({}, true, kNow);
   CHECK(trial >= At(40'000));
   CHECK(trial < At(140'000));
