Report exceptions that end background tasks

Periodic tasks, accept loops and attempts were spawned with asio::detached, which discards an exception: membership, leases or formation could stop for the rest of a process without a line in the log. A handler that threw ended the process.

An exception is now logged (task_failed) and counted (hibiscusspool_task_failures_total); a periodic step is executed again, and a thread goes on with its other handlers.

--- /dev/null
+++ b/core/background_task.cpp
@@ -0,0 +1,78 @@
+#include "core/background_task.h"
+
+#include "core/log_event.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <atomic>
+
+namespace hibiscusspool {
+
+namespace asio = boost::asio;
+
+namespace {
+
+std::atomic<std::uint64_t> sFailureCount{ 0 };
+
+std::string
+CauseOf(const std::exception_ptr& aException)
+{
+  try {
+    std::rethrow_exception(aException);
+  } catch (const std::exception& problem) {
+    return problem.what();
+  } catch (...) {
+    return "an exception of an unknown type";
+  }
+}
+
+}
+
+void
+ReportTaskFailure(const std::string& aTask,
+                  const std::exception_ptr& aException)
+{
+  ++sFailureCount;
+  log_event("task_failed", log_event::severity::Error)
+    .Add("task", aTask)
+    .Add("cause", CauseOf(aException));
+}
+
+std::uint64_t
+TaskFailureCount()
+{
+  return sFailureCount;
+}
+
+void
+failure_reporter::operator()(const std::exception_ptr& aException) const
+{
+  if (aException) {
+    ReportTaskFailure(mTask, aException);
+  }
+}
+
+void
+RunInBackground(const asio::any_io_executor& aExecutor,
+                std::string aTask,
+                asio::awaitable<void> aBody)
+{
+  asio::co_spawn(
+    aExecutor, std::move(aBody), failure_reporter{ std::move(aTask) });
+}
+
+void
+RunHandlers(asio::io_context& aContext)
+{
+  bool isDone = false;
+  while (!isDone) {
+    try {
+      aContext.run();
+      isDone = true;
+    } catch (...) {
+      ReportTaskFailure("handler", std::current_exception());
+    }
+  }
+}
+
+}
--- a/main/periodic.cpp
+++ b/core/periodic.cpp
@@ -1,7 +1,6 @@
-#include "main/periodic.h"
+#include "core/periodic.h"
+#include "core/background_task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -14,13 +13,19 @@
 namespace {
 
 asio::awaitable<void>
-RunLoop(milliseconds aPause,
+RunLoop(std::string aTask,
+        milliseconds aPause,
         const std::atomic<bool>& aIsStopping,
         std::function<asio::awaitable<void>()> aStep)
 {
   asio::steady_timer timer(co_await asio::this_coro::executor);
   while (!aIsStopping) {
-    co_await aStep();
+    // A failed step must not end the loop.
+    try {
+      co_await aStep();
+    } catch (...) {
+      ReportTaskFailure(aTask, std::current_exception());
+    }
     timer.expires_after(aPause);
     co_await timer.async_wait(asio::use_awaitable);
   }
@@ -30,13 +35,14 @@
 
 void
 RunPeriodically(asio::io_context& aContext,
+                std::string aTask,
                 milliseconds aPause,
                 const std::atomic<bool>& aIsStopping,
                 std::function<asio::awaitable<void>()> aStep)
 {
-  asio::co_spawn(asio::make_strand(aContext),
-                 RunLoop(aPause, aIsStopping, std::move(aStep)),
-                 asio::detached);
+  RunInBackground(asio::make_strand(aContext),
+                  aTask,
+                  RunLoop(aTask, aPause, aIsStopping, std::move(aStep)));
 }
 
 }
--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -1,6 +1,7 @@
 #include "drivers/backend_client.h"
 
 #include "core/address.h"
+#include "core/background_task.h"
 #include "core/sharded_map.h"
 #include "core/worker_number.h"
 #include "drivers/rate_field.h"
@@ -8,8 +9,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -484,13 +483,13 @@
     const server_id& server = aRequest.mPermit.mServer;
     auto borrowed = self->mHooks.mBorrowConnection(server);
     if (borrowed) {
-      asio::co_spawn(asio::make_strand(self->mContext),
-                     self->SendCancel(self,
-                                      server,
-                                      aRequest.mPermit.mAddress,
-                                      *borrowed,
-                                      aRequest.mAttemptId),
-                     asio::detached);
+      RunInBackground(asio::make_strand(self->mContext),
+                      "cancel",
+                      self->SendCancel(self,
+                                       server,
+                                       aRequest.mPermit.mAddress,
+                                       *borrowed,
+                                       aRequest.mAttemptId));
     }
   }
   co_return outcome;
--- a/drivers/metrics_page.cpp
+++ b/drivers/metrics_page.cpp
@@ -159,6 +159,11 @@
     page, "refusals_numbered_total", "counter", "Refusals of this run.");
   page << "hibiscusspool_refusals_numbered_total " << aSource.mRefusalCount
        << '\n';
+  WriteHeader(page,
+              "task_failures_total",
+              "counter",
+              "Background tasks that an exception has ended.");
+  page << "hibiscusspool_task_failures_total " << aSource.mTaskFailures << '\n';
   WriteHeader(page, "answers_total", "counter", "Answered requests.");
   AddTeams(page, aSource.mTeamStats);
   AddBackends(page, aSource.mBackends);
--- a/drivers/metrics_page.h
+++ b/drivers/metrics_page.h
@@ -17,6 +17,8 @@
   std::uint32_t mRunningRequests = 0;
   std::uint32_t mHostLimit = 0;
   std::uint64_t mRefusalCount = 0;
+  /** Background tasks and handlers that ended with an exception. */
+  std::uint64_t mTaskFailures = 0;
 };
 
 /** All metrics in the Prometheus text format. */
--- a/drivers/worker_pool.cpp
+++ b/drivers/worker_pool.cpp
@@ -1,5 +1,7 @@
 #include "drivers/worker_pool.h"
 
+#include "core/background_task.h"
+
 namespace hibiscusspool {
 
 std::unique_ptr<worker_pool>
@@ -11,7 +13,7 @@
     worker& made = *pool->mWorkers.back();
     made.mThread = std::thread([&made, number] {
       SetCurrentWorker(static_cast<worker_number>(number + 1));
-      made.mContext.run();
+      RunHandlers(made.mContext);
     });
   }
   return pool;
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -1,11 +1,11 @@
 #include "filters/scatter_operation.h"
 
+#include "core/background_task.h"
 #include "core/log_event.h"
 #include "decisions/snapshot_choice.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -233,14 +233,14 @@
   serverRequest.mBody = mBody;
   serverRequest.mForwarded = mForwarded;
   serverRequest.mIsPart = mIsMerged;
-  asio::co_spawn(
-    mExecutor,
-    RunAttempt(shared_from_this(),
-               IndexOf(aService.mService),
-               number,
-               mPlanNumber,
-               std::move(serverRequest)),
-    asio::bind_cancellation_slot(inFlight.mCancel->slot(), asio::detached));
+  asio::co_spawn(mExecutor,
+                 RunAttempt(shared_from_this(),
+                            IndexOf(aService.mService),
+                            number,
+                            mPlanNumber,
+                            std::move(serverRequest)),
+                 asio::bind_cancellation_slot(inFlight.mCancel->slot(),
+                                              failure_reporter{ "attempt" }));
 }
 
 asio::awaitable<void>
--- a/filters/scatter_verdict.cpp
+++ b/filters/scatter_verdict.cpp
@@ -1,7 +1,7 @@
+#include "core/background_task.h"
 #include "filters/scatter_operation.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace hibiscusspool {
@@ -147,7 +147,7 @@
   asio::co_spawn(mExecutor,
                  AwaitCrashVerdict(
                    shared_from_this(), IndexOf(aService.mService), mPlanNumber),
-                 asio::detached);
+                 failure_reporter{ "crash_report" });
 }
 
 asio::awaitable<void>
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -1,9 +1,9 @@
 #include "main/control_role.h"
 
 #include "core/log_event.h"
+#include "core/periodic.h"
 #include "drivers/access_token.h"
 #include "drivers/operator_api.h"
-#include "main/periodic.h"
 #include "main/role_support.h"
 #include "messages/control_codec.h"
 #include "messages/raft_codec.h"
@@ -364,18 +364,22 @@
 void
 control_role::StartPeriodicTasks()
 {
-  RunPeriodically(mContext, kBootstrapInterval, mIsStopping, [this] {
-    return BootstrapGroup();
-  });
-  RunPeriodically(mContext, kLeaseCheckInterval, mIsStopping, [this] {
-    return mServerLeases.ExpireLeases();
-  });
-  RunPeriodically(mContext, kMembershipInterval, mIsStopping, [this] {
-    return UpdateMembership();
-  });
-  RunPeriodically(mContext, kBootstrapInterval, mIsStopping, [this] {
-    return LearnFailureDomains();
-  });
+  RunPeriodically(
+    mContext, "bootstrap", kBootstrapInterval, mIsStopping, [this] {
+      return BootstrapGroup();
+    });
+  RunPeriodically(
+    mContext, "server_leases", kLeaseCheckInterval, mIsStopping, [this] {
+      return mServerLeases.ExpireLeases();
+    });
+  RunPeriodically(
+    mContext, "membership", kMembershipInterval, mIsStopping, [this] {
+      return UpdateMembership();
+    });
+  RunPeriodically(
+    mContext, "failure_domains", kBootstrapInterval, mIsStopping, [this] {
+      return LearnFailureDomains();
+    });
 }
 
 std::vector<host_id>
--- a/main/entry_hooks.cpp
+++ b/main/entry_hooks.cpp
@@ -1,10 +1,9 @@
 #include "main/entry_role.h"
 
+#include "core/background_task.h"
 #include "core/log_event.h"
 #include "main/role_support.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -169,9 +168,9 @@
 void
 entry_role::RecordInBackground(claim_record aClaim)
 {
-  asio::co_spawn(asio::make_strand(mContext),
-                 RecordWithRetries(std::move(aClaim)),
-                 asio::detached);
+  RunInBackground(asio::make_strand(mContext),
+                  "record_claim",
+                  RecordWithRetries(std::move(aClaim)));
 }
 
 asio::awaitable<void>
@@ -275,13 +274,9 @@
     return;
   }
   record_removal removal{ record_kind::Quarantine, aFingerprint.mValue };
-  asio::co_spawn(
-    asio::make_strand(mContext),
-    [this, removal]() -> asio::awaitable<void> {
-      co_await mClient.ProposeOne(
-        removal, std::nullopt, SteadyNow() + kSystemChangeTimeout);
-    },
-    asio::detached);
+  RunInBackground(asio::make_strand(mContext),
+                  "lift_quarantine",
+                  ProposeOnce(std::move(removal), std::nullopt));
 }
 
 void
@@ -296,13 +291,17 @@
   server_record cold = *record;
   log_index version = cold.mVersion;
   cold.mColdEpoch = version;
-  asio::co_spawn(
-    asio::make_strand(mContext),
-    [this, cold, version]() -> asio::awaitable<void> {
-      co_await mClient.ProposeOne(
-        cold, version, SteadyNow() + kSystemChangeTimeout);
-    },
-    asio::detached);
+  RunInBackground(asio::make_strand(mContext),
+                  "mark_cold",
+                  ProposeOnce(std::move(cold), version));
+}
+
+asio::awaitable<void>
+entry_role::ProposeOnce(record_change aChange,
+                        std::optional<log_index> aVersion)
+{
+  co_await mClient.ProposeOne(
+    std::move(aChange), aVersion, SteadyNow() + kSystemChangeTimeout);
 }
 
 }
--- a/main/entry_listeners.cpp
+++ b/main/entry_listeners.cpp
@@ -1,5 +1,6 @@
 #include "main/entry_role.h"
 
+#include "core/background_task.h"
 #include "core/log_event.h"
 #include "decisions/membership.h"
 #include "drivers/access_token.h"
@@ -10,8 +11,6 @@
 #include "platform/client_api.h"
 #include "platform/directory_api.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -150,7 +149,8 @@
                              mLease.Age(now),
                              mAdmission.Running(),
                              mAdmission.HostLimit(),
-                             mRefusals.LastNumber() });
+                             mRefusals.LastNumber(),
+                             TaskFailureCount() });
   };
   auto listener = StartHttpServer(
     mContext,
@@ -221,6 +221,14 @@
   }
 }
 
+asio::awaitable<void>
+entry_role::RecordLeave()
+{
+  record_change leaving = OwnRecord();
+  co_await mClient.ProposeOne(
+    std::move(leaving), std::nullopt, SteadyNow() + kLeaveTimeout);
+}
+
 void
 entry_role::Stop()
 {
@@ -232,13 +240,7 @@
       (*listener)->StartDraining();
     }
   }
-  asio::co_spawn(
-    asio::make_strand(mContext),
-    [this]() -> asio::awaitable<void> {
-      co_await mClient.ProposeOne(
-        OwnRecord(), std::nullopt, SteadyNow() + kLeaveTimeout);
-    },
-    asio::detached);
+  RunInBackground(asio::make_strand(mContext), "leave", RecordLeave());
   auto never = [] { return false; };
   mStopWaiter.WaitUntil(StopListeningAt(start), never);
   steady_time drainDeadline =
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -1,6 +1,7 @@
 #include "main/entry_role.h"
 
 #include "core/log_event.h"
+#include "core/periodic.h"
 #include "drivers/suspended_time.h"
 #include "filters/account.h"
 #include "filters/admit.h"
@@ -10,7 +11,6 @@
 #include "filters/identify.h"
 #include "filters/plan.h"
 #include "filters/route.h"
-#include "main/periodic.h"
 #include "main/role_support.h"
 #include "platform/server_protocol.h"
 
@@ -283,15 +283,18 @@
 void
 entry_role::StartPeriodicTasks()
 {
-  RunPeriodically(mContext, kMaintenanceInterval, mIsStopping, [this] {
-    return mServerLeases.ExpireLeases();
-  });
-  RunPeriodically(mContext, kMaintenanceInterval, mIsStopping, [this] {
-    return CloseSurplusConnections();
-  });
-  RunPeriodically(mContext, kRefusalReplicationInterval, mIsStopping, [this] {
-    return ReplicateRefusals();
-  });
+  RunPeriodically(
+    mContext, "server_leases", kMaintenanceInterval, mIsStopping, [this] {
+      return mServerLeases.ExpireLeases();
+    });
+  RunPeriodically(
+    mContext, "surplus_connections", kMaintenanceInterval, mIsStopping, [this] {
+      return CloseSurplusConnections();
+    });
+  RunPeriodically(
+    mContext, "refusals", kRefusalReplicationInterval, mIsStopping, [this] {
+      return ReplicateRefusals();
+    });
 }
 
 asio::awaitable<void>
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -142,6 +142,10 @@
   boost::asio::awaitable<void> RecordWithRetries(claim_record aClaim);
   void RemoveQuarantine(const fingerprint_id& aFingerprint);
   void MarkServerCold(const server_id& aServer);
+  /** Proposes a change of which the outcome doesn't matter here. */
+  boost::asio::awaitable<void> ProposeOnce(record_change aChange,
+                                           std::optional<log_index> aVersion);
+  boost::asio::awaitable<void> RecordLeave();
   void StopListeners();
 
   boost::asio::awaitable<void> CloseSurplusConnections();
--- a/main/entry_subqueries.cpp
+++ b/main/entry_subqueries.cpp
@@ -1,13 +1,12 @@
 #include "main/entry_role.h"
 
 #include "core/address.h"
+#include "core/background_task.h"
 #include "core/log_event.h"
 #include "filters/confirm.h"
 #include "filters/subquery_result.h"
 #include "main/role_support.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 namespace hibiscusspool {
@@ -136,10 +135,10 @@
   ++mRunningSubqueries;
   auto caller = std::make_shared<caller_status>();
   auto executor = mWorkers->NextContext().get_executor();
-  asio::co_spawn(
+  RunInBackground(
     executor,
-    RunSubquery(std::move(aSubquery), caller, std::move(aCallback)),
-    asio::detached);
+    "subquery",
+    RunSubquery(std::move(aSubquery), caller, std::move(aCallback)));
   return [executor, caller] {
     asio::post(executor, [caller] { caller->Disconnect(); });
   };
--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -1,5 +1,6 @@
 #include "main/serve.h"
 
+#include "core/background_task.h"
 #include "core/log_event.h"
 #include "core/log_writer.h"
 #include "main/control_role.h"
@@ -178,7 +179,7 @@
   std::vector<std::thread> threads;
   threads.reserve(kBackgroundThreads);
   for (int number = 0; number < kBackgroundThreads; ++number) {
-    threads.emplace_back([&context] { context.run(); });
+    threads.emplace_back([&context] { RunHandlers(context); });
   }
   if (isStarted) {
     log_event("serving")
