Accept connections for gRPC after the process ran out of descriptors

Cause: the gRPC library of the distribution (1.51) ends its accept loop for good when accept fails with any error but a few, and says so only in a line of its own ("Failed accept4"). All servers of the product, control hosts and subqueries of entry hosts, used that loop.

Connections now come from tcp_listener, which http_server uses too: its loop goes on after errors, logs the first and the last of a series (accept_failed, accept_regained), and passes connections to gRPC by descriptor. grpc_server replaces the set-up that stood twice.

--- a/drivers/control_service.cpp
+++ b/drivers/control_service.cpp
@@ -1,12 +1,13 @@
 #include "drivers/control_service.h"
 
 #include "core/log_event.h"
-#include "drivers/grpc_settings.h"
+#include "drivers/grpc_server.h"
 #include "messages/control_codec.h"
 #include "messages/raft_codec.h"
 #include "messages/refusal_codec.h"
 
 #include <mutex>
+#include <optional>
 
 #include <control.grpc.pb.h>
 #include <grpcpp/grpcpp.h>
@@ -16,6 +17,9 @@
 
 namespace {
 
+/** Time that calls in progress get to end at a stop. */
+constexpr milliseconds kStopTimeout{ 1000 };
+
 grpc::Status
 BadMessage(const failure<codec_error>& aError)
 {
@@ -341,7 +345,7 @@
 struct control_service::state
 {
   control_callback_service mService;
-  std::unique_ptr<grpc::Server> mServer;
+  std::optional<grpc_server> mServer;
 
   explicit state(control_service_hooks aHooks)
     : mService(std::move(aHooks))
@@ -360,32 +364,23 @@
 control_service::~control_service() = default;
 
 result<control_service, control_service_error>
-control_service::Create(const std::string& aAddress,
+control_service::Create(boost::asio::io_context& aContext,
+                        const std::string& aAddress,
                         control_service_hooks aHooks)
 {
   auto made = std::make_unique<state>(std::move(aHooks));
-  grpc::ServerBuilder builder;
-  int port = 0;
-  builder.AddListeningPort(aAddress, grpc::InsecureServerCredentials(), &port);
-  builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
-  builder.SetMaxSendMessageSize(kMaxMessageBytes);
-  // With port reuse, two processes on one port would share its connections.
-  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-  builder.RegisterService(&made->mService);
-  made->mServer = builder.BuildAndStart();
-  if (made->mServer == nullptr || port == 0) {
-    return Fail(control_service_error::CannotListen,
-                "The control service could not listen on " + aAddress);
+  auto server = grpc_server::Create(aContext, aAddress, made->mService);
+  if (!server) {
+    return Fail(control_service_error::CannotListen, server.error().mDetail);
   }
+  made->mServer.emplace(std::move(server.value()));
   return control_service(std::move(made));
 }
 
 void
 control_service::Stop()
 {
-  mState->mServer->Shutdown(std::chrono::system_clock::now() +
-                            std::chrono::seconds(1));
-  mState->mServer->Wait();
+  mState->mServer->Stop(kStopTimeout);
 }
 
 }
--- a/drivers/control_service.h
+++ b/drivers/control_service.h
@@ -5,6 +5,8 @@
 #include "core/failure.h"
 #include "decisions/refusal.h"
 
+#include <boost/asio/io_context.hpp>
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -65,7 +67,9 @@
   control_service& operator=(control_service&&) noexcept;
   ~control_service();
 
+  /** Connections are accepted by the threads of the context. */
   static result<control_service, control_service_error> Create(
+    boost::asio::io_context& aContext,
     const std::string& aAddress,
     control_service_hooks aHooks);
 
--- /dev/null
+++ b/drivers/grpc_server.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/failure.h"
+#include "core/name_table.h"
+
+#include <boost/asio/io_context.hpp>
+#include <grpcpp/impl/service_type.h>
+
+#include <memory>
+#include <string>
+
+namespace hibiscusspool {
+
+enum class grpc_server_error
+{
+  CannotListen,
+};
+
+template<>
+inline constexpr name_table<grpc_server_error, 1> kNames<grpc_server_error>{ {
+  { grpc_server_error::CannotListen, "cannot_listen" },
+} };
+
+/**
+ * A gRPC server that gets its connections from a `tcp_listener`: gRPC's own
+ * listener stops for good when it can't accept a connection once, as while the
+ * process is out of descriptors.
+ */
+class grpc_server
+{
+  struct state;
+  std::unique_ptr<state> mState;
+
+  explicit grpc_server(std::unique_ptr<state> aState);
+
+public:
+  grpc_server(grpc_server&&) noexcept;
+  grpc_server& operator=(grpc_server&&) noexcept;
+  ~grpc_server();
+
+  /** Serves on an `ip:port`. The service must outlive the server; connections
+   * are accepted by the threads of the context. */
+  static result<grpc_server, grpc_server_error> Create(
+    boost::asio::io_context& aContext,
+    const std::string& aAddress,
+    grpc::Service& aService);
+
+  /** Cancels calls that last longer than the time-out. */
+  void Stop(milliseconds aTimeout);
+};
+
+}
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -1,15 +1,15 @@
 #include "drivers/http_server.h"
 
-#include "core/address.h"
-#include "core/log_event.h"
+#include "core/background_task.h"
 #include "core/sharded_map.h"
 #include "core/text.h"
+#include "drivers/tcp_listener.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/system_executor.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -27,7 +27,6 @@
 
 namespace {
 
-constexpr milliseconds kAcceptRetryDelay{ 50 };
 constexpr milliseconds kLingerTimeout{ 1000 };
 /** Idle time-out of connections that were accepted just before the stop. */
 constexpr milliseconds kLastRequestTimeout{ 200 };
@@ -136,36 +135,12 @@
   }
 };
 
-namespace {
-
-/** Logs the exception that ended a connection, if any. */
-void
-LogException(const std::exception_ptr& aException)
-{
-  if (!aException) {
-    return;
-  }
-  try {
-    std::rethrow_exception(aException);
-  } catch (const std::exception& problem) {
-    log_event("connection_failed", log_event::severity::Error)
-      .Add("cause", problem.what());
-  }
-}
-
-}
-
 struct http_server::state
 {
   asio::io_context& mContext;
   http_server_config mConfig;
   http_handler mHandler;
-  tcp::acceptor mAcceptor;
-  /**
-   * While the connection limit is reached, accepting waits on this timer; the
-   * end of a connection cancels it.
-   */
-  asio::steady_timer mCapacityTimer;
+  std::optional<tcp_listener> mListener;
   sharded_map<std::uint64_t, std::shared_ptr<http_connection>> mConnections;
   std::atomic<std::uint64_t> mNextConnection{ 1 };
   std::atomic<std::size_t> mCount{ 0 };
@@ -179,8 +154,6 @@
     : mContext(aContext)
     , mConfig(std::move(aConfig))
     , mHandler(std::move(aHandler))
-    , mAcceptor(asio::make_strand(aContext))
-    , mCapacityTimer(mAcceptor.get_executor())
   {
   }
 
@@ -363,62 +336,42 @@
                     http_server_config aConfig,
                     http_handler aHandler)
 {
-  auto address = ParseAddress(aConfig.mAddress);
-  if (!address) {
-    return Fail(http_server_error::CannotListen,
-                "The listener's address is not an ip:port: " +
-                  aConfig.mAddress);
-  }
+  std::string address = aConfig.mAddress;
   auto made =
     std::make_shared<state>(aContext, std::move(aConfig), std::move(aHandler));
-  tcp::endpoint endpoint(asio::ip::make_address(address->mIp), address->mPort);
-  beast::error_code error;
-  made->mAcceptor.open(endpoint.protocol(), error);
-  if (!error) {
-    made->mAcceptor.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    made->mAcceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    made->mAcceptor.listen(asio::socket_base::max_listen_connections, error);
+  auto listener = tcp_listener::Create(aContext, address, ListenerHooks(made));
+  if (!listener) {
+    return Fail(http_server_error::CannotListen, listener.error().mDetail);
   }
-  if (error) {
-    return Fail(http_server_error::CannotListen,
-                made->mConfig.mAddress + ": " + error.message());
-  }
-  asio::co_spawn(made->mAcceptor.get_executor(), Accept(made), asio::detached);
+  made->mListener.emplace(std::move(listener.value()));
+  made->mListener->Start();
   return http_server(std::move(made));
 }
 
-asio::awaitable<void>
-http_server::Accept(std::shared_ptr<state> aState)
+tcp_listener_hooks
+http_server::ListenerHooks(const std::weak_ptr<state>& aState)
 {
-  asio::steady_timer retryTimer(co_await asio::this_coro::executor);
-  while (!aState->mIsStopped) {
-    if (aState->mCount >= aState->mConfig.mMaxConnections) {
-      // New connections wait in the kernel's backlog until one ends.
-      aState->mCapacityTimer.expires_at(steady_time::max());
-      co_await aState->mCapacityTimer.async_wait(kNoThrow);
-      continue;
-    }
-    auto [error, socket] = co_await aState->mAcceptor.async_accept(
-      aState->SelectExecutor(), kNoThrow);
-    if (error) {
-      // Most likely out of file descriptors, some of which become free soon.
-      retryTimer.expires_after(kAcceptRetryDelay);
-      co_await retryTimer.async_wait(kNoThrow);
-      continue;
+  // The state owns the listener, so its hooks don't keep the state alive.
+  tcp_listener_hooks hooks;
+  hooks.mSelectExecutor = [aState]() -> asio::any_io_executor {
+    auto self = aState.lock();
+    return self ? self->SelectExecutor() : asio::system_executor();
+  };
+  hooks.mHasCapacity = [aState] {
+    auto self = aState.lock();
+    return !self || self->mCount < self->mConfig.mMaxConnections;
+  };
+  hooks.mOnAccepted = [aState](tcp::socket aSocket) {
+    if (auto self = aState.lock()) {
+      Start(self, std::move(aSocket));
     }
-    Start(aState, std::move(socket));
-  }
+  };
+  return hooks;
 }
 
 void
 http_server::Start(const std::shared_ptr<state>& aState, tcp::socket aSocket)
 {
-  beast::error_code ignored;
-  aSocket.set_option(tcp::no_delay(true), ignored);
   auto connection = std::make_shared<http_connection>(
     http_connection{ beast::tcp_stream(std::move(aSocket)), nullptr });
   std::uint64_t number = aState->mNextConnection++;
@@ -427,12 +380,13 @@
   asio::co_spawn(connection->mStream.get_executor(),
                  aState->Serve(connection),
                  [aState, number](const std::exception_ptr& aException) {
-                   LogException(aException);
+                   if (aException) {
+                     ReportTaskFailure("connection", aException);
+                   }
                    aState->mConnections.Take(number);
                    --aState->mCount;
                    aState->NotifyDrainProgress();
-                   asio::post(aState->mAcceptor.get_executor(),
-                              [aState] { aState->mCapacityTimer.cancel(); });
+                   aState->mListener->Resume();
                  });
 }
 
@@ -446,20 +400,7 @@
 http_server::Stop()
 {
   mState->mIsStopped = true;
-  asio::post(mState->mAcceptor.get_executor(), [self = mState] {
-    // Callers that the kernel has accepted already may have sent a request.
-    beast::error_code error;
-    self->mAcceptor.cancel(error);
-    self->mAcceptor.non_blocking(true, error);
-    while (!error) {
-      tcp::socket socket =
-        self->mAcceptor.accept(self->SelectExecutor(), error);
-      if (!error) {
-        Start(self, std::move(socket));
-      }
-    }
-    self->mAcceptor.close(error);
-  });
+  mState->mListener->Stop();
   for (auto& connection : mState->OpenConnections()) {
     asio::post(connection->mStream.get_executor(), [connection] {
       // Ends only a read that still waits: the bytes of one that has just
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/failure.h"
 #include "core/name_table.h"
+#include "drivers/tcp_listener.h"
 #include "filters/caller_status.h"
 #include "filters/forwarded_message.h"
 
@@ -107,7 +108,7 @@
   std::shared_ptr<state> mState;
 
   explicit http_server(std::shared_ptr<state> aState);
-  static boost::asio::awaitable<void> Accept(std::shared_ptr<state> aState);
+  static tcp_listener_hooks ListenerHooks(const std::weak_ptr<state>& aState);
   /** Serves a connection that was accepted. */
   static void Start(const std::shared_ptr<state>& aState,
                     boost::asio::ip::tcp::socket aSocket);
--- a/drivers/subquery_service.cpp
+++ b/drivers/subquery_service.cpp
@@ -1,7 +1,7 @@
 #include "drivers/subquery_service.h"
 
 #include "core/log_event.h"
-#include "drivers/grpc_settings.h"
+#include "drivers/grpc_server.h"
 #include "messages/subquery_codec.h"
 
 #include <deque>
@@ -159,7 +159,7 @@
 struct subquery_service::state
 {
   subquery_callback_service mService;
-  std::unique_ptr<grpc::Server> mServer;
+  std::optional<grpc_server> mServer;
 
   explicit state(subquery_handler aHandler)
     : mService(std::move(aHandler))
@@ -178,30 +178,23 @@
 subquery_service::~subquery_service() = default;
 
 result<subquery_service, subquery_service_error>
-subquery_service::Create(const std::string& aAddress, subquery_handler aHandler)
+subquery_service::Create(boost::asio::io_context& aContext,
+                         const std::string& aAddress,
+                         subquery_handler aHandler)
 {
   auto made = std::make_unique<state>(std::move(aHandler));
-  grpc::ServerBuilder builder;
-  int port = 0;
-  builder.AddListeningPort(aAddress, grpc::InsecureServerCredentials(), &port);
-  builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
-  builder.SetMaxSendMessageSize(kMaxMessageBytes);
-  // With port reuse, two processes on one port would share its connections.
-  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-  builder.RegisterService(&made->mService);
-  made->mServer = builder.BuildAndStart();
-  if (made->mServer == nullptr || port == 0) {
-    return Fail(subquery_service_error::CannotListen,
-                "The subquery service could not listen on " + aAddress);
+  auto server = grpc_server::Create(aContext, aAddress, made->mService);
+  if (!server) {
+    return Fail(subquery_service_error::CannotListen, server.error().mDetail);
   }
+  made->mServer.emplace(std::move(server.value()));
   return subquery_service(std::move(made));
 }
 
 void
 subquery_service::Stop(milliseconds aTimeout)
 {
-  mState->mServer->Shutdown(std::chrono::system_clock::now() + aTimeout);
-  mState->mServer->Wait();
+  mState->mServer->Stop(aTimeout);
 }
 
 }
--- a/drivers/subquery_service.h
+++ b/drivers/subquery_service.h
@@ -4,6 +4,8 @@
 #include "core/name_table.h"
 #include "filters/subquery.h"
 
+#include <boost/asio/io_context.hpp>
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -41,7 +43,9 @@
   subquery_service& operator=(subquery_service&&) noexcept;
   ~subquery_service();
 
+  /** Connections are accepted by the threads of the context. */
   static result<subquery_service, subquery_service_error> Create(
+    boost::asio::io_context& aContext,
     const std::string& aAddress,
     subquery_handler aHandler);
 
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -316,8 +316,8 @@
     return aBatch.mRefusals.empty() ? 0 : aBatch.mRefusals.back().mNumber;
   };
   hooks.mReadRefusals = [this](wall_ms aFrom) { return mRefusals.Read(aFrom); };
-  auto service =
-    control_service::Create(mSettings.mControlAddress, std::move(hooks));
+  auto service = control_service::Create(
+    mContext, mSettings.mControlAddress, std::move(hooks));
   if (!service) {
     return Fail(role_error::CannotListen, service.error().mDetail);
   }
--- a/main/entry_subqueries.cpp
+++ b/main/entry_subqueries.cpp
@@ -110,7 +110,9 @@
     return boost::outcome_v2::success();
   }
   auto service = subquery_service::Create(
-    mSubqueryAddress, [this](subquery aSubquery, subquery_callback aCallback) {
+    mContext,
+    mSubqueryAddress,
+    [this](subquery aSubquery, subquery_callback aCallback) {
       return StartSubquery(std::move(aSubquery), std::move(aCallback));
     });
   if (!service) {
--- a/tests/integration/test_system.cpp
+++ b/tests/integration/test_system.cpp
@@ -117,6 +117,12 @@
   return Names("c", mOptions.mControlHosts);
 }
 
+std::string
+test_system::ControlAddress(const std::string& aHost) const
+{
+  return Address(mControlPorts.at(aHost));
+}
+
 std::string
 test_system::OperatorsAddress(const std::string& aHost) const
 {
@@ -214,6 +220,7 @@
   argv.push_back(nullptr);
   pid_t process = fork();
   if (process == 0) {
+    ApplyLimits(aName);
     int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
@@ -223,6 +230,15 @@
   mProcesses[aName] = process;
 }
 
+void
+test_system::ApplyLimits(const std::string& aName) const
+{
+  if (mOptions.mControlDescriptors > 0 && mControlPorts.contains(aName)) {
+    rlimit limit{ mOptions.mControlDescriptors, mOptions.mControlDescriptors };
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 void
 test_system::Start(const std::string& aHost)
 {
--- a/tests/integration/test_system.h
+++ b/tests/integration/test_system.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include <sys/resource.h>
 #include <sys/types.h>
 
 namespace test {
@@ -25,6 +26,8 @@
   std::string mInitialServerState = "ready";
   /** Routes all traffic to control hosts through links of a proxy. */
   bool mUsesControlProxy = false;
+  /** Maximum open files of each control host; 0 for the limit of the tests. */
+  rlim_t mControlDescriptors = 0;
   /** Lines appended to the section [entry] or [control]. */
   std::string mExtraEntrySettings;
   std::string mExtraControlSettings;
@@ -57,6 +60,8 @@
   [[nodiscard]] std::string ControlMembers(const std::string& aFrom) const;
   void StartProxy();
   void Spawn(const std::string& aName, std::vector<std::string> aArguments);
+  /** Sets the limits of a host's process; called in the new process. */
+  void ApplyLimits(const std::string& aName) const;
 
 public:
   explicit test_system(system_options aOptions);
@@ -82,6 +87,8 @@
     return mProcesses.contains(aName);
   }
 
+  /** Where control hosts and entry hosts connect to a control host. */
+  [[nodiscard]] std::string ControlAddress(const std::string& aHost) const;
   [[nodiscard]] std::string OperatorsAddress(const std::string& aHost) const;
   [[nodiscard]] std::string CallersAddress(const std::string& aHost) const;
   [[nodiscard]] std::string AnnounceAddress(const std::string& aHost) const;
