Give connections between hosts the time that a busy host needs

Cause: gRPC's MIN_RECONNECT_BACKOFF is also the minimum time that an attempt to connect gets. At 100 ms a host that needs longer to answer a new connection was dropped just before it did, and asked again; a call that timed out replaced the channel, which began at 100 ms anew. Daemons gave streams up after a second and returned at once. Work for connections that nobody waited for any more displaced the rest, so the load kept itself up.

A message from a peer starts an attempt to it anew that has got no response, so that a host which was off a moment ago is reached at once.

Test: control_connections/AControlHostThatAnswersConnectionsSlowlyIsReached, over a link with a delay of 300 ms.

--- a/drivers/control_client.cpp
+++ b/drivers/control_client.cpp
@@ -85,11 +85,14 @@
     return channel;
   }
 
-  /** Drops a channel whose host does not respond, to force a new connection. */
-  void DropChannel(const host_id& aHost)
+  /** Replaces the connection to a host after a call that timed out on it. */
+  void DropSilentChannel(const host_id& aHost)
   {
     std::lock_guard guard(mLock);
-    mChannels.erase(aHost);
+    auto found = mChannels.find(aHost);
+    if (found != mChannels.end() && IsConnectionSilent(*found->second)) {
+      mChannels.erase(found);
+    }
   }
 
   /** The host for the next try: the leader if known, else in rotation. */
@@ -153,7 +156,7 @@
       co_await asio::async_initiate<const asio::use_awaitable_t<>&, void(int)>(
         initiate, asio::use_awaitable);
     if (code == grpc::StatusCode::DEADLINE_EXCEEDED) {
-      DropChannel(aHost);
+      DropSilentChannel(aHost);
     }
     if (code != grpc::StatusCode::OK) {
       co_return std::nullopt;
--- a/drivers/grpc_settings.h
+++ b/drivers/grpc_settings.h
@@ -19,4 +19,12 @@
 std::shared_ptr<grpc::Channel>
 OpenChannel(const std::string& aAddress);
 
+/**
+ * True if the channel's connection is open and yet a call on it timed out, so
+ * that a new connection is worth its cost. An attempt to connect has a time
+ * limit of its own, and would only begin anew.
+ */
+bool
+IsConnectionSilent(grpc::Channel& aChannel);
+
 }
--- a/drivers/raft_transport.cpp
+++ b/drivers/raft_transport.cpp
@@ -21,12 +21,26 @@
 constexpr std::size_t kMaxQueuedMessages = 256;
 constexpr std::size_t kMaxMessagesPerCall = 64;
 
+/** Minimum age of a connection attempt before a sign of life from the peer
+ * starts another one. */
+constexpr milliseconds kMinAttemptAge{ 200 };
+
+struct delivery
+{
+  grpc::ClientContext mContext;
+  wire::DeliverRequest mRequest;
+  wire::DeliverReply mReply;
+  std::unique_ptr<wire::Control::Stub> mStub;
+};
+
 /** The channel and the queue of messages to one control host. */
 struct peer_link
 {
   std::shared_ptr<grpc::Channel> mChannel;
+  steady_time mChannelOpenedAt;
   std::deque<raft_message> mQueue;
-  bool mIsCalling = false;
+  /** The call in progress; null while there is none. */
+  std::shared_ptr<delivery> mCall;
   /** The latest call failed. */
   bool mIsUnreachable = false;
 };
@@ -51,14 +65,6 @@
     .Add("cause", aStatus.error_message());
 }
 
-struct delivery
-{
-  grpc::ClientContext mContext;
-  wire::DeliverRequest mRequest;
-  wire::DeliverReply mReply;
-  std::unique_ptr<wire::Control::Stub> mStub;
-};
-
 }
 
 struct raft_transport::state
@@ -136,30 +142,49 @@
   }
 }
 
+void
+raft_transport::OnContact(const host_id& aHost, steady_time aNow)
+{
+  std::shared_ptr<delivery> stuck;
+  mState->mLinks.UpdateIfPresent(aHost, [&](peer_link& aLink) {
+    bool isConnecting = aLink.mChannel != nullptr &&
+                        aLink.mChannel->GetState(false) != GRPC_CHANNEL_READY;
+    if (isConnecting && aNow - aLink.mChannelOpenedAt >= kMinAttemptAge) {
+      aLink.mChannel.reset();
+      stuck = aLink.mCall;
+    }
+  });
+  if (stuck != nullptr) {
+    stuck->mContext.TryCancel();
+  }
+}
+
 void
 raft_transport::SendNext(const std::shared_ptr<state>& aState,
                          const host_id& aHost)
 {
   std::vector<raft_message> messages;
   std::shared_ptr<grpc::Channel> channel;
+  std::shared_ptr<delivery> call;
   aState->mLinks.Update(aHost, [&](peer_link& aLink) {
-    if (aLink.mIsCalling || aLink.mQueue.empty()) {
+    if (aLink.mCall != nullptr || aLink.mQueue.empty()) {
       return;
     }
-    aLink.mIsCalling = true;
+    call = std::make_shared<delivery>();
+    aLink.mCall = call;
     while (!aLink.mQueue.empty() && messages.size() < kMaxMessagesPerCall) {
       messages.push_back(std::move(aLink.mQueue.front()));
       aLink.mQueue.pop_front();
     }
     if (aLink.mChannel == nullptr) {
       aLink.mChannel = OpenChannel(*AddressOf(aState->mAddresses, aHost));
+      aLink.mChannelOpenedAt = std::chrono::steady_clock::now();
     }
     channel = aLink.mChannel;
   });
-  if (messages.empty()) {
+  if (call == nullptr) {
     return;
   }
-  auto call = std::make_shared<delivery>();
   if (!aState->BeginCall(call)) {
     return;
   }
@@ -174,10 +199,12 @@
     &call->mReply,
     [aState, aHost, call](const grpc::Status& aStatus) {
       aState->mLinks.Update(aHost, [&](peer_link& aLink) {
-        aLink.mIsCalling = false;
+        aLink.mCall.reset();
         UpdateReachability(aLink, aHost, aStatus);
-        // The connection does not respond: the next call opens a new one.
-        if (aStatus.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
+        bool hasTimedOut =
+          aStatus.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+        bool isReplaced = aLink.mChannel == nullptr;
+        if (hasTimedOut && !isReplaced && IsConnectionSilent(*aLink.mChannel)) {
           aLink.mChannel.reset();
         }
       });
--- a/drivers/raft_transport.h
+++ b/drivers/raft_transport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/sharded_map.h"
 #include "decisions/raft_types.h"
 
@@ -31,6 +32,9 @@
   static raft_transport Create(std::map<host_id, std::string> aAddresses);
 
   void Send(std::vector<raft_message> aMessages);
+  /** A message from this host has arrived: a connection attempt that got no
+   * response, as from a host that was still off, is started anew. */
+  void OnContact(const host_id& aHost, steady_time aNow);
   /** Cancels all calls and waits until they have ended. */
   void Stop();
 };
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -6,6 +6,7 @@
 #include "drivers/suspended_time.h"
 #include "messages/control_codec.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <random>
@@ -21,6 +22,8 @@
  * that lost the same control host don't return at once. */
 constexpr milliseconds kMinReconnectDelay{ 50 };
 constexpr milliseconds kMaxReconnectDelay{ 300 };
+/** Time-outs in a row after which the limits are not doubled any more. */
+constexpr int kMaxDoublings = 2;
 
 }
 
@@ -33,6 +36,15 @@
   bool mIsStopping = false;
   control_host_choice mChoice;
   std::mt19937_64 mRandom;
+  /** Streams in a row that timed out. While control hosts are overloaded, each
+   * daemon that gives up early and returns at once adds to their load. */
+  int mTimeouts = 0;
+
+  /** Doubles a time for each stream in a row that timed out. */
+  [[nodiscard]] milliseconds Extend(milliseconds aTime) const
+  {
+    return aTime * (1 << std::min(mTimeouts, kMaxDoublings));
+  }
 
   bool IsStopping()
   {
@@ -146,12 +158,17 @@
     mChanged.notify_all();
   }
 
-  /** Waits until `aTime`; false if the stream has ended or timed out. */
-  bool WaitUntil(steady_time aTime, const watch_client_config& aConfig)
+  /** Waits until `aTime`; why the stream is over, if it is. */
+  std::optional<stream_end> WaitUntil(steady_time aTime,
+                                      const watch_client_config& aConfig)
   {
     std::unique_lock guard(mLock);
     mChanged.wait_until(guard, aTime, [&] { return mIsDone; });
-    return !mIsDone && aTime - mLastMessageAt < TimeLimit(aConfig);
+    if (mIsDone) {
+      return stream_end::Failed;
+    }
+    bool isInTime = aTime - mLastMessageAt < TimeLimit(aConfig);
+    return isInTime ? std::nullopt : std::optional(stream_end::TimedOut);
   }
 
   /** Maximum time without a message that counts; needs the lock. */
@@ -281,13 +298,15 @@
       .Add("control", host.mValue)
       .Add("end", NameOf(end));
     std::unique_lock guard(aState->mLock);
-    if (end != stream_end::Failed) {
+    bool hasTimedOut = end == stream_end::TimedOut;
+    if (end != stream_end::Failed && !hasTimedOut) {
       continue;
     }
+    aState->mTimeouts += hasTimedOut ? 1 : 0;
     aState->mChoice.OnFailure(host, std::chrono::steady_clock::now());
-    aState->mChanged.wait_for(guard, milliseconds(delay(aState->mRandom)), [&] {
-      return aState->mIsStopping;
-    });
+    milliseconds pause = aState->Extend(milliseconds(delay(aState->mRandom)));
+    aState->mChanged.wait_for(
+      guard, pause, [&] { return aState->mIsStopping; });
   }
 }
 
@@ -295,7 +314,10 @@
 watch_client::RunStream(const std::shared_ptr<state>& aState,
                         const host_id& aHost)
 {
-  const watch_client_config& config = aState->mConfig;
+  watch_client_config config = aState->mConfig;
+  config.mOpenTimeout =
+    std::min(aState->Extend(config.mOpenTimeout),
+             std::max(config.mOpenTimeout, config.mStateTimeout));
   steady_time now = std::chrono::steady_clock::now();
   stream_reactor stream(
     aState->mHooks,
@@ -309,13 +331,14 @@
   bool isConfirmed = false;
   while (!aState->IsStopping()) {
     now += config.mMarkInterval;
-    if (!stream.WaitUntil(now, config)) {
-      end = stream_end::Failed;
+    if (auto over = stream.WaitUntil(now, config)) {
+      end = *over;
       break;
     }
     if (!std::exchange(isConfirmed, stream.IsConfirmed()) && isConfirmed) {
       std::lock_guard guard(aState->mLock);
       aState->mChoice.OnSuccess(aHost);
+      aState->mTimeouts = 0;
     }
     // A stream that isn't confirmed yet is given its time.
     if (isConfirmed && aState->PreferredHost() != aHost) {
--- a/drivers/watch_client.h
+++ b/drivers/watch_client.h
@@ -23,7 +23,7 @@
   /** A stream that receives no message for this long is closed. */
   milliseconds mSilenceTimeout{ 1000 };
   /** Time limit for a control host to say that it is in touch with a majority.
-   */
+   * Doubled up to `mStateTimeout` after each stream that timed out. */
   milliseconds mOpenTimeout{ 1000 };
   /** Time limit for the state and the first confirmed mark of a stream. */
   milliseconds mStateTimeout{ 4000 };
@@ -49,16 +49,17 @@
 /** Why a stream ended. */
 enum class stream_end
 {
-  /** It failed or timed out. */
   Failed,
+  TimedOut,
   /** Another control host is preferred now. */
   Moved,
   Stopped,
 };
 
 template<>
-inline constexpr name_table<stream_end, 3> kNames<stream_end>{ {
+inline constexpr name_table<stream_end, 4> kNames<stream_end>{ {
   { stream_end::Failed, "failed" },
+  { stream_end::TimedOut, "timed_out" },
   { stream_end::Moved, "moved" },
   { stream_end::Stopped, "stopped" },
 } };
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -275,6 +275,9 @@
   control_service_hooks hooks;
   hooks.mSteadyNow = SteadyNow;
   hooks.mReceiveMessages = [this](std::vector<raft_message> aMessages) {
+    if (!aMessages.empty()) {
+      mTransport.OnContact(aMessages.front().mFrom.mHost, SteadyNow());
+    }
     mGroup->Receive(std::move(aMessages));
   };
   hooks.mProbe = [this] {
--- a/tests/integration/control_connections_test.cpp
+++ b/tests/integration/control_connections_test.cpp
@@ -69,3 +69,18 @@
   system.Start("e1");
   CHECK(WaitFor([&] { return ListsItself(system, "e1"); }));
 }
+
+TEST(control_connections, AControlHostThatAnswersConnectionsSlowlyIsReached)
+{
+  system_options options;
+  options.mControlHosts = 1;
+  options.mEntryHosts = 1;
+  options.mUsesControlProxy = true;
+  test_system system(options);
+  // A stream needs three times the delay: the first bytes of the connection,
+  // the daemon's record and the response to it.
+  system.SetLinkBehaviour("e1-c1", R"({"delay_ms":300})");
+  system.Start("c1");
+  system.Start("e1");
+  CHECK(WaitFor([&] { return ListsItself(system, "e1"); }));
+}
