Keep hosts without seeds running until they are told of some

Seen by hand: a control host whose settings name no seeds ended with code 2 at each start ("members does not name this host"), with its group on its disk or not; an entry host did the same. The platform renders the seeds anew at each start from the list of hosts that serve, which may be short or empty after a loss of all hosts. Nobody then serves because nobody is listed: processes on all hosts end again and again, no configuration can be confirmed or read back and nothing is served, which is all of the users' report at once.

Cause: seeds told the product that it runs on the platform, and a start needed them, though a control host with a disk knows its group. The class is a process that ends where it could wait.

[platform] control_port now tells the platform. A control host reaches itself and the members in its log without seeds; one without a group, and an entry host, wait. While a host is out of touch it reads its settings file once a second, and at SIGHUP, for seeds that were written meanwhile (seeds_changed); so exchanged seeds are followed too. Only the seeds of the start form a first group, so that no two groups are formed. Seeds without control_port are a settings error.

--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -104,6 +104,12 @@
   Enqueue(bootstrap_event{ std::move(aVoters) });
 }
 
+void
+control_group::SetKnownHosts(std::set<host_id> aHosts)
+{
+  Enqueue(known_hosts_event{ std::move(aHosts) });
+}
+
 void
 control_group::TransferLeadership()
 {
@@ -253,6 +259,12 @@
   mNode.TransferLeadership({}, aNow);
 }
 
+void
+control_group::Handle(known_hosts_event& aEvent, steady_time /*aNow*/)
+{
+  mNode.SetKnownHosts(std::move(aEvent.mHosts));
+}
+
 void
 control_group::BeginStall()
 {
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -134,11 +134,16 @@
   };
   struct transfer_event
   {};
+  struct known_hosts_event
+  {
+    std::set<host_id> mHosts;
+  };
   using event = std::variant<propose_event,
                              receive_event,
                              read_event,
                              bootstrap_event,
-                             transfer_event>;
+                             transfer_event,
+                             known_hosts_event>;
 
   struct pending_proposal
   {
@@ -192,6 +197,7 @@
   void Handle(read_event& aEvent, steady_time aNow);
   void Handle(bootstrap_event& aEvent, steady_time aNow);
   void Handle(transfer_event& aEvent, steady_time aNow);
+  void Handle(known_hosts_event& aEvent, steady_time aNow);
   void BeginStall();
   /** Retries until the write succeeds; false if the group is stopped. */
   bool RetryUntilWritten(const std::function<bool()>& aWrite);
@@ -231,6 +237,8 @@
    * entries that were committed before the call. */
   void ReadBarrier(read_callback aCallback);
   void Bootstrap(std::vector<raft_peer> aVoters);
+  /** Replaces the hosts that this one asks to join, while it has no group. */
+  void SetKnownHosts(std::set<host_id> aHosts);
   /** Transfers leadership to another member if this one is the leader. */
   void TransferLeadership();
 
--- a/decisions/control_host_choice.cpp
+++ b/decisions/control_host_choice.cpp
@@ -39,6 +39,16 @@
   mCandidates.emplace(aHost, added);
 }
 
+void
+control_host_choice::AddInitial(const host_id& aHost)
+{
+  if (std::find(mInitialHosts.begin(), mInitialHosts.end(), aHost) ==
+      mInitialHosts.end()) {
+    mInitialHosts.push_back(aHost);
+    Add(aHost);
+  }
+}
+
 void
 control_host_choice::SetHosts(const std::vector<control_host>& aHosts)
 {
--- a/decisions/control_host_choice.h
+++ b/decisions/control_host_choice.h
@@ -47,12 +47,15 @@
   void Add(const host_id& aHost);
 
 public:
-  /** `aHosts` are used until the control hosts are known; at least one.
-   * `aSeed` differs for each daemon. */
+  /** `aHosts` are used until the control hosts are known. `aSeed` differs for
+   * each daemon. */
   static control_host_choice Create(const std::vector<host_id>& aHosts,
                                     failure_domain_id aOwnDomain,
                                     std::uint64_t aSeed);
 
+  /** Adds a host to those of the creation. */
+  void AddInitial(const host_id& aHost);
+  [[nodiscard]] bool IsEmpty() const { return mCandidates.empty(); }
   /** Sets the current hosts; those of the creation stay as a last resort. */
   void SetHosts(const std::vector<control_host>& aHosts);
   /** The host to connect to: the first by rank that is not avoided, else the
--- a/decisions/raft_members.cpp
+++ b/decisions/raft_members.cpp
@@ -83,6 +83,12 @@
   StartPreVote(aNow);
 }
 
+void
+raft_node::SetKnownHosts(std::set<host_id> aHosts)
+{
+  mConfig.mKnownHosts = std::move(aHosts);
+}
+
 void
 raft_node::RequestJoin(steady_time aNow)
 {
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -218,6 +218,8 @@
                                             steady_time aNow);
   /** Requests a confirmed read; without a leader, the token is dropped. */
   void RequestRead(std::uint64_t aToken);
+  /** Replaces the hosts that a host without a group contacts first. */
+  void SetKnownHosts(std::set<host_id> aHosts);
   /** Transfers leadership to another voter, preferably not on these hosts. */
   void TransferLeadership(const std::set<host_id>& aAvoid, steady_time aNow);
   /** Replaces the log up to an applied index with the state at that index. */
--- a/drivers/control_client.cpp
+++ b/drivers/control_client.cpp
@@ -95,10 +95,14 @@
     }
   }
 
-  /** The host for the next try: the leader if known, else in rotation. */
+  /** The host for the next try: the leader if known, else in rotation; empty
+   * while no host is known. */
   host_id Target(std::size_t aTry)
   {
     std::lock_guard guard(mLock);
+    if (mAddresses.empty()) {
+      return {};
+    }
     if (mAddresses.contains(mLeader)) {
       return mLeader;
     }
@@ -170,14 +174,10 @@
 {
 }
 
-result<control_client, control_client_error>
+control_client
 control_client::Create(asio::any_io_executor aExecutor,
                        std::map<host_id, std::string> aAddresses)
 {
-  if (aAddresses.empty()) {
-    return Fail(control_client_error::NoLeader,
-                "No control host is configured.");
-  }
   auto made = std::make_shared<state>();
   made->mExecutor = std::move(aExecutor);
   made->mAddresses = std::move(aAddresses);
@@ -259,7 +259,10 @@
         "No control host evaluated the change before the deadline.");
     }
     host_id target = mState->Target(tries);
-    propose_result proposed = co_await ProposeOnce(target, aCommand, left);
+    propose_result proposed;
+    if (!target.IsEmpty()) {
+      proposed = co_await ProposeOnce(target, aCommand, left);
+    }
     if (proposed.mStatus == propose_status::Applied) {
       mState->SetLeader(target);
       co_return std::move(proposed.mOutcomes);
--- a/drivers/control_client.h
+++ b/drivers/control_client.h
@@ -44,10 +44,10 @@
     milliseconds aTimeout);
 
 public:
-  /** `aAddresses` gives the `ip:port` of each control host. */
-  static result<control_client, control_client_error> Create(
-    boost::asio::any_io_executor aExecutor,
-    std::map<host_id, std::string> aAddresses);
+  /** `aAddresses` gives the `ip:port` of each control host; others, or all, may
+   * be learned later. */
+  static control_client Create(boost::asio::any_io_executor aExecutor,
+                               std::map<host_id, std::string> aAddresses);
 
   /**
    * Sends a command to the leader and retries across changes of leader. A
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -52,6 +52,30 @@
     return mIsStopping;
   }
 
+  /** Waits until a control host is known; false if stopped. */
+  bool WaitForHosts()
+  {
+    std::unique_lock guard(mLock);
+    mChanged.wait(guard, [&] { return mIsStopping || !mChoice.IsEmpty(); });
+    return !mIsStopping;
+  }
+
+  /** The configuration with the time limits of the next stream. */
+  watch_client_config ConfigForStream()
+  {
+    std::lock_guard guard(mLock);
+    watch_client_config config = mConfig;
+    milliseconds longest = std::max(config.mOpenTimeout, config.mStateTimeout);
+    config.mOpenTimeout = std::min(Extend(config.mOpenTimeout), longest);
+    return config;
+  }
+
+  std::string AddressOfHost(const host_id& aHost)
+  {
+    std::lock_guard guard(mLock);
+    return AddressOf(mConfig.mAddresses, aHost).value_or("");
+  }
+
   host_id PreferredHost()
   {
     std::lock_guard guard(mLock);
@@ -286,12 +310,25 @@
   }
 }
 
+void
+watch_client::AddHosts(const std::map<host_id, std::string>& aAddresses)
+{
+  {
+    std::lock_guard guard(mState->mLock);
+    for (const auto& [host, address] : aAddresses) {
+      mState->mConfig.mAddresses.emplace(host, address);
+      mState->mChoice.AddInitial(host);
+    }
+  }
+  mState->mChanged.notify_all();
+}
+
 void
 watch_client::Run(const std::shared_ptr<state>& aState)
 {
   std::uniform_int_distribution<milliseconds::rep> delay(
     kMinReconnectDelay.count(), kMaxReconnectDelay.count());
-  while (!aState->IsStopping()) {
+  while (aState->WaitForHosts()) {
     host_id host = aState->PreferredHost();
     stream_end end = RunStream(aState, host);
     log_event("watch_ended")
@@ -314,14 +351,11 @@
 watch_client::RunStream(const std::shared_ptr<state>& aState,
                         const host_id& aHost)
 {
-  watch_client_config config = aState->mConfig;
-  config.mOpenTimeout =
-    std::min(aState->Extend(config.mOpenTimeout),
-             std::max(config.mOpenTimeout, config.mStateTimeout));
+  watch_client_config config = aState->ConfigForStream();
   steady_time now = std::chrono::steady_clock::now();
   stream_reactor stream(
     aState->mHooks,
-    AddressOf(config.mAddresses, aHost).value_or(""),
+    aState->AddressOfHost(aHost),
     [&aState](const std::vector<control_host>& aHosts) {
       aState->SetControlHosts(aHosts);
     },
--- a/drivers/watch_client.h
+++ b/drivers/watch_client.h
@@ -16,7 +16,7 @@
 struct watch_client_config
 {
   /** The control hosts that are known at the start; each tells of the others.
-   */
+   * While there are none, the client waits for `AddHosts`. */
   std::map<host_id, std::string> mAddresses;
   /** Time between marks, the numbered read-index requests on the stream. */
   milliseconds mMarkInterval{ 500 };
@@ -87,6 +87,8 @@
 
   static watch_client Create(watch_client_config aConfig,
                              watch_client_hooks aHooks);
+  /** Adds control hosts to those that are known from the start. */
+  void AddHosts(const std::map<host_id, std::string>& aAddresses);
   /** Closes the stream and ends the thread. */
   void Stop();
 };
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -121,17 +121,15 @@
   if (!refusals) {
     return Fail(role_error::DiskUnavailable, refusals.error().mDetail);
   }
-  auto client =
-    control_client::Create(aContext.get_executor(), ControlHosts(aSettings));
-  if (!client) {
-    return Fail(role_error::BadSettings, client.error().mDetail);
-  }
-  std::unique_ptr<control_role> role(
-    new control_role(aContext,
-                     aSettings,
-                     std::move(storage.value()),
-                     std::move(refusals.value()),
-                     std::move(client.value())));
+  // A host reaches itself without being told of any other.
+  auto hosts = ControlHosts(aSettings);
+  hosts.emplace(host_id{ aSettings.mHostId }, aSettings.mControlAddress);
+  std::unique_ptr<control_role> role(new control_role(
+    aContext,
+    aSettings,
+    std::move(storage.value()),
+    std::move(refusals.value()),
+    control_client::Create(aContext.get_executor(), std::move(hosts))));
   auto group = role->SetUpGroup();
   if (!group) {
     return group.error();
@@ -402,7 +400,7 @@
   std::vector<host_id> group = GroupHosts();
   // Only the first host bootstraps the group, so that no two hosts form
   // different groups.
-  bool isBootstrapHost = own.mSelf.mHost == group.front();
+  bool isBootstrapHost = !group.empty() && own.mSelf.mHost == group.front();
   if (!own.mIsEmpty || !isBootstrapHost || !mSettings.mControlBootstrap) {
     co_return;
   }
@@ -636,6 +634,25 @@
   return boost::outcome_v2::success();
 }
 
+bool
+control_role::IsOutOfTouch() const
+{
+  return !mGroup->KnowsLeader();
+}
+
+void
+control_role::SetSeeds(const std::map<host_id, std::string>& aSeeds)
+{
+  // The first group is formed by the seeds of the start alone, so that no two
+  // groups are formed.
+  std::set<host_id> hosts;
+  for (const auto& [host, address] : aSeeds) {
+    hosts.insert(host);
+  }
+  mClient.LearnHosts({ hosts.begin(), hosts.end() });
+  mGroup->SetKnownHosts(std::move(hosts));
+}
+
 void
 control_role::Stop()
 {
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -89,6 +89,10 @@
     boost::asio::io_context& aContext,
     const settings& aSettings);
 
+  /** True while no leader is known. */
+  [[nodiscard]] bool IsOutOfTouch() const;
+  /** Replaces the seeds, the hosts through which this one finds its group. */
+  void SetSeeds(const std::map<host_id, std::string>& aSeeds);
   /** Transfers leadership and stops; blocks until stopped. */
   void Stop();
 };
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -132,12 +132,9 @@
 {
   auto client =
     control_client::Create(aContext.get_executor(), ControlHosts(aSettings));
-  if (!client) {
-    return Fail(role_error::BadSettings, client.error().mDetail);
-  }
   auto incarnation = NewIncarnation();
-  std::unique_ptr<entry_role> role(new entry_role(
-    aContext, aSettings, incarnation, std::move(client.value())));
+  std::unique_ptr<entry_role> role(
+    new entry_role(aContext, aSettings, incarnation, std::move(client)));
   role->SetUpBackendClient();
   role->SetUpChain();
   role->SetUpForwardChain();
@@ -312,10 +309,30 @@
   co_return;
 }
 
+bool
+entry_role::IsOutOfTouch() const
+{
+  return !mLease.IsValid(SteadyNow());
+}
+
+void
+entry_role::SetSeeds(const std::map<host_id, std::string>& aSeeds)
+{
+  std::vector<host_id> hosts;
+  for (const auto& [host, address] : aSeeds) {
+    hosts.push_back(host);
+  }
+  mClient.LearnHosts(hosts);
+  mWatch->AddHosts(aSeeds);
+}
+
 asio::awaitable<void>
 entry_role::ReplicateRefusals()
 {
   std::vector<host_id> hosts = mClient.Hosts();
+  if (hosts.empty()) {
+    co_return;
+  }
   // Entry hosts start at different control hosts, to spread the load.
   std::size_t start = std::hash<host_id>{}(mSelf) % hosts.size();
   std::rotate(hosts.begin(),
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -159,6 +159,11 @@
     boost::asio::io_context& aContext,
     const settings& aSettings);
 
+  /** True while no control host has confirmed this host's state of late. */
+  [[nodiscard]] bool IsOutOfTouch() const;
+  /** Adds seeds, the control hosts through which this host finds the others. */
+  void SetSeeds(const std::map<host_id, std::string>& aSeeds);
+
   /**
    * Removes this host from the list of entry hosts, keeps serving while callers
    * may still have an old list, drains running requests and stops. Blocks until
--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -3,13 +3,15 @@
 #include "core/background_task.h"
 #include "core/log_event.h"
 #include "core/log_writer.h"
-#include "main/control_role.h"
-#include "main/entry_role.h"
+#include "core/periodic.h"
+#include "main/roles.h"
+#include "main/seed_watcher.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -29,6 +31,9 @@
 /** Time between attempts to open a data folder that the disk refuses. */
 constexpr milliseconds kDiskRetryInterval{ 500 };
 
+/** Interval between looks at the seeds while a host is out of touch. */
+constexpr milliseconds kSeedInterval{ 1000 };
+
 /** Lets the main thread wait for the shutdown. */
 struct shutdown_event
 {
@@ -56,27 +61,10 @@
   }
 };
 
-/** Checks a changed settings file; the running process keeps the settings that
- * it was started with. */
-void
-Reload(const std::string& aPath)
-{
-  auto loaded = LoadSettings(aPath);
-  if (!loaded) {
-    log_event("reload_failed", log_event::severity::Error)
-      .Add("error", NameOf(loaded.error().mCode))
-      .Add("cause", loaded.error().mDetail);
-    return;
-  }
-  log_event("reloaded")
-    .Add("path", aPath)
-    .Add("in_force", "after the next start");
-}
-
 /** Handles all signals; a repeated stop signal does not abort requests. */
 void
 AwaitSignals(asio::signal_set& aSignals,
-             const std::string& aPath,
+             seed_watcher& aSeeds,
              shutdown_event& aShutdown)
 {
   aSignals.async_wait([&](boost::system::error_code aError, int aSignal) {
@@ -85,20 +73,14 @@
     }
     log_event("signal").Add("number", aSignal);
     if (aSignal == SIGHUP) {
-      Reload(aPath);
+      aSeeds.Reload();
     } else {
       aShutdown.Set();
     }
-    AwaitSignals(aSignals, aPath, aShutdown);
+    AwaitSignals(aSignals, aSeeds, aShutdown);
   });
 }
 
-struct roles
-{
-  std::unique_ptr<control_role> mControl;
-  std::unique_ptr<entry_role> mEntry;
-};
-
 using control_result = result<std::unique_ptr<control_role>, role_error>;
 
 /** Creates the control role. While the disk is full or fails, tries again until
@@ -173,7 +155,8 @@
   asio::io_context context;
   auto work = asio::make_work_guard(context);
   asio::signal_set signals(context, SIGINT, SIGTERM, SIGHUP);
-  AwaitSignals(signals, aPath, shutdown);
+  seed_watcher seeds(aPath, aSettings, running);
+  AwaitSignals(signals, seeds, shutdown);
 
   bool isStarted = StartRoles(context, aSettings, shutdown, running);
   std::vector<std::thread> threads;
@@ -181,7 +164,11 @@
   for (int number = 0; number < kBackgroundThreads; ++number) {
     threads.emplace_back([&context] { RunHandlers(context); });
   }
+  std::atomic<bool> isStopping = false;
   if (isStarted) {
+    RunPeriodically(context, "seeds", kSeedInterval, isStopping, [&seeds] {
+      return seeds.Follow();
+    });
     log_event("serving")
       .Add("host", aSettings.mHostId)
       .Add("entry", aSettings.mEntryCallersAddress)
@@ -192,6 +179,7 @@
   if (isClean) {
     shutdown.Wait();
   }
+  isStopping = true;
   if (running.mEntry != nullptr) {
     running.mEntry->Stop();
   }
--- a/settings/settings.cpp
+++ b/settings/settings.cpp
@@ -214,6 +214,10 @@
   auto fail = [](std::string aDetail) {
     return Fail(settings_error::BadValue, std::move(aDetail));
   };
+  if (!aSettings.mPlatformSeeds.empty() && !aSettings.IsOnPlatform()) {
+    return Fail(settings_error::MissingKey,
+                "[platform] control_port must be set with seeds.");
+  }
   if (!aSettings.IsEntry() && !aSettings.IsControl()) {
     return Fail(settings_error::MissingKey,
                 "The file must have a section [entry] or [control].");
@@ -229,7 +233,8 @@
   if (aSettings.IsEntry() && aSettings.mEntryControlHosts.empty() &&
       !aSettings.IsOnPlatform()) {
     return Fail(settings_error::MissingKey,
-                "[entry] control_hosts or [platform] seeds must be set.");
+                "[entry] control_hosts or [platform] control_port must be "
+                "set.");
   }
   if (!aSettings.IsControl()) {
     return boost::outcome_v2::success();
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -139,14 +139,15 @@
   std::string mPlatformDirectoryAddress;
   endpoint_list mPlatformSeeds;
   /** Port of `[control] address` on all control hosts. */
-  std::int64_t mPlatformControlPort = 1;
+  std::int64_t mPlatformControlPort = 0;
   std::int64_t mPlatformGraceS = 6;
   std::int64_t mPlatformHostListTtlS = 2;
 
   [[nodiscard]] bool IsEntry() const { return !mEntryCallersAddress.empty(); }
   [[nodiscard]] bool IsControl() const { return !mControlAddress.empty(); }
-  /** True on the users' platform, where hosts are discovered from the seeds. */
-  [[nodiscard]] bool IsOnPlatform() const { return !mPlatformSeeds.empty(); }
+  /** True on the users' platform, where hosts are discovered from the seeds.
+   * There may be none for a while, as after a loss of all hosts. */
+  [[nodiscard]] bool IsOnPlatform() const { return mPlatformControlPort != 0; }
 };
 
 using setting_member = std::variant<std::string settings::*,
