Keep a host running when a file reaches its limit of size

Where a limit on the size of files is set, as the users' platform does, a write beyond it ends the process by SIGXFSZ. Standard output that goes to a file reaches such a limit first on the hosts that log most, and from then on each start ends at its first line: a crash loop on all hosts, with a signal's code.

SIGXFSZ is ignored: the write fails with EFBIG, log lines are lost, and a data file counts as one that the disk refuses.

Test: start_conditions/AFullLogFileDoesNotEndAHost. Before: the control host is gone after its first lines, not served within 30 s.

--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -147,9 +147,11 @@
 int
 Serve(const std::string& aPath, const settings& aSettings)
 {
-  StartLogWriter();
-  // A write to a closed connection must fail for that connection only.
+  // A write to a closed connection must fail for that connection only, and one
+  // beyond the limit on the size of files for that file only.
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);
+  StartLogWriter();
   shutdown_event shutdown;
   roles running;
   asio::io_context context;
--- a/tests/integration/start_conditions_test.cpp
+++ b/tests/integration/start_conditions_test.cpp
@@ -4,6 +4,10 @@
 #include <fstream>
 #include <thread>
 
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace test;
@@ -147,3 +151,19 @@
     return Call("GET", hosts.Operators(3), "/v1/templates/one").mStatus == 200;
   }));
 }
+
+TEST(start_conditions, AFullLogFileDoesNotEndAHost)
+{
+  system_options options;
+  options.mControlHosts = 1;
+  options.mControlFileBytes = 1 << 20;
+  test_system system(options);
+  std::ofstream(system.Folder() / "c1.log")
+    << std::string(options.mControlFileBytes, ' ');
+  system.Start("c1");
+  std::this_thread::sleep_for(milliseconds(1000));
+  CHECK(WaitFor([&] {
+    return system.Put("/v1/templates/one", R"({"services":"a"})").mStatus ==
+           200;
+  }));
+}
--- a/tests/integration/test_system.cpp
+++ b/tests/integration/test_system.cpp
@@ -233,10 +233,17 @@
 void
 test_system::ApplyLimits(const std::string& aName) const
 {
-  if (mOptions.mControlDescriptors > 0 && mControlPorts.contains(aName)) {
-    rlimit limit{ mOptions.mControlDescriptors, mOptions.mControlDescriptors };
-    setrlimit(RLIMIT_NOFILE, &limit);
+  if (!mControlPorts.contains(aName)) {
+    return;
   }
+  auto apply = [](auto aResource, rlim_t aMax) {
+    rlimit limit{ aMax, aMax };
+    if (aMax > 0) {
+      setrlimit(aResource, &limit);
+    }
+  };
+  apply(RLIMIT_NOFILE, mOptions.mControlDescriptors);
+  apply(RLIMIT_FSIZE, mOptions.mControlFileBytes);
 }
 
 void
@@ -338,6 +345,24 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
+bool
+test_system::EndsAfter(const std::string& aName,
+                       int aSignal,
+                       milliseconds aTimeout)
+{
+  pid_t process = mProcesses.at(aName);
+  kill(process, aSignal);
+  bool hasEnded = WaitFor(
+    [&] {
+      siginfo_t info{};
+      waitid(P_PID, process, &info, WEXITED | WNOHANG | WNOWAIT);
+      return info.si_pid == process;
+    },
+    aTimeout);
+  StopProcess(aName, SIGKILL);
+  return hasEnded;
+}
+
 void
 test_system::DeleteDataFolder(const std::string& aHost) const
 {
--- a/tests/integration/test_system.h
+++ b/tests/integration/test_system.h
@@ -28,6 +28,9 @@
   bool mUsesControlProxy = false;
   /** Maximum open files of each control host; 0 for the limit of the tests. */
   rlim_t mControlDescriptors = 0;
+  /** Maximum size of the files that a control host writes, in bytes; 0 for the
+   * limit of the tests. */
+  rlim_t mControlFileBytes = 0;
   /** Lines appended to the section [entry] or [control]. */
   std::string mExtraEntrySettings;
   std::string mExtraControlSettings;
@@ -80,6 +83,8 @@
    * the negated number of the signal that ended it.
    */
   int StopProcess(const std::string& aName, int aSignal);
+  /** Sends a signal; false, and a kill, if the process does not end in time. */
+  bool EndsAfter(const std::string& aName, int aSignal, milliseconds aTimeout);
   /** Deletes the data folder of a control host. */
   void DeleteDataFolder(const std::string& aHost) const;
   [[nodiscard]] bool IsRunning(const std::string& aName) const
