Stop a host while nobody reads its standard output

A host whose standard output is a full pipe served, but its stop waited for the last log lines for good, and ended only by the kill after the grace time. Messages of the gRPC library went to standard error, where a full pipe would block the thread that serves the connection, and were not structured.

The last lines get half a second. The library's messages become events of the bounded log (grpc_message).

Test: start_conditions/AHostWhoseOutputIsBlockedServesAndStops.

--- a/core/log_writer.cpp
+++ b/core/log_writer.cpp
@@ -1,5 +1,6 @@
 #include "core/log_writer.h"
 
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
 #include <deque>
@@ -18,6 +19,8 @@
 /** Time for which lines are collected, so that the lines of a request cost one
  * write. */
 constexpr std::chrono::milliseconds kCollectTime{ 20 };
+/** Time limit for writing the last lines. */
+constexpr std::chrono::milliseconds kStopTimeout{ 500 };
 
 struct log_writer
 {
@@ -27,9 +30,18 @@
   /** Lines dropped since the last `log_lines_dropped` event. */
   std::size_t mDropped = 0;
   bool mIsStopping = false;
+  bool mIsDone = false;
   std::thread mThread;
 
   void Run()
+  {
+    WriteUntilStopped();
+    std::lock_guard guard(mLock);
+    mIsDone = true;
+    mChanged.notify_all();
+  }
+
+  void WriteUntilStopped()
   {
     while (true) {
       std::string block;
@@ -62,6 +74,9 @@
     while (offset < aBlock.size()) {
       ssize_t written =
         write(STDOUT_FILENO, aBlock.data() + offset, aBlock.size() - offset);
+      if (written < 0 && errno == EINTR) {
+        continue;
+      }
       if (written <= 0) {
         return;
       }
@@ -97,12 +112,22 @@
   if (stopped == nullptr) {
     return;
   }
+  bool isDone = false;
   {
-    std::lock_guard guard(stopped->mLock);
+    std::unique_lock guard(stopped->mLock);
     stopped->mIsStopping = true;
     stopped->mChanged.notify_all();
+    isDone = stopped->mChanged.wait_for(
+      guard, kStopTimeout, [&] { return stopped->mIsDone; });
+  }
+  if (isDone) {
+    stopped->mThread.join();
+    return;
   }
-  stopped->mThread.join();
+  // Nobody reads standard output: the thread waits in its write until the
+  // process ends, and needs its writer until then.
+  stopped->mThread.detach();
+  static_cast<void>(stopped.release());
 }
 
 bool
--- a/core/log_writer.h
+++ b/core/log_writer.h
@@ -12,7 +12,8 @@
 void
 StartLogWriter();
 
-/** Writes the queued lines and stops the thread. */
+/** Writes the queued lines and stops the thread; gives up the lines if nobody
+ * reads standard output. */
 void
 StopLogWriter();
 
--- a/drivers/grpc_settings.cpp
+++ b/drivers/grpc_settings.cpp
@@ -1,5 +1,8 @@
 #include "drivers/grpc_settings.h"
 
+#include "core/log_event.h"
+
+#include <grpc/support/log.h>
 #include <grpcpp/grpcpp.h>
 
 namespace hibiscusspool {
@@ -11,6 +14,17 @@
 /** Time limit for an attempt to connect, up to the peer's first bytes. */
 constexpr int kConnectTimeoutMs = 1000;
 
+void
+LogGrpcMessage(gpr_log_func_args* aMessage)
+{
+  bool isError = aMessage->severity == GPR_LOG_SEVERITY_ERROR;
+  log_event("grpc_message",
+            isError ? log_event::severity::Error : log_event::severity::Info)
+    .Add("source", aMessage->file)
+    .Add("line", aMessage->line)
+    .Add("text", aMessage->message);
+}
+
 }
 
 std::shared_ptr<grpc::Channel>
@@ -29,6 +43,12 @@
     aAddress, grpc::InsecureChannelCredentials(), arguments);
 }
 
+void
+LogGrpcMessages()
+{
+  gpr_set_log_function(LogGrpcMessage);
+}
+
 bool
 IsConnectionSilent(grpc::Channel& aChannel)
 {
--- a/drivers/grpc_settings.h
+++ b/drivers/grpc_settings.h
@@ -19,6 +19,11 @@
 std::shared_ptr<grpc::Channel>
 OpenChannel(const std::string& aAddress);
 
+/** Writes the messages of the gRPC library as log events, of which the queue is
+ * bounded, in place of standard error. */
+void
+LogGrpcMessages();
+
 /**
  * True if the channel's connection is open and yet a call on it timed out, so
  * that a new connection is worth its cost. An attempt to connect has a time
--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -4,6 +4,7 @@
 #include "core/log_event.h"
 #include "core/log_writer.h"
 #include "core/periodic.h"
+#include "drivers/grpc_settings.h"
 #include "main/roles.h"
 #include "main/seed_watcher.h"
 
@@ -152,6 +153,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGXFSZ, SIG_IGN);
   StartLogWriter();
+  LogGrpcMessages();
   shutdown_event shutdown;
   roles running;
   asio::io_context context;
--- a/tests/integration/start_conditions_test.cpp
+++ b/tests/integration/start_conditions_test.cpp
@@ -167,3 +167,23 @@
            200;
   }));
 }
+
+TEST(start_conditions, AHostWhoseOutputIsBlockedServesAndStops)
+{
+  system_options options;
+  options.mControlHosts = 1;
+  test_system system(options);
+  std::string pipe = system.Folder() / "c1.log";
+  mkfifo(pipe.c_str(), 0600);
+  int unread = open(pipe.c_str(), O_RDWR | O_NONBLOCK);
+  std::string filling(4096, ' ');
+  while (write(unread, filling.data(), filling.size()) > 0) {
+  }
+  system.Start("c1");
+  CHECK(WaitFor([&] {
+    return system.Put("/v1/templates/one", R"({"services":"a"})").mStatus ==
+           200;
+  }));
+  CHECK(system.EndsAfter("c1", SIGTERM, std::chrono::seconds(10)));
+  close(unread);
+}
