Take a file that can't be looked at for an error, not for a missing one

data_folder::Contains, Size and FileNumbers turned a look that failed into "not there", 0 and "no files", and a read that failed halfway gave a short file. At a start, that led to a new disk id over an old log, to segments that were skipped with what they had acknowledged, or to code 1 at every start. A short read looked like a torn last write and was cut.

--- a/drivers/data_folder.cpp
+++ b/drivers/data_folder.cpp
@@ -53,25 +53,34 @@
   }
 }
 
-std::vector<std::uint64_t>
+result<std::vector<std::uint64_t>, file_error>
 data_folder::Numbers(const std::string& aPrefix) const
 {
   return FileNumbers(mPath, aPrefix);
 }
 
-bool
+result<bool, file_error>
 data_folder::Contains(const std::string& aName) const
 {
   std::error_code problem;
-  return std::filesystem::exists(mPath / aName, problem);
+  bool exists = std::filesystem::exists(mPath / aName, problem);
+  if (problem) {
+    return Fail(file_error::CannotRead,
+                (mPath / aName).string() + ": " + problem.message());
+  }
+  return exists;
 }
 
-std::uint64_t
+result<std::uint64_t, file_error>
 data_folder::Size(const std::string& aName) const
 {
   std::error_code problem;
   std::uint64_t size = std::filesystem::file_size(mPath / aName, problem);
-  return problem ? 0 : size;
+  if (problem) {
+    return Fail(file_error::CannotRead,
+                (mPath / aName).string() + ": " + problem.message());
+  }
+  return size;
 }
 
 result<std::string, file_error>
@@ -83,14 +92,17 @@
 result<int, file_error>
 data_folder::OpenForAppend(const std::string& aName) const
 {
-  bool isNew = !Contains(aName);
+  auto exists = Contains(aName);
+  if (!exists) {
+    return exists.error();
+  }
   std::filesystem::path path = mPath / aName;
   int file =
     open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   if (file < 0) {
     return FailWithErrno(file_error::CannotWrite, path);
   }
-  if (isNew) {
+  if (!exists.value()) {
     Report({ file_operation_kind::Created, aName, {}, 0, {} });
   }
   return file;
--- a/drivers/data_folder.h
+++ b/drivers/data_folder.h
@@ -78,11 +78,15 @@
   [[nodiscard]] const std::filesystem::path& Path() const { return mPath; }
   /** The sorted numbers of the files that are named by this prefix and a
    * number. */
-  [[nodiscard]] std::vector<std::uint64_t> Numbers(
+  [[nodiscard]] result<std::vector<std::uint64_t>, file_error> Numbers(
     const std::string& aPrefix) const;
-  [[nodiscard]] bool Contains(const std::string& aName) const;
-  /** A file's size in bytes; 0 if it can't be read. */
-  [[nodiscard]] std::uint64_t Size(const std::string& aName) const;
+  /** False only if there is no such file; one that can't be looked at is an
+   * error. */
+  [[nodiscard]] result<bool, file_error> Contains(
+    const std::string& aName) const;
+  /** A file's size in bytes. */
+  [[nodiscard]] result<std::uint64_t, file_error> Size(
+    const std::string& aName) const;
   [[nodiscard]] result<std::string, file_error> Read(
     const std::string& aName) const;
 
--- a/drivers/raft_storage.cpp
+++ b/drivers/raft_storage.cpp
@@ -113,7 +113,11 @@
 raft_storage::LoadDiskId()
 {
   std::string path = (mFolder.Path() / kDiskIdName).string();
-  if (mFolder.Contains(kDiskIdName)) {
+  auto hasId = mFolder.Contains(kDiskIdName);
+  if (!hasId) {
+    return ToStorageError(hasId.error());
+  }
+  if (hasId.value()) {
     auto text = mFolder.Read(kDiskIdName);
     if (!text) {
       return ToStorageError(text.error());
@@ -124,8 +128,12 @@
     }
     return boost::outcome_v2::success();
   }
+  auto segments = mFolder.Numbers(kSegmentPrefix);
+  if (!segments) {
+    return ToStorageError(segments.error());
+  }
   // A folder with a log but without an id was tampered with.
-  if (!mFolder.Numbers(kSegmentPrefix).empty()) {
+  if (!segments.value().empty()) {
     return Fail(storage_error::Corrupt, path + " is missing.");
   }
   auto written = mFolder.Replace(kDiskIdName, mDiskId.mValue);
@@ -138,11 +146,14 @@
 result<void, storage_error>
 raft_storage::LoadSnapshot()
 {
-  std::vector<std::uint64_t> numbers = mFolder.Numbers(kSnapshotPrefix);
-  if (numbers.empty()) {
+  auto numbers = mFolder.Numbers(kSnapshotPrefix);
+  if (!numbers) {
+    return ToStorageError(numbers.error());
+  }
+  if (numbers.value().empty()) {
     return boost::outcome_v2::success();
   }
-  std::string name = SnapshotName(numbers.back());
+  std::string name = SnapshotName(numbers.value().back());
   auto bytes = mFolder.Read(name);
   if (!bytes) {
     return ToStorageError(bytes.error());
@@ -161,11 +172,21 @@
 result<void, storage_error>
 raft_storage::LoadSegments()
 {
-  std::vector<std::uint64_t> numbers = mFolder.Numbers(kSegmentPrefix);
-  numbers.erase(numbers.begin(), FirstNeededSegment(numbers));
+  auto found = NeededSegments();
+  if (!found) {
+    return found.error();
+  }
+  std::vector<std::uint64_t> numbers = std::move(found.value());
   mSegmentNumber = numbers.empty() ? 0 : numbers.back();
   // Segments in which nothing was written.
-  while (!numbers.empty() && mFolder.Size(SegmentName(numbers.back())) == 0) {
+  while (!numbers.empty()) {
+    auto size = mFolder.Size(SegmentName(numbers.back()));
+    if (!size) {
+      return ToStorageError(size.error());
+    }
+    if (size.value() > 0) {
+      break;
+    }
     numbers.pop_back();
   }
   for (std::uint64_t number : numbers) {
@@ -186,22 +207,30 @@
   return boost::outcome_v2::success();
 }
 
-std::vector<std::uint64_t>::const_iterator
-raft_storage::FirstNeededSegment(
-  const std::vector<std::uint64_t>& aNumbers) const
+result<std::vector<std::uint64_t>, storage_error>
+raft_storage::NeededSegments() const
 {
-  for (auto number = aNumbers.end(); number != aNumbers.begin();) {
+  auto found = mFolder.Numbers(kSegmentPrefix);
+  if (!found) {
+    return ToStorageError(found.error());
+  }
+  std::vector<std::uint64_t> numbers = std::move(found.value());
+  for (auto number = numbers.end(); number != numbers.begin();) {
     --number;
     auto bytes = mFolder.Read(SegmentName(*number));
-    auto first = bytes ? ParseFrame(bytes.value(), 0) : std::nullopt;
+    if (!bytes) {
+      return ToStorageError(bytes.error());
+    }
+    auto first = ParseFrame(bytes.value(), 0);
     wire::DiskBatch batch;
     bool replacesOlder = first && batch.ParseFromString(first->mPayload) &&
                          batch.follows_snapshot() != 0;
     if (replacesOlder) {
-      return number;
+      numbers.erase(numbers.begin(), number);
+      break;
     }
   }
-  return aNumbers.begin();
+  return numbers;
 }
 
 result<void, storage_error>
@@ -377,21 +406,26 @@
     return written.error();
   }
   // Only now do the new files hold everything that the old ones hold.
-  DropSegmentsBefore(mSegmentNumber);
-  for (std::uint64_t number : mFolder.Numbers(kSnapshotPrefix)) {
-    if (number < aSnapshot.mIndex) {
-      mFolder.Remove(SnapshotName(number));
-    }
-  }
+  RemoveBefore(kSegmentPrefix, mSegmentNumber);
+  RemoveBefore(kSnapshotPrefix, aSnapshot.mIndex);
   return boost::outcome_v2::success();
 }
 
 void
-raft_storage::DropSegmentsBefore(std::uint64_t aNumber)
+raft_storage::RemoveBefore(const std::string& aPrefix,
+                           std::uint64_t aNumber) const
 {
-  for (std::uint64_t number : mFolder.Numbers(kSegmentPrefix)) {
+  auto numbers = mFolder.Numbers(aPrefix);
+  if (!numbers) {
+    // They are removed after the next snapshot.
+    log_event("old_files_kept", log_event::severity::Warning)
+      .Add("prefix", aPrefix)
+      .Add("cause", numbers.error().mDetail);
+    return;
+  }
+  for (std::uint64_t number : numbers.value()) {
     if (number < aNumber) {
-      mFolder.Remove(SegmentName(number));
+      mFolder.Remove(aPrefix + std::to_string(number));
     }
   }
 }
--- a/drivers/raft_storage.h
+++ b/drivers/raft_storage.h
@@ -58,10 +58,11 @@
   result<void, storage_error> LoadDiskId();
   result<void, storage_error> LoadSnapshot();
   result<void, storage_error> LoadSegments();
-  /** The newest segment that begins with the log after a snapshot, or the first
-   * one. Removed segments before it may have returned after a loss of power. */
-  [[nodiscard]] std::vector<std::uint64_t>::const_iterator FirstNeededSegment(
-    const std::vector<std::uint64_t>& aNumbers) const;
+  /** The segments from the newest one that begins with the log after a
+   * snapshot. Removed ones before it may have returned after a loss of power.
+   */
+  [[nodiscard]] result<std::vector<std::uint64_t>, storage_error>
+  NeededSegments() const;
   result<void, storage_error> LoadSegment(std::uint64_t aNumber, bool aIsLast);
   /** Applies a batch to `mPersisted`; false if it can't be decoded. */
   bool ApplyBatch(const std::string& aBatch);
@@ -69,7 +70,8 @@
   result<void, storage_error> CutTornTail();
   result<void, storage_error> StartSegment();
   result<void, storage_error> WriteBatch(const std::string& aBatch);
-  void DropSegmentsBefore(std::uint64_t aNumber);
+  /** Removes the files of a kind with lower numbers. */
+  void RemoveBefore(const std::string& aPrefix, std::uint64_t aNumber) const;
 
 public:
   raft_storage(const raft_storage&) = delete;
--- a/drivers/refusal_store.cpp
+++ b/drivers/refusal_store.cpp
@@ -13,6 +13,13 @@
 constexpr wall_ms kMsPerDay = 86'400'000;
 const std::string kPrefix = "refusals-";
 
+void
+LogUnreadable(const std::string& aCause)
+{
+  log_event("refusals_unreadable", log_event::severity::Warning)
+    .Add("cause", aCause);
+}
+
 }
 
 refusal_store::~refusal_store()
@@ -39,7 +46,12 @@
 refusal_store::Days() const
 {
   std::vector<std::int64_t> days;
-  for (std::uint64_t day : FileNumbers(mFolder, kPrefix)) {
+  auto numbers = FileNumbers(mFolder, kPrefix);
+  if (!numbers) {
+    LogUnreadable(numbers.error().mDetail);
+    return days;
+  }
+  for (std::uint64_t day : numbers.value()) {
     days.push_back(static_cast<std::int64_t>(day));
   }
   return days;
@@ -70,7 +82,11 @@
   // Reading stops at a batch that a crash truncated, so it would hide all
   // batches appended after it.
   std::size_t validBytes = 0;
-  if (auto bytes = ReadWholeFile(path)) {
+  auto bytes = ReadWholeFile(path);
+  if (!bytes && bytes.error().mCode != file_error::NotFound) {
+    return bytes.error();
+  }
+  if (bytes) {
     while (auto next = ParseFrame(bytes.value(), validBytes)) {
       validBytes = next->mEnd;
     }
@@ -118,6 +134,9 @@
       continue;
     }
     auto bytes = ReadWholeFile(mFolder / (kPrefix + std::to_string(day)));
+    if (!bytes) {
+      LogUnreadable(bytes.error().mDetail);
+    }
     std::size_t offset = 0;
     while (bytes) {
       auto next = ParseFrame(bytes.value(), offset);
--- a/drivers/refusal_store.h
+++ b/drivers/refusal_store.h
@@ -39,6 +39,7 @@
   /** Opens the day's file and deletes those past the retention. */
   result<void, file_error> OpenDay(std::int64_t aDay);
   void DeleteExpiredDays(std::int64_t aToday) const;
+  /** The days with files; logs a warning if the folder can't be read. */
   [[nodiscard]] std::vector<std::int64_t> Days() const;
 
 public:
--- a/drivers/synced_file.cpp
+++ b/drivers/synced_file.cpp
@@ -4,8 +4,6 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
-#include <fstream>
-#include <sstream>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -18,6 +16,7 @@
 
 constexpr std::uint32_t kMagic = 0x48705331;
 constexpr std::size_t kMaxPayloadBytes = 1U << 30U;
+constexpr std::size_t kReadBlockBytes = 64 << 10;
 
 /**
  * Stored in the machine's byte order, which is little-endian on the
@@ -64,16 +63,31 @@
 result<std::string, file_error>
 ReadWholeFile(const std::filesystem::path& aPath)
 {
-  std::ifstream file(aPath, std::ios::binary);
-  if (!file) {
+  int file = open(aPath.c_str(), O_RDONLY | O_CLOEXEC);
+  if (file < 0) {
+    bool isMissing = errno == ENOENT;
+    return FailWithErrno(
+      isMissing ? file_error::NotFound : file_error::CannotRead, aPath);
+  }
+  std::string bytes;
+  std::string block(kReadBlockBytes, '\0');
+  ssize_t count = 0;
+  do {
+    count = read(file, block.data(), block.size());
+    if (count > 0) {
+      bytes.append(block, 0, static_cast<std::size_t>(count));
+    }
+  } while (count > 0 || (count < 0 && errno == EINTR));
+  int cause = errno;
+  close(file);
+  if (count < 0) {
+    errno = cause;
     return FailWithErrno(file_error::CannotRead, aPath);
   }
-  std::ostringstream bytes;
-  bytes << file.rdbuf();
-  return bytes.str();
+  return bytes;
 }
 
-std::vector<std::uint64_t>
+result<std::vector<std::uint64_t>, file_error>
 FileNumbers(const std::filesystem::path& aFolder, const std::string& aPrefix)
 {
   std::vector<std::uint64_t> numbers;
@@ -86,6 +100,10 @@
     }
     file.increment(problem);
   }
+  if (problem) {
+    return Fail(file_error::CannotRead,
+                aFolder.string() + ": " + problem.message());
+  }
   std::sort(numbers.begin(), numbers.end());
   return numbers;
 }
--- a/drivers/synced_file.h
+++ b/drivers/synced_file.h
@@ -13,16 +13,20 @@
 
 enum class file_error
 {
+  /** There is no such file, as opposed to one that can't be looked at. */
+  NotFound,
   CannotRead,
   CannotWrite,
 };
 
 template<>
-inline constexpr name_table<file_error, 2> kNames<file_error>{ {
+inline constexpr name_table<file_error, 3> kNames<file_error>{ {
+  { file_error::NotFound, "not_found" },
   { file_error::CannotRead, "cannot_read" },
   { file_error::CannotWrite, "cannot_write" },
 } };
 
+/** All bytes of a file; a read that fails halfway is an error. */
 result<std::string, file_error>
 ReadWholeFile(const std::filesystem::path& aPath);
 
@@ -32,7 +36,7 @@
 
 /** The sorted numbers of a folder's files that are named by this prefix and a
  * number. */
-std::vector<std::uint64_t>
+result<std::vector<std::uint64_t>, file_error>
 FileNumbers(const std::filesystem::path& aFolder, const std::string& aPrefix);
 
 /** Writes all bytes to an open file. */
--- a/tests/drivers/raft_storage_test.cpp
+++ b/tests/drivers/raft_storage_test.cpp
@@ -173,6 +173,38 @@
   LONGS_EQUAL(3, storage.value().TakePersisted().mEntries.size());
 }
 
+TEST(raft_storage, AFileThatCanNotBeLookedAtIsNotTakenForAMissingOne)
+{
+  {
+    auto storage = raft_storage::Create(mFolder, "a");
+    storage.value().Persist(Entries(1, 3, 1)).value();
+  }
+  for (const char* name : { "log-1", "disk-id" }) {
+    auto path = mFolder / name;
+    auto kept = mFolder / "kept";
+    std::filesystem::rename(path, kept);
+    // A look at a link to itself fails, as one at a faulty disk does.
+    std::filesystem::create_symlink(path, path);
+    auto storage = raft_storage::Create(mFolder, "b");
+    CHECK(!storage.has_value());
+    CHECK(storage.error().mCode == storage_error::CannotOpen);
+    std::filesystem::remove(path);
+    std::filesystem::rename(kept, path);
+  }
+  auto storage = raft_storage::Create(mFolder, "b");
+  STRCMP_EQUAL("a", storage.value().DiskId().mValue.c_str());
+  LONGS_EQUAL(3, storage.value().TakePersisted().mEntries.size());
+}
+
+TEST(raft_storage, AFileThatCanNotBeReadIsNotTakenForAnEmptyOne)
+{
+  auto path = mFolder / "unreadable";
+  std::filesystem::create_directories(path);
+  CHECK(ReadWholeFile(path).error().mCode == file_error::CannotRead);
+  CHECK(ReadWholeFile(mFolder / "none").error().mCode == file_error::NotFound);
+  CHECK(!FileNumbers(mFolder / "none", "log-").has_value());
+}
+
 TEST(raft_storage, LocksOutASecondProcess)
 {
   auto first = raft_storage::Create(mFolder, "a");
