Wait for a data folder that another process still holds

A control host that found its folder locked ended with code 1, again at each start while the process before it was still ending. It now waits, as for a disk that refuses the start.

Test: start_conditions/AControlHostWaitsForADataFolderThatIsStillInUse; before it the host was gone.

--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -52,9 +52,10 @@
 role_error
 ToRoleError(storage_error aError)
 {
-  bool isDamaged =
-    aError == storage_error::Corrupt || aError == storage_error::Locked;
-  return isDamaged ? role_error::DiskFailed : role_error::DiskUnavailable;
+  // A lock ends with the process that holds it, and a refused read or write may
+  // succeed later.
+  return aError == storage_error::Corrupt ? role_error::DiskFailed
+                                          : role_error::DiskUnavailable;
 }
 
 /** The hosts of the group's voters, sorted. */
--- a/main/role_error.h
+++ b/main/role_error.h
@@ -8,9 +8,10 @@
 enum class role_error
 {
   BadSettings,
-  /** The data folder is damaged or in use. */
+  /** The data folder is damaged. */
   DiskFailed,
-  /** The disk refused to be read or written, which may pass. */
+  /** The data folder is in use, or the disk refused to be read or written,
+   * which may pass. */
   DiskUnavailable,
   CannotListen,
   CannotStart,
--- a/tests/integration/start_conditions_test.cpp
+++ b/tests/integration/start_conditions_test.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include <fcntl.h>
+#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -187,3 +188,22 @@
   CHECK(system.EndsAfter("c1", SIGTERM, std::chrono::seconds(10)));
   close(unread);
 }
+
+TEST(start_conditions, AControlHostWaitsForADataFolderThatIsStillInUse)
+{
+  system_options options;
+  options.mControlHosts = 1;
+  test_system system(options);
+  auto folder = system.Folder() / "data-c1" / "log";
+  std::filesystem::create_directories(folder);
+  int lock =
+    open((folder / "lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  LONGS_EQUAL(0, flock(lock, LOCK_EX));
+  system.Start("c1");
+  std::this_thread::sleep_for(milliseconds(1000));
+  close(lock);
+  CHECK(WaitFor([&] {
+    return system.Put("/v1/templates/one", R"({"services":"a"})").mStatus ==
+           200;
+  }));
+}
