Let a host without disk and seeds find the group of its lost disk

A control host that came back with an empty disk asked only its seeds to join. If these were empty, or named hosts that were lost at the same time, it never joined, though its old group sends to its address all the while.

It drops these messages, since they are for another disk, but now asks their senders to join.

Test: raft_node/AMemberThatReturnsWithoutDiskAndSeedsJoinsThroughItsOldGroup; before, the new disk had no vote after 10 s.

--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -329,10 +329,15 @@
 void
 raft_node::Step(const raft_message& aMessage, steady_time aNow)
 {
-  bool isMisdirected = aMessage.mTo.mHost != mConfig.mSelf.mHost ||
-                       (!aMessage.mTo.mDisk.IsEmpty() &&
-                        aMessage.mTo.mDisk != mConfig.mSelf.mDisk);
-  if (isMisdirected) {
+  if (aMessage.mTo.mHost != mConfig.mSelf.mHost) {
+    return;
+  }
+  bool isForEarlierDisk =
+    !aMessage.mTo.mDisk.IsEmpty() && aMessage.mTo.mDisk != mConfig.mSelf.mDisk;
+  if (isForEarlierDisk) {
+    // The sender belongs to the group that this host's lost disk was part of,
+    // which this host may have no other way to find.
+    mConfig.mKnownHosts.insert(aMessage.mFrom.mHost);
     return;
   }
   if (aMessage.mKind == raft_message_kind::Join) {
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -15,7 +15,8 @@
   raft_peer_id mSelf;
   /** Configured hosts that may be members. */
   std::set<host_id> mKnownHosts;
-  /** Any host may join; `mKnownHosts` are only the hosts to contact first. */
+  /** Any host may join; `mKnownHosts` are only the hosts to contact first, to
+   * which those that address an earlier disk of this host are added. */
   bool mAllowsAnyHost = false;
   /**
    * With `mAllowsAnyHost`, a voter that is silent for this long may be removed
--- a/tests/decisions/raft_node_test.cpp
+++ b/tests/decisions/raft_node_test.cpp
@@ -86,6 +86,8 @@
 
 public:
   bool mLosesMessages = true;
+  /** Hosts that start know the other hosts from their settings. */
+  bool mKnowsHosts = true;
   int mConfirmedReads = 0;
   milliseconds mHeartbeatInterval{ 100 };
   milliseconds mElectionTimeout{ 1000 };
@@ -133,8 +135,11 @@
     config.mSeed = mRandom();
     config.mHeartbeatInterval = mHeartbeatInterval;
     config.mElectionTimeout = mElectionTimeout;
+    config.mAllowsAnyHost = !mKnowsHosts;
     for (const simulated_member& other : mMembers) {
-      config.mKnownHosts.insert(other.mId.mHost);
+      if (mKnowsHosts) {
+        config.mKnownHosts.insert(other.mId.mHost);
+      }
     }
     auto node = raft_node::Create(config,
                                   { member.mStorage.mHardState,
@@ -460,6 +465,53 @@
   }
 }
 
+/** Commits some entries and returns how many are committed then. */
+std::size_t
+CommitSome(simulated_group& aGroup, int aCount)
+{
+  for (int count = 0; count < aCount; ++count) {
+    aGroup.Propose(aGroup.LeaderPosition());
+  }
+  aGroup.RunFor(milliseconds(500));
+  return aGroup.CommittedCount();
+}
+
+/** All hosts lose power at once; those named lose their disks too. They come
+ * back in a random order within 300 ms. */
+void
+LosePower(simulated_group& aGroup, const std::set<std::size_t>& aLostDisks)
+{
+  std::vector<std::size_t> order;
+  for (std::size_t position = 0; position < aGroup.Count(); ++position) {
+    aGroup.Crash(position);
+    if (aLostDisks.contains(position)) {
+      aGroup.LoseDisk(position);
+    }
+    order.insert(order.begin() +
+                   static_cast<std::ptrdiff_t>(aGroup.Pick(order.size() + 1)),
+                 position);
+  }
+  for (std::size_t position : order) {
+    aGroup.RunFor(milliseconds(10 * aGroup.Pick(4)));
+    aGroup.Start(position);
+  }
+}
+
+/** Checks that a group has lost nothing and serves changes again. */
+void
+CheckRecovery(simulated_group& aGroup,
+              std::size_t aCommitted,
+              const std::string& aCase)
+{
+  aGroup.RunFor(milliseconds(5000));
+  std::size_t leader = aGroup.LeaderPosition();
+  CHECK_TEXT(leader < aGroup.Count(), aCase.c_str());
+  CHECK_TEXT(aGroup.Propose(leader), aCase.c_str());
+  aGroup.RunFor(milliseconds(500));
+  CHECK_TEXT(aGroup.CommittedCount() > aCommitted, aCase.c_str());
+  STRCMP_EQUAL_TEXT("", aGroup.Violation().c_str(), aCase.c_str());
+}
+
 }
 
 TEST_GROUP(raft_node){};
@@ -516,6 +568,61 @@
   }
 }
 
+TEST(raft_node, LostDisksWhileAllOthersLosePowerCostNoAcknowledgedEntry)
+{
+  auto check =
+    [](std::uint64_t aSeed, int aHosts, const std::set<std::size_t>& aLost) {
+      simulated_group group(aSeed, aHosts);
+      group.mLosesMessages = false;
+      group.RunFor(milliseconds(3000));
+      std::size_t committed = CommitSome(group, 20);
+      LosePower(group, aLost);
+      CheckRecovery(group, committed, "seed " + std::to_string(aSeed));
+      group.RunFor(milliseconds(10'000));
+      CHECK(group.AllDisksVote());
+    };
+  std::uint64_t seed = 1;
+  for (std::size_t one = 0; one < 5; ++one) {
+    check(seed++, 5, { one });
+  }
+  for (std::size_t one = 0; one < 9; ++one) {
+    for (std::size_t other = one + 1; other < 9; ++other) {
+      check(seed++, 9, { one, other });
+    }
+  }
+}
+
+TEST(raft_node, ALossOfPowerAtAnyMomentOfARepairCostsNoAcknowledgedEntry)
+{
+  for (std::uint64_t moment = 0; moment < 40; ++moment) {
+    simulated_group group(moment + 1, 5);
+    group.mLosesMessages = false;
+    group.RunFor(milliseconds(3000));
+    std::size_t committed = CommitSome(group, 20);
+    std::size_t lost = group.Pick(group.Count());
+    group.LoseDisk(lost);
+    group.Start(lost);
+    group.RunFor(milliseconds(100 * moment));
+    LosePower(group, {});
+    CheckRecovery(group, committed, "moment " + std::to_string(moment));
+  }
+}
+
+TEST(raft_node, AMemberThatReturnsWithoutDiskAndSeedsJoinsThroughItsOldGroup)
+{
+  simulated_group group(29);
+  group.mLosesMessages = false;
+  group.mKnowsHosts = false;
+  group.RunFor(milliseconds(3000));
+  CommitSome(group, 20);
+  std::size_t lost = (group.LeaderPosition() + 1) % kHosts;
+  group.LoseDisk(lost);
+  group.Start(lost);
+  group.RunFor(milliseconds(10'000));
+  CHECK(group.AllDisksVote());
+  STRCMP_EQUAL("", group.Violation().c_str());
+}
+
 TEST(raft_node, ARepairNeverNeedsMoreVotersThanThereAreHosts)
 {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
