Keep a test's own connections out of the hosts that it starts

A host that a test starts inherited the test's open connections and, under a limit on descriptors, the log of the host could not be opened. Its limits are applied after that, and inherited descriptors are closed. Hosts with seeds get a fixture of their own. A process that ends with an exception stops its log writer first: the thread that was left ended it with SIGABRT in place of code 1, which this fault of the test showed.

--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,5 +1,5 @@
+#include "core/log_writer.h"
 #include "main/serve.h"
-
 #include "settings/settings.h"
 #include "tools/admin.h"
 #include "tools/load.h"
@@ -134,6 +134,7 @@
     return FailUsage(problem.what());
   } catch (const std::exception& problem) {
     std::cerr << "hibiscusspool: " << problem.what() << "\n";
+    StopLogWriter();
     return kFailure;
   }
 }
--- /dev/null
+++ b/tests/integration/seeded_system.cpp
@@ -0,0 +1,111 @@
+#include "tests/integration/seeded_system.h"
+
+#include <fstream>
+
+namespace test {
+
+namespace {
+
+constexpr int kControlPort = 10'900;
+constexpr int kOperatorPort = 10'901;
+/** The entry host's number, which makes its address. */
+constexpr int kEntryHost = 9;
+
+}
+
+seeded_system::seeded_system(const system_options& aOptions)
+  : mSystem(aOptions)
+{
+  std::string address = mSystem.ControlAddress("c1");
+  mNetwork = address.substr(0, address.find_last_of('.') + 1);
+}
+
+std::string
+seeded_system::Ip(int aNumber) const
+{
+  return mNetwork + std::to_string(200 + aNumber);
+}
+
+std::string
+seeded_system::Control(int aNumber) const
+{
+  return Ip(aNumber) + ":" + std::to_string(kControlPort);
+}
+
+std::string
+seeded_system::Operators(int aNumber) const
+{
+  return Ip(aNumber) + ":" + std::to_string(kOperatorPort);
+}
+
+std::string
+seeded_system::Callers() const
+{
+  return Ip(kEntryHost) + ":10902";
+}
+
+std::string
+seeded_system::AllSeeds() const
+{
+  return Control(1) + "," + Control(2) + "," + Control(3);
+}
+
+void
+seeded_system::WriteControl(int aNumber,
+                            const std::string& aSeeds,
+                            bool aIsFirstStart)
+{
+  std::string name = "c" + std::to_string(aNumber);
+  std::ofstream file(mSystem.Folder() / (name + ".ini"));
+  file << "[host]\nid=" << Control(aNumber)
+       << "\nfailure_domain=a\n[control]\naddress=" << Control(aNumber)
+       << "\noperators_address=" << Operators(aNumber)
+       << "\ndata_folder=" << (mSystem.Folder() / ("data-" + name)).string()
+       << "\nbootstrap=" << (aIsFirstStart ? "true" : "false")
+       << "\n[platform]\ncontrol_port=" << kControlPort << "\nseeds=" << aSeeds
+       << "\n";
+}
+
+void
+seeded_system::WriteEntry(const std::string& aSeeds)
+{
+  std::string ip = Ip(kEntryHost);
+  std::string path = mSystem.Folder() / "e1.ini";
+  {
+    std::ofstream file(path + ".new");
+    file << "[host]\nid=" << ip << ":10903\nfailure_domain=a\n"
+         << "[entry]\ncallers_address=" << Callers()
+         << "\nannounce_address=" << ip << ":10903\nthreads=2\n"
+         << "[platform]\ncallers_address=" << ip << ":10904"
+         << "\ncontrol_port=" << kControlPort << "\nseeds=" << aSeeds << "\n";
+  }
+  std::filesystem::rename(path + ".new", path);
+}
+
+void
+seeded_system::StartControlHosts(const std::string& aSeeds, bool aIsFirstStart)
+{
+  for (int number = 1; number <= 3; ++number) {
+    WriteControl(number, aSeeds, aIsFirstStart);
+    mSystem.Start("c" + std::to_string(number));
+  }
+}
+
+unsigned
+seeded_system::Put(int aHost, const std::string& aName) const
+{
+  return Call("PUT",
+              Operators(aHost),
+              "/v1/templates/" + aName,
+              R"({"services":"a"})")
+    .mStatus;
+}
+
+bool
+seeded_system::EntryHostListsItself() const
+{
+  auto list = Call("GET", Callers(), "/v1/entry-hosts");
+  return list.mBody.find(Ip(kEntryHost)) != std::string::npos;
+}
+
+}
--- a/tests/integration/start_conditions_test.cpp
+++ b/tests/integration/start_conditions_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/integration/test_system.h"
+#include "tests/integration/seeded_system.h"
 
 #include <csignal>
 #include <fstream>
@@ -13,101 +13,6 @@
 
 using namespace test;
 
-namespace {
-
-constexpr int kControlPort = 10'900;
-constexpr int kOperatorPort = 10'901;
-
-/**
- * Hosts that find each other by seeds. Each has an address of its own, since
- * all control hosts listen on the same port.
- */
-class seeded_system
-{
-  test_system mSystem;
-  std::string mNetwork;
-
-  [[nodiscard]] std::string Ip(int aNumber) const
-  {
-    return mNetwork + std::to_string(200 + aNumber);
-  }
-
-public:
-  explicit seeded_system(const system_options& aOptions)
-    : mSystem(aOptions)
-  {
-    std::string address = mSystem.ControlAddress("c1");
-    mNetwork = address.substr(0, address.find_last_of('.') + 1);
-  }
-
-  test_system& System() { return mSystem; }
-
-  [[nodiscard]] std::string Operators(int aNumber) const
-  {
-    return Ip(aNumber) + ":" + std::to_string(kOperatorPort);
-  }
-
-  [[nodiscard]] std::string Callers() const { return Ip(9) + ":10902"; }
-
-  [[nodiscard]] std::string AllSeeds() const
-  {
-    return Ip(1) + ":1," + Ip(2) + ":1," + Ip(3) + ":1";
-  }
-
-  void WriteControl(int aNumber, const std::string& aSeeds, bool aIsFirstStart)
-  {
-    std::string name = "c" + std::to_string(aNumber);
-    std::string address = Ip(aNumber) + ":" + std::to_string(kControlPort);
-    std::ofstream file(mSystem.Folder() / (name + ".ini"));
-    file << "[host]\nid=" << address
-         << "\nfailure_domain=a\n[control]\naddress=" << address
-         << "\noperators_address=" << Operators(aNumber)
-         << "\ndata_folder=" << (mSystem.Folder() / ("data-" + name)).string()
-         << "\nbootstrap=" << (aIsFirstStart ? "true" : "false")
-         << "\n[platform]\ncontrol_port=" << kControlPort
-         << "\nseeds=" << aSeeds << "\n";
-  }
-
-  void WriteEntry(const std::string& aSeeds)
-  {
-    std::string path = mSystem.Folder() / "e1.ini";
-    {
-      std::ofstream file(path + ".new");
-      file << "[host]\nid=" << Ip(9) << ":10903\nfailure_domain=a\n"
-           << "[entry]\ncallers_address=" << Callers()
-           << "\nannounce_address=" << Ip(9) << ":10903\nthreads=2\n"
-           << "[platform]\ncallers_address=" << Ip(9) << ":10904"
-           << "\ncontrol_port=" << kControlPort << "\nseeds=" << aSeeds << "\n";
-    }
-    std::filesystem::rename(path + ".new", path);
-  }
-
-  void StartControlHosts(const std::string& aSeeds, bool aIsFirstStart)
-  {
-    for (int number = 1; number <= 3; ++number) {
-      WriteControl(number, aSeeds, aIsFirstStart);
-      mSystem.Start("c" + std::to_string(number));
-    }
-  }
-
-  [[nodiscard]] unsigned Put(int aHost, const std::string& aName) const
-  {
-    return Call("PUT",
-                Operators(aHost),
-                "/v1/templates/" + aName,
-                R"({"services":"a"})")
-      .mStatus;
-  }
-
-  [[nodiscard]] bool EntryHostListsItself() const
-  {
-    auto list = Call("GET", Callers(), "/v1/entry-hosts");
-    return list.mBody.find(Ip(9)) != std::string::npos;
-  }
-};
-
-}
-
 TEST_GROUP(start_conditions){};
 
 TEST(start_conditions, ControlHostsWithoutSeedsServeTheGroupOnTheirDisks)
--- a/tests/integration/test_system.cpp
+++ b/tests/integration/test_system.cpp
@@ -220,10 +220,12 @@
   argv.push_back(nullptr);
   pid_t process = fork();
   if (process == 0) {
-    ApplyLimits(aName);
     int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
+    // The test's own connections must not count for the host.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+    ApplyLimits(aName);
     execv(program.c_str(), argv.data());
     _exit(127);
   }
