Begin with short attempts to connect, and lengthen them

Attempts now begin at 150 ms and are doubled after each stream that timed out, up to 1.2 s; a channel that is kept lengthens them by its own back-off.

Test: control_connections/AControlHostThatAnswersConnectionsSlowlyIsReached still holds (4 s).

--- a/drivers/grpc_settings.cpp
+++ b/drivers/grpc_settings.cpp
@@ -11,8 +11,6 @@
 
 constexpr int kInitialBackoffMs = 100;
 constexpr int kMaxBackoffMs = 1000;
-/** Time limit for an attempt to connect, up to the peer's first bytes. */
-constexpr int kConnectTimeoutMs = 1000;
 
 void
 LogGrpcMessage(gpr_log_func_args* aMessage)
@@ -28,14 +26,16 @@
 }
 
 std::shared_ptr<grpc::Channel>
-OpenChannel(const std::string& aAddress)
+OpenChannel(const std::string& aAddress, milliseconds aConnectTimeout)
 {
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
   arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kInitialBackoffMs);
-  // In spite of its name, this is the minimum time that an attempt gets.
-  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kConnectTimeoutMs);
+  // In spite of its name, this is the minimum time that an attempt gets; the
+  // back-off after earlier ones extends it.
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS,
+                   static_cast<int>(aConnectTimeout.count()));
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxBackoffMs);
   arguments.SetMaxReceiveMessageSize(kMaxMessageBytes);
   arguments.SetMaxSendMessageSize(kMaxMessageBytes);
--- a/drivers/grpc_settings.h
+++ b/drivers/grpc_settings.h
@@ -12,12 +12,19 @@
 /** Maximum gRPC message size in bytes; a snapshot is sent as one message. */
 inline constexpr int kMaxMessageBytes = 256 << 20;
 
+/** Time limit for the first attempt to connect, up to the peer's first bytes;
+ * short, since a host that is off does not respond at all. */
+inline constexpr milliseconds kConnectTimeout{ 150 };
+
 /**
  * Creates a channel with its own connections. A new channel to the same
- * address opens a new connection, whatever the state of older ones.
+ * address opens a new connection, whatever the state of older ones. Each failed
+ * attempt to connect gives the next one more time, up to a second, so that a
+ * busy host is reached by a channel that is kept.
  */
 std::shared_ptr<grpc::Channel>
-OpenChannel(const std::string& aAddress);
+OpenChannel(const std::string& aAddress,
+            milliseconds aConnectTimeout = kConnectTimeout);
 
 /** Writes the messages of the gRPC library as log events, of which the queue is
  * bounded, in place of standard error. */
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -22,8 +22,10 @@
  * that lost the same control host don't return at once. */
 constexpr milliseconds kMinReconnectDelay{ 50 };
 constexpr milliseconds kMaxReconnectDelay{ 300 };
+/** Maximum delay after streams that timed out. */
+constexpr milliseconds kMaxExtendedDelay{ 600 };
 /** Time-outs in a row after which the limits are not doubled any more. */
-constexpr int kMaxDoublings = 2;
+constexpr int kMaxDoublings = 3;
 
 }
 
@@ -65,8 +67,10 @@
   {
     std::lock_guard guard(mLock);
     watch_client_config config = mConfig;
-    milliseconds longest = std::max(config.mOpenTimeout, config.mStateTimeout);
-    config.mOpenTimeout = std::min(Extend(config.mOpenTimeout), longest);
+    config.mConnectTimeout = Extend(config.mConnectTimeout);
+    config.mOpenTimeout =
+      std::min(Extend(config.mOpenTimeout),
+               std::max(config.mOpenTimeout, config.mStateTimeout));
     return config;
   }
 
@@ -120,16 +124,17 @@
   bool mIsConfirmed = false;
   /** Time of the last message, or of the opening until a mark is confirmed. */
   steady_time mLastMessageAt;
+  steady_time mDoneAt;
   std::function<void(const std::vector<control_host>&)> mOnControlHosts;
 
 public:
   stream_reactor(
     const watch_client_hooks& aHooks,
-    const std::string& aAddress,
+    std::shared_ptr<grpc::Channel> aChannel,
     std::function<void(const std::vector<control_host>&)> aOnControlHosts,
     steady_time aNow)
     : mHooks(aHooks)
-    , mStub(wire::Control::NewStub(OpenChannel(aAddress)))
+    , mStub(wire::Control::NewStub(std::move(aChannel)))
     , mLastMessageAt(aNow)
     , mOnControlHosts(std::move(aOnControlHosts))
   {
@@ -179,6 +184,7 @@
   {
     std::lock_guard guard(mLock);
     mIsDone = true;
+    mDoneAt = std::chrono::steady_clock::now();
     mChanged.notify_all();
   }
 
@@ -189,12 +195,21 @@
     std::unique_lock guard(mLock);
     mChanged.wait_until(guard, aTime, [&] { return mIsDone; });
     if (mIsDone) {
-      return stream_end::Failed;
+      return EndOf(aConfig);
     }
     bool isInTime = aTime - mLastMessageAt < TimeLimit(aConfig);
     return isInTime ? std::nullopt : std::optional(stream_end::TimedOut);
   }
 
+  /** Why a stream that is done ended: a host that refuses connections does so
+   * at once, one that is off or busy lets them time out. Needs the lock. */
+  [[nodiscard]] stream_end EndOf(const watch_client_config& aConfig) const
+  {
+    bool hasTimedOut =
+      !mHasMajority && mDoneAt - mLastMessageAt >= aConfig.mConnectTimeout;
+    return hasTimedOut ? stream_end::TimedOut : stream_end::Failed;
+  }
+
   /** Maximum time without a message that counts; needs the lock. */
   [[nodiscard]] milliseconds TimeLimit(const watch_client_config& aConfig) const
   {
@@ -341,7 +356,8 @@
     }
     aState->mTimeouts += hasTimedOut ? 1 : 0;
     aState->mChoice.OnFailure(host, std::chrono::steady_clock::now());
-    milliseconds pause = aState->Extend(milliseconds(delay(aState->mRandom)));
+    milliseconds pause = std::min(
+      aState->Extend(milliseconds(delay(aState->mRandom))), kMaxExtendedDelay);
     aState->mChanged.wait_for(
       guard, pause, [&] { return aState->mIsStopping; });
   }
@@ -355,7 +371,7 @@
   steady_time now = std::chrono::steady_clock::now();
   stream_reactor stream(
     aState->mHooks,
-    aState->AddressOfHost(aHost),
+    OpenChannel(aState->AddressOfHost(aHost), config.mConnectTimeout),
     [&aState](const std::vector<control_host>& aHosts) {
       aState->SetControlHosts(aHosts);
     },
--- a/drivers/watch_client.h
+++ b/drivers/watch_client.h
@@ -22,8 +22,12 @@
   milliseconds mMarkInterval{ 500 };
   /** A stream that receives no message for this long is closed. */
   milliseconds mSilenceTimeout{ 1000 };
+  /** Time limit for an attempt to connect. This and the next limit are doubled
+   * after each stream that timed out, a few times; the next one no further than
+   * the one after it. */
+  milliseconds mConnectTimeout{ 150 };
   /** Time limit for a control host to say that it is in touch with a majority.
-   * Doubled up to `mStateTimeout` after each stream that timed out. */
+   */
   milliseconds mOpenTimeout{ 1000 };
   /** Time limit for the state and the first confirmed mark of a stream. */
   milliseconds mStateTimeout{ 4000 };
