Drop proposals whose callers have given up

Once a change takes longer than its caller waits, each is repeated and each repetition is appended, replicated to eight hosts and published to 291 daemons: the load keeps itself up. A control host also sent changes to the leader that it knew last, for their whole time, when its own group had elected another.

A proposal now carries its caller's deadline; the group refuses one that is still queued then. Announcements get 0.9 s. A control host's client is told of the leader that its group follows.

Tests: control_group/AProposalWhoseCallerHasGivenUpIsNotAppended (proposals had no deadline before). control_side/AFrozenLeaderDoesNotHoldChanges... holds before the change too.

--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -67,13 +67,15 @@
 }
 
 void
-control_group::Propose(change_command aCommand, propose_callback aCallback)
+control_group::Propose(change_command aCommand,
+                       propose_callback aCallback,
+                       steady_time aDeadline)
 {
   {
     std::lock_guard guard(mQueueLock);
     if (!mIsStopping && !mIsStalled && mQueue.size() < mConfig.mMaxPending) {
       mQueue.emplace_back(
-        propose_event{ std::move(aCommand), std::move(aCallback) });
+        propose_event{ std::move(aCommand), std::move(aCallback), aDeadline });
       mQueueChanged.notify_one();
       return;
     }
@@ -196,7 +198,8 @@
 {
   aEvent.mCommand.mProposedAt = mHooks.mWallNow();
   bool isFull = mProposals.size() >= mConfig.mMaxPending;
-  if (isFull) {
+  bool isLate = aNow >= aEvent.mDeadline;
+  if (isFull || isLate) {
     aEvent.mCallback({ propose_status::Busy, {}, {} });
     return;
   }
@@ -568,11 +571,11 @@
   return mStatus;
 }
 
-bool
-control_group::KnowsLeader() const
+host_id
+control_group::Leader() const
 {
   std::lock_guard guard(mStateLock);
-  return !mStatus.mLeader.IsEmpty();
+  return mStatus.mLeader;
 }
 
 std::pair<log_index, std::vector<record_change>>
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -119,6 +119,7 @@
   {
     change_command mCommand;
     propose_callback mCallback;
+    steady_time mDeadline;
   };
   struct receive_event
   {
@@ -230,8 +231,12 @@
     raft_persistent_state aPersisted,
     steady_time aNow);
 
-  /** Proposes a command; calls back once it is committed and applied. */
-  void Propose(change_command aCommand, propose_callback aCallback);
+  /** Proposes a command; calls back once it is committed and applied. A command
+   * that is still queued at the deadline, when its caller has given up, is
+   * `Busy`: work for nobody would delay all that is queued behind it. */
+  void Propose(change_command aCommand,
+               propose_callback aCallback,
+               steady_time aDeadline = steady_time::max());
   void Receive(std::vector<raft_message> aMessages);
   /** Linearizable read barrier: calls back once this host has applied all
    * entries that were committed before the call. */
@@ -247,8 +252,9 @@
   void Stop();
 
   [[nodiscard]] control_group_status Status() const;
-  /** True while this member follows a leader or is the leader. */
-  [[nodiscard]] bool KnowsLeader() const;
+  /** The leader, which may be this member; empty while none is known. */
+  [[nodiscard]] host_id Leader() const;
+  [[nodiscard]] bool KnowsLeader() const { return !Leader().IsEmpty(); }
   /** The applied index and all records of the state. */
   [[nodiscard]] std::pair<log_index, std::vector<record_change>> Records()
     const;
--- a/drivers/control_client.cpp
+++ b/drivers/control_client.cpp
@@ -204,6 +204,12 @@
   }
 }
 
+void
+control_client::SetLeader(host_id aLeader)
+{
+  mState->SetLeader(std::move(aLeader));
+}
+
 std::vector<host_id>
 control_client::Hosts() const
 {
--- a/drivers/control_client.h
+++ b/drivers/control_client.h
@@ -87,6 +87,9 @@
    * yet. */
   void LearnHosts(const std::vector<host_id>& aHosts);
 
+  /** Sets the host that is asked first, if it is known better elsewhere. */
+  void SetLeader(host_id aLeader);
+
   [[nodiscard]] std::vector<host_id> Hosts() const;
 };
 
--- a/drivers/control_service.cpp
+++ b/drivers/control_service.cpp
@@ -6,6 +6,7 @@
 #include "messages/raft_codec.h"
 #include "messages/refusal_codec.h"
 
+#include <algorithm>
 #include <mutex>
 #include <optional>
 
@@ -19,6 +20,8 @@
 
 /** Time that calls in progress get to end at a stop. */
 constexpr milliseconds kStopTimeout{ 1000 };
+/** Time that a call without a deadline, or with a very late one, may wait. */
+constexpr milliseconds kMaxCallTime{ 60'000 };
 
 grpc::Status
 BadMessage(const failure<codec_error>& aError)
@@ -242,6 +245,15 @@
     return reactor;
   }
 
+  /** The time until which the caller waits. */
+  [[nodiscard]] steady_time DeadlineOf(
+    const grpc::CallbackServerContext& aContext) const
+  {
+    auto left = aContext.deadline() - std::chrono::system_clock::now();
+    auto longest = std::chrono::duration_cast<decltype(left)>(kMaxCallTime);
+    return mHooks.mSteadyNow() + std::min(left, longest);
+  }
+
   grpc::ServerUnaryReactor* Propose(grpc::CallbackServerContext* aContext,
                                     const wire::ProposeRequest* aRequest,
                                     wire::ProposeReply* aReply) override
@@ -253,14 +265,16 @@
       return reactor;
     }
     mHooks.mPropose(
-      std::move(command.value()), [reactor, aReply](propose_result aResult) {
+      std::move(command.value()),
+      [reactor, aReply](propose_result aResult) {
         aReply->set_status(static_cast<wire::ProposeStatus>(aResult.mStatus));
         aReply->set_leader_host(aResult.mLeader.mValue);
         for (const change_outcome& outcome : aResult.mOutcomes) {
           WriteOutcome(outcome, *aReply->add_outcomes());
         }
         reactor->Finish(grpc::Status::OK);
-      });
+      },
+      DeadlineOf(*aContext));
     return reactor;
   }
 
--- a/drivers/control_service.h
+++ b/drivers/control_service.h
@@ -38,7 +38,8 @@
   std::function<steady_time()> mSteadyNow;
   std::function<void(std::vector<raft_message>)> mReceiveMessages;
   std::function<probe_result()> mProbe;
-  std::function<void(change_command, propose_callback)> mPropose;
+  /** Proposes a change for a caller that waits until a time. */
+  std::function<void(change_command, propose_callback, steady_time)> mPropose;
   /** Opens the stream of a daemon that has all changes up to an index; calls
    * back when `mNextMessage` has a message. */
   std::function<stream_id(entry_host_record, log_index, std::function<void()>)>
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -286,8 +286,10 @@
                          GroupHosts(),
                          { mSettings.mHostFailureDomain } };
   };
-  hooks.mPropose = [this](change_command aCommand, propose_callback aCallback) {
-    mGroup->Propose(std::move(aCommand), std::move(aCallback));
+  hooks.mPropose = [this](change_command aCommand,
+                          propose_callback aCallback,
+                          steady_time aDeadline) {
+    mGroup->Propose(std::move(aCommand), std::move(aCallback), aDeadline);
   };
   hooks.mOpenStream = [this](entry_host_record aHost,
                              log_index aAppliedIndex,
@@ -337,7 +339,7 @@
   operator_api_hooks hooks;
   hooks.mNow = SteadyNow;
   hooks.mPropose = [this](change_command aCommand, steady_time aDeadline) {
-    return mClient.Propose(std::move(aCommand), aDeadline);
+    return Client().Propose(std::move(aCommand), aDeadline);
   };
   hooks.mConfirmedRecords = [this](steady_time aDeadline) {
     return ConfirmedRecords(aDeadline);
@@ -480,8 +482,8 @@
     }
   }
   // Changes that are still due are proposed again next time.
-  auto outcomes = co_await mClient.Propose(std::move(command),
-                                           SteadyNow() + kSystemChangeTimeout);
+  auto outcomes = co_await Client().Propose(std::move(command),
+                                            SteadyNow() + kSystemChangeTimeout);
   if (!outcomes) {
     log_event("membership_unrecorded", log_event::severity::Warning)
       .Add("cause", outcomes.error().mDetail);
@@ -575,7 +577,7 @@
   hooks.mPropose = [this](record_change aChange,
                           std::optional<log_index> aVersion,
                           steady_time aDeadline) {
-    return mClient.ProposeOne(std::move(aChange), aVersion, aDeadline);
+    return Client().ProposeOne(std::move(aChange), aVersion, aDeadline);
   };
   // Nothing to wait for: the leader has applied the change when the proposal
   // completes.
@@ -590,7 +592,7 @@
 {
   platform::control_api_hooks hooks;
   hooks.mPropose = [this](record_change aChange) {
-    return mClient.ProposeOne(
+    return Client().ProposeOne(
       std::move(aChange), std::nullopt, SteadyNow() + kPlatformTimeout);
   };
   hooks.mReadDocument =
@@ -635,6 +637,18 @@
   return boost::outcome_v2::success();
 }
 
+control_client&
+control_role::Client()
+{
+  // A call to a leader that is gone lasts until its deadline, and the group may
+  // have another by now.
+  host_id leader = mGroup->Leader();
+  if (!leader.IsEmpty()) {
+    mClient.SetLeader(std::move(leader));
+  }
+  return mClient;
+}
+
 bool
 control_role::IsOutOfTouch() const
 {
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -79,6 +79,8 @@
   boost::asio::awaitable<std::optional<std::vector<record_change>>>
   ConfirmedRecords(steady_time aDeadline);
   [[nodiscard]] std::vector<host_id> GroupHosts() const;
+  /** The client, told of the leader that this host's group follows. */
+  control_client& Client();
 
 public:
   control_role(const control_role&) = delete;
--- a/main/server_lease_manager.cpp
+++ b/main/server_lease_manager.cpp
@@ -15,8 +15,9 @@
 
 namespace {
 
-/** Time limit for committing a state transition. */
-constexpr milliseconds kTransitionTimeout{ 2000 };
+/** Time limit for committing a state transition. Servers wait a second for the
+ * response, then announce themselves to another host. */
+constexpr milliseconds kTransitionTimeout{ 900 };
 /** Pause before an announcement is refused. Servers try the next host at once,
  * so that without it all of them would ask all control hosts again and again
  * while these elect a leader. */
--- a/tests/controllers/control_group_test.cpp
+++ b/tests/controllers/control_group_test.cpp
@@ -347,6 +347,23 @@
   CHECK(!group.mHasEndedNormally);
 }
 
+TEST(control_group, AProposalWhoseCallerHasGivenUpIsNotAppended)
+{
+  running_group group({ "a" }, [] { return std::chrono::steady_clock::now(); });
+  CHECK(running_group::WaitUntil(
+    [&] { return group.mGroup->Status().mRole == raft_role::Leader; }));
+  CHECK(group.Propose() == propose_status::Applied);
+  log_index committed = group.mGroup->Status().mCommit;
+  std::promise<propose_status> status;
+  group.mGroup->Propose(
+    {},
+    [&](const propose_result& aResult) { status.set_value(aResult.mStatus); },
+    std::chrono::steady_clock::now() - milliseconds(1));
+  CHECK(status.get_future().get() == propose_status::Busy);
+  CHECK(group.Propose() == propose_status::Applied);
+  LONGS_EQUAL(committed + 1, group.mGroup->Status().mCommit);
+}
+
 TEST(control_group, EntriesAfterAnInstalledSnapshotAreStoredWithIt)
 {
   running_group group({ "a", "b", "c" }, [] { return steady_time{}; });
--- a/tests/integration/control_side_test.cpp
+++ b/tests/integration/control_side_test.cpp
@@ -357,3 +357,26 @@
   LONGS_EQUAL(503, refused.mStatus);
   CHECK(std::chrono::steady_clock::now() - start >= milliseconds(500));
 }
+
+TEST(control_side, AFrozenLeaderDoesNotHoldChangesOnceAnotherLeads)
+{
+  test_system system({});
+  system.StartAll();
+  std::string frozen = system.Leader();
+  std::string other = frozen == "c1" ? "c2" : "c1";
+  // This host now knows the leader from a change of its own.
+  auto put = [&](const std::string& aName) {
+    return Call("PUT",
+                system.OperatorsAddress(other),
+                "/v1/templates/" + aName,
+                R"({"services":"a"})");
+  };
+  LONGS_EQUAL(200, put("before").mStatus);
+  system.Signal(frozen, SIGSTOP);
+  CHECK(WaitFor([&] {
+    std::string leader =
+      Call("GET", system.OperatorsAddress(other), "/v1/status").Text("leader");
+    return !leader.empty() && leader != frozen;
+  }));
+  LONGS_EQUAL(200, put("after").mStatus);
+}
