--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -561,15 +561,14 @@
       "Addresses of some control hosts. Only the IP of each is used, with "
       "control_port; the other control hosts are learned from them. If "
       "empty, the host waits until the file names some." },
-    Number(
-      "platform",
-      "control_port",
-      type::Count,
-      &settings::mPlatformControlPort,
-      1,
-      65'535,
-      "Port of [control] address on every control host. If set, hosts find "
-      "each other by seeds."),
+    Number("platform",
+           "control_port",
+           type::Count,
+           &settings::mPlatformControlPort,
+           0,
+           65'535,
+           "Port of [control] address on every control host, which lets hosts "
+           "find each other by seeds; 0 for hosts that are configured."),
     Number("platform",
            "grace_s",
            type::Seconds,
