--- a/core/periodic.cpp
+++ b/core/periodic.cpp
@@ -35,7 +35,7 @@
 
 void
 RunPeriodically(asio::io_context& aContext,
-                std::string aTask,
+                const std::string& aTask,
                 milliseconds aPause,
                 const std::atomic<bool>& aIsStopping,
                 std::function<asio::awaitable<void>()> aStep)
--- a/core/periodic.h
+++ b/core/periodic.h
@@ -15,7 +15,7 @@
  * execution. A step that throws is reported and executed again next time. */
 void
 RunPeriodically(boost::asio::io_context& aContext,
-                std::string aTask,
+                const std::string& aTask,
                 milliseconds aPause,
                 const std::atomic<bool>& aIsStopping,
                 std::function<boost::asio::awaitable<void>()> aStep);
--- a/drivers/control_service.cpp
+++ b/drivers/control_service.cpp
@@ -1,7 +1,7 @@
 #include "drivers/control_service.h"
 
 #include "core/log_event.h"
-#include "drivers/grpc_server.h"
+#include "drivers/rpc_server.h"
 #include "messages/control_codec.h"
 #include "messages/raft_codec.h"
 #include "messages/refusal_codec.h"
@@ -359,7 +359,7 @@
 struct control_service::state
 {
   control_callback_service mService;
-  std::optional<grpc_server> mServer;
+  std::optional<rpc_server> mServer;
 
   explicit state(control_service_hooks aHooks)
     : mService(std::move(aHooks))
@@ -383,7 +383,7 @@
                         control_service_hooks aHooks)
 {
   auto made = std::make_unique<state>(std::move(aHooks));
-  auto server = grpc_server::Create(aContext, aAddress, made->mService);
+  auto server = rpc_server::Create(aContext, aAddress, made->mService);
   if (!server) {
     return Fail(control_service_error::CannotListen, server.error().mDetail);
   }
--- a/drivers/grpc_server.cpp
+++ b/drivers/rpc_server.cpp
@@ -1,4 +1,4 @@
-#include "drivers/grpc_server.h"
+#include "drivers/rpc_server.h"
 
 #include "drivers/grpc_settings.h"
 #include "drivers/tcp_listener.h"
@@ -42,27 +42,27 @@
 
 }
 
-struct grpc_server::state
+struct rpc_server::state
 {
   std::shared_ptr<connection_sink> mSink = std::make_shared<connection_sink>();
   std::unique_ptr<grpc::Server> mServer;
   std::optional<tcp_listener> mListener;
 };
 
-grpc_server::grpc_server(std::unique_ptr<state> aState)
+rpc_server::rpc_server(std::unique_ptr<state> aState)
   : mState(std::move(aState))
 {
 }
 
-grpc_server::grpc_server(grpc_server&&) noexcept = default;
-grpc_server&
-grpc_server::operator=(grpc_server&&) noexcept = default;
-grpc_server::~grpc_server() = default;
+rpc_server::rpc_server(rpc_server&&) noexcept = default;
+rpc_server&
+rpc_server::operator=(rpc_server&&) noexcept = default;
+rpc_server::~rpc_server() = default;
 
-result<grpc_server, grpc_server_error>
-grpc_server::Create(asio::io_context& aContext,
-                    const std::string& aAddress,
-                    grpc::Service& aService)
+result<rpc_server, rpc_server_error>
+rpc_server::Create(asio::io_context& aContext,
+                   const std::string& aAddress,
+                   grpc::Service& aService)
 {
   auto made = std::make_unique<state>();
   tcp_listener_hooks hooks;
@@ -72,7 +72,7 @@
   };
   auto listener = tcp_listener::Create(aContext, aAddress, std::move(hooks));
   if (!listener) {
-    return Fail(grpc_server_error::CannotListen, listener.error().mDetail);
+    return Fail(rpc_server_error::CannotListen, listener.error().mDetail);
   }
   made->mListener.emplace(std::move(listener.value()));
 
@@ -85,15 +85,15 @@
   builder.RegisterService(&aService);
   made->mServer = builder.BuildAndStart();
   if (made->mServer == nullptr) {
-    return Fail(grpc_server_error::CannotListen,
+    return Fail(rpc_server_error::CannotListen,
                 "The gRPC server for " + aAddress + " could not start.");
   }
   made->mListener->Start();
-  return grpc_server(std::move(made));
+  return rpc_server(std::move(made));
 }
 
 void
-grpc_server::Stop(milliseconds aTimeout)
+rpc_server::Stop(milliseconds aTimeout)
 {
   mState->mSink->mIsStopped = true;
   mState->mListener->Stop();
--- a/drivers/grpc_server.h
+++ b/drivers/rpc_server.h
@@ -12,14 +12,14 @@
 
 namespace hibiscusspool {
 
-enum class grpc_server_error
+enum class rpc_server_error
 {
   CannotListen,
 };
 
 template<>
-inline constexpr name_table<grpc_server_error, 1> kNames<grpc_server_error>{ {
-  { grpc_server_error::CannotListen, "cannot_listen" },
+inline constexpr name_table<rpc_server_error, 1> kNames<rpc_server_error>{ {
+  { rpc_server_error::CannotListen, "cannot_listen" },
 } };
 
 /**
@@ -27,21 +27,21 @@
  * listener stops for good when it can't accept a connection once, as while the
  * process is out of descriptors.
  */
-class grpc_server
+class rpc_server
 {
   struct state;
   std::unique_ptr<state> mState;
 
-  explicit grpc_server(std::unique_ptr<state> aState);
+  explicit rpc_server(std::unique_ptr<state> aState);
 
 public:
-  grpc_server(grpc_server&&) noexcept;
-  grpc_server& operator=(grpc_server&&) noexcept;
-  ~grpc_server();
+  rpc_server(rpc_server&&) noexcept;
+  rpc_server& operator=(rpc_server&&) noexcept;
+  ~rpc_server();
 
   /** Serves on an `ip:port`. The service must outlive the server; connections
    * are accepted by the threads of the context. */
-  static result<grpc_server, grpc_server_error> Create(
+  static result<rpc_server, rpc_server_error> Create(
     boost::asio::io_context& aContext,
     const std::string& aAddress,
     grpc::Service& aService);
--- a/drivers/subquery_service.cpp
+++ b/drivers/subquery_service.cpp
@@ -1,7 +1,7 @@
 #include "drivers/subquery_service.h"
 
 #include "core/log_event.h"
-#include "drivers/grpc_server.h"
+#include "drivers/rpc_server.h"
 #include "messages/subquery_codec.h"
 
 #include <deque>
@@ -159,7 +159,7 @@
 struct subquery_service::state
 {
   subquery_callback_service mService;
-  std::optional<grpc_server> mServer;
+  std::optional<rpc_server> mServer;
 
   explicit state(subquery_handler aHandler)
     : mService(std::move(aHandler))
@@ -183,7 +183,7 @@
                          subquery_handler aHandler)
 {
   auto made = std::make_unique<state>(std::move(aHandler));
-  auto server = grpc_server::Create(aContext, aAddress, made->mService);
+  auto server = rpc_server::Create(aContext, aAddress, made->mService);
   if (!server) {
     return Fail(subquery_service_error::CannotListen, server.error().mDetail);
   }
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -319,6 +319,7 @@
 entry_role::SetSeeds(const std::map<host_id, std::string>& aSeeds)
 {
   std::vector<host_id> hosts;
+  hosts.reserve(aSeeds.size());
   for (const auto& [host, address] : aSeeds) {
     hosts.push_back(host);
   }
