Let only configured hosts join where members are configured

Where members are configured, that set also says who may join, so a host that isn't configured could join the group. Senders are now added only where any host may join, which is where the set is needed.

Found by reading the change.

--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -336,8 +336,11 @@
     !aMessage.mTo.mDisk.IsEmpty() && aMessage.mTo.mDisk != mConfig.mSelf.mDisk;
   if (isForEarlierDisk) {
     // The sender belongs to the group that this host's lost disk was part of,
-    // which this host may have no other way to find.
-    mConfig.mKnownHosts.insert(aMessage.mFrom.mHost);
+    // which this host may have no other way to find. Where members are
+    // configured, they are known, and no other host may join.
+    if (mConfig.mAllowsAnyHost) {
+      mConfig.mKnownHosts.insert(aMessage.mFrom.mHost);
+    }
     return;
   }
   if (aMessage.mKind == raft_message_kind::Join) {
--- a/tests/decisions/raft_node_test.cpp
+++ b/tests/decisions/raft_node_test.cpp
@@ -806,6 +806,27 @@
   }
 };
 
+TEST(raft_node, AHostThatIsNotConfiguredMayNotJoinByAddressingAnEarlierDisk)
+{
+  member_under_test member({});
+  member.WinElection();
+  raft_message reply;
+  reply.mKind = raft_message_kind::AppendReply;
+  reply.mTerm = member.mNode->Term();
+  reply.mIndex = 1;
+  member.Receive(reply, 1);
+  raft_message stray;
+  stray.mFrom = { host_id{ "stranger" }, disk_id{ "s" } };
+  stray.mTo = { host_id{ "a" }, disk_id{ "earlier" } };
+  member.mNode->Step(stray, member.mNow);
+  raft_message join;
+  join.mKind = raft_message_kind::Join;
+  join.mFrom = stray.mFrom;
+  join.mTo = { host_id{ "a" }, {} };
+  member.mNode->Step(join, member.mNow);
+  LONGS_EQUAL(3, member.mNode->Peers().size());
+}
+
 TEST(raft_node, ASplitElectionIsRetriedWithinOneTimeout)
 {
   raft_config defaults;
