Review: show that a thawed control host applies an order of the operator again

Cause: a control host takes an order that waits in a socket while it is frozen as a new one, whether the operator is still there or not, and evacuations carry no number.

--- /dev/null
+++ b/review/standin/cases.cc
@@ -0,0 +1,399 @@
+// The cases of the review: each plays the operator, the servers and the clients
+// of the platform against processes that run.sh has started.
+#include "lab.h"
+
+#include <set>
+
+namespace {
+
+using namespace lab;
+
+constexpr int kBroken = 1;
+constexpr int kHeld = 0;
+constexpr int kCannotRun = 2;
+
+const bool kTrouble = Env("TROUBLE") != "0";
+const std::vector<address> kControl = ParseAddresses(Env("CONTROL"));
+const std::vector<address> kFront = ParseAddresses(Env("FRONT"));
+const std::vector<address> kReady = ParseAddresses(Env("READY"));
+
+std::vector<pid_t>
+ControlPids()
+{
+  std::vector<pid_t> pids;
+  std::stringstream stream(Env("CONTROL_PIDS"));
+  for (string one; std::getline(stream, one, ',');) {
+    pids.push_back(std::atoi(one.c_str()));
+  }
+  return pids;
+}
+
+string
+Configuration(int aVersion, const string& aRoutes, const string& aServices)
+{
+  return "{\"version\":" + std::to_string(aVersion) + ",\"routes\":[" +
+         aRoutes + "],\"services\":[" + aServices +
+         "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
+         "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+}
+
+string
+Service(const string& aName)
+{
+  return "{\"name\":\"" + aName +
+         "\",\"health_path\":\"/health\",\"max_conns\":214,\"protocol\":\"h1\","
+         "\"tls\":false,\"warmup_s\":3.0,\"warmup_per_s\":0.0}";
+}
+
+/** Starts the servers, puts the configuration, waits for the entry hosts. */
+bool
+SetUp(std::vector<std::unique_ptr<server>>& aServers, const string& aDocument)
+{
+  for (auto& one : aServers) {
+    if (!one->Start(kControl)) {
+      gRecord.Line("a server could not listen on " +
+                   one->mSettings.mAddress.Text());
+      return false;
+    }
+  }
+  int put = CallControl(
+    kControl, 0, "/api/Config.Put", aDocument, 20000, "the configuration");
+  return put == 200 && AwaitReady(kReady, 20000);
+}
+
+/** The address of server `aNumber`. */
+address
+ServerAddress(int aNumber)
+{
+  address first = ParseAddress(Env("SERVERS"));
+  std::size_t dot = first.mIp.rfind('.');
+  int last = std::atoi(first.mIp.c_str() + dot + 1);
+  first.mIp =
+    first.mIp.substr(0, dot + 1) + std::to_string(last + aNumber);
+  return first;
+}
+
+string
+NewId()
+{
+  static std::atomic<long> next{ 1 };
+  static const string prefix = std::to_string(std::random_device{}());
+  return prefix + "-" + std::to_string(next++);
+}
+
+struct sent_request
+{
+  string mId;
+  int mStatus = 0;
+};
+
+/**
+ * Clients: requests at a steady rate, each on the first free kept connection of
+ * its thread. Calls `aOnEnd` with the final answer of each client attempt.
+ */
+class clients
+{
+  std::vector<std::thread> mThreads;
+  std::atomic<bool> mIsStopping{ false };
+
+public:
+  void Start(int aThreads,
+             double aPerSecond,
+             const string& aMethod,
+             const string& aPath,
+             const string& aBody,
+             long aDeadlineMs,
+             const std::function<void(const sent_request&)>& aOnEnd)
+  {
+    for (int number = 0; number < aThreads; ++number) {
+      mThreads.emplace_back([=, this] {
+        std::mt19937 random(std::random_device{}());
+        std::exponential_distribution<double> gap(aPerSecond / aThreads);
+        std::shared_ptr<connection> kept;
+        while (!mIsStopping) {
+          SleepMs(std::min(3000L, static_cast<long>(gap(random) * 1000)));
+          if (mIsStopping) {
+            break;
+          }
+          const address& host = kFront[random() % kFront.size()];
+          if (kept == nullptr || !kept->IsOpen()) {
+            kept = Connect(host, 1000);
+          }
+          if (kept == nullptr) {
+            continue;
+          }
+          sent_request sent{ NewId(), 0 };
+          answer got =
+            Exchange(*kept,
+                     MakeRequest(aMethod,
+                                 aPath,
+                                 "leno12.example",
+                                 { { "X-Request-Id", sent.mId },
+                                   { "X-Deadline-Ms",
+                                     std::to_string(aDeadlineMs) } },
+                                 aBody),
+                     NowMs() + aDeadlineMs + 1000);
+          sent.mStatus = got.mStatus;
+          aOnEnd(sent);
+        }
+      });
+    }
+  }
+
+  void Stop()
+  {
+    mIsStopping = true;
+    for (std::thread& thread : mThreads) {
+      thread.join();
+    }
+  }
+};
+
+/**
+ * Requests that aren't idempotent, at servers that are full at times. With
+ * trouble, two of the three servers send a second copy of 3% of their answers,
+ * late, at the point where the next answer is expected on the connection.
+ */
+int
+LateCopies()
+{
+  constexpr long kWindowMs = 5000;
+  constexpr long kPauseMs = 3000;
+  constexpr int kWindows = 5;
+  constexpr double kShareOfAnswers = 0.03;
+  std::atomic<bool> isTroubled{ false };
+  std::mutex lock;
+  std::map<string, std::vector<string>> runs;
+  std::map<string, int> statuses;
+  std::vector<std::unique_ptr<server>> servers;
+  const char* zones[] = { "neng-merr", "neng-conn", "neng-kenn" };
+  for (int number = 0; number < 3; ++number) {
+    servers.push_back(std::make_unique<server>(
+      server_settings{ "i-" + std::to_string(number) + NewId(),
+                       "work-log",
+                       zones[number],
+                       ServerAddress(number),
+                       6,
+                       24,
+                       90 }));
+    servers.back()->mOnRun = [&](const server& aServer, const string& aId) {
+      std::lock_guard guard(lock);
+      runs[aId].push_back(aServer.mSettings.mId);
+    };
+    if (number < 2) {
+      auto random =
+        std::make_shared<std::mt19937>(std::random_device{}());
+      servers.back()->mIsDoubled = [&, random] {
+        std::lock_guard guard(lock);
+        return isTroubled && std::uniform_real_distribution<double>(
+                               0, 1)(*random) < kShareOfAnswers;
+      };
+    }
+  }
+  string route =
+    "{\"name\":\"order\",\"host\":\"leno12.example\",\"path_prefix\":\"/order/"
+    "\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":"
+    "400,\"priority\":1,\"service\":\"work-log\",\"max_attempts\":2}";
+  if (!SetUp(servers, Configuration(1, route, Service("work-log")))) {
+    return kCannotRun;
+  }
+  SleepMs(2000);
+  clients load;
+  load.Start(std::atoi(Env("THREADS").c_str()),
+             std::atof(Env("RATE").c_str()),
+             "POST",
+             "/order/new",
+             "one strap",
+             3000,
+             [&](const sent_request& aSent) {
+               std::lock_guard guard(lock);
+               statuses[aSent.mId] = aSent.mStatus;
+             });
+  SleepMs(2000);
+  for (int window = 0; window < kWindows; ++window) {
+    isTroubled = kTrouble;
+    SleepMs(kWindowMs);
+    isTroubled = false;
+    SleepMs(kPauseMs);
+  }
+  load.Stop();
+  SleepMs(4000);
+  long answers = 0;
+  long refusals = 0;
+  long doubled = 0;
+  for (auto& one : servers) {
+    one->Stop();
+    answers += one->mAnswers;
+    refusals += one->mRefusals;
+    doubled += one->mDoubled;
+  }
+  std::lock_guard guard(lock);
+  std::map<int, long> byStatus;
+  int twice = 0;
+  int refusedAndRun = 0;
+  for (const auto& [id, status] : statuses) {
+    ++byStatus[status];
+    std::size_t count = runs.contains(id) ? runs[id].size() : 0;
+    string where;
+    for (const string& name : runs[id]) {
+      where += " " + name;
+    }
+    bool isPromise =
+      status == 503 || status == 429 || status == 408 || status == 421;
+    if (count > 1) {
+      ++twice;
+      gRecord.Line("TWICE: request " + id + " answered " +
+                   std::to_string(status) + ", run " + std::to_string(count) +
+                   " times at" + where);
+    }
+    if (isPromise && count > 0) {
+      ++refusedAndRun;
+      gRecord.Line("REFUSED: request " + id + " answered " +
+                   std::to_string(status) + ", run at" + where);
+    }
+  }
+  for (const auto& [status, count] : byStatus) {
+    gRecord.Line("clients: status " + std::to_string(status) + ": " +
+                 std::to_string(count));
+  }
+  gRecord.Line("servers: answers " + std::to_string(answers) +
+               ", refusals (not run) " + std::to_string(refusals) +
+               ", late copies sent " + std::to_string(doubled));
+  gRecord.Line("requests run more than once: " + std::to_string(twice));
+  gRecord.Line("requests refused that ran: " + std::to_string(refusedAndRun));
+  if (byStatus[200] == 0 || refusals == 0) {
+    gRecord.Line("no load, or no server was ever full");
+    return kCannotRun;
+  }
+  return twice + refusedAndRun > 0 ? kBroken : kHeld;
+}
+
+/**
+ * The operator evacuates a zone, takes it back and evacuates it again. With
+ * trouble, the control host that gets the taking back first is frozen for 4 s.
+ */
+int
+LateOrder()
+{
+  constexpr long kFreezeMs = 4000;
+  constexpr long kEvacuateMs = 5000;
+  constexpr long kContactMs = 4000;
+  const string zone = "neng-conn";
+  std::atomic<long> inZone{ 0 };
+  std::atomic<long> elsewhere{ 0 };
+  std::mutex lock;
+  std::map<int, long> byStatus;
+  std::vector<std::unique_ptr<server>> servers;
+  const char* zones[] = { "neng-merr", "neng-conn", "neng-kenn" };
+  for (int number = 0; number < 6; ++number) {
+    servers.push_back(std::make_unique<server>(
+      server_settings{ "i-" + std::to_string(number) + NewId(),
+                       "yard-stock",
+                       zones[number % 3],
+                       ServerAddress(number),
+                       6,
+                       24,
+                       20 }));
+    servers.back()->mOnArrival = [&](const server& aServer, const string&) {
+      ++(aServer.mSettings.mZone == zone ? inZone : elsewhere);
+    };
+  }
+  string route =
+    "{\"name\":\"find\",\"host\":\"leno12.example\",\"path_prefix\":\"/find/"
+    "\",\"kind\":\"idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":400,"
+    "\"priority\":1,\"service\":\"yard-stock\",\"max_attempts\":2}";
+  if (!SetUp(servers, Configuration(1, route, Service("yard-stock")))) {
+    return kCannotRun;
+  }
+  clients load;
+  load.Start(30,
+             120,
+             "GET",
+             "/find/tine",
+             "",
+             3000,
+             [&](const sent_request& aSent) {
+               std::lock_guard guard(lock);
+               ++byStatus[aSent.mStatus];
+             });
+  auto count = [&](const string& aWhen, long aMs) {
+    long before = inZone;
+    long other = elsewhere;
+    SleepMs(aMs);
+    gRecord.Line("servers: " + aWhen + ", " + std::to_string(aMs) +
+                 " ms: " + std::to_string(inZone - before) + " requests in " +
+                 zone + ", " + std::to_string(elsewhere - other) +
+                 " elsewhere");
+    return inZone - before;
+  };
+  long usual = count("before the evacuation", 4000);
+  string start = "/api/Evacuations.Start/" + zone;
+  string end = "/api/Evacuations.End/" + zone;
+  std::vector<pid_t> pids = ControlPids();
+  std::size_t frozen = std::random_device{}() % pids.size();
+  bool isTaken = CallControl(kControl, 0, start, "", 5000, "evacuate") == 200;
+  SleepMs(5000);
+  long frozenAt = NowMs();
+  if (kTrouble) {
+    kill(pids[frozen], SIGSTOP);
+    gRecord.Line("control host " + kControl[frozen].Text() + " is frozen");
+  }
+  isTaken =
+    isTaken &&
+    CallControl(kControl, frozen, end, "", 5000, "take back") == 200;
+  SleepMs(1000);
+  isTaken = isTaken && CallControl(kControl,
+                                   frozen + 1,
+                                   start,
+                                   "",
+                                   5000,
+                                   "evacuate again") == 200;
+  long evacuatedAt = NowMs();
+  SleepMs(frozenAt + kFreezeMs - NowMs());
+  if (kTrouble) {
+    kill(pids[frozen], SIGCONT);
+    gRecord.Line("control host " + kControl[frozen].Text() + " goes on");
+  }
+  long thawedAt = NowMs();
+  long judgedFrom = std::max(evacuatedAt + kEvacuateMs, thawedAt + kContactMs);
+  // A request that was sent just before isn't counted.
+  SleepMs(judgedFrom + 500 - NowMs());
+  long late = count("after evacuate_ms and contact_ms", 8000);
+  load.Stop();
+  for (auto& one : servers) {
+    one->Stop();
+  }
+  for (const auto& [status, number] : byStatus) {
+    gRecord.Line("clients: status " + std::to_string(status) + ": " +
+                 std::to_string(number));
+  }
+  if (!isTaken || usual == 0) {
+    gRecord.Line("an order was not acknowledged, or the zone had no traffic");
+    return kCannotRun;
+  }
+  gRecord.Line("requests that reached the evacuated zone: " +
+               std::to_string(late));
+  return late > 0 ? kBroken : kHeld;
+}
+
+}
+
+int
+main(int aCount, char** aWords)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  gRecord.Open(Env("RECORD"));
+  string name = aCount > 1 ? aWords[1] : "";
+  int code = kCannotRun;
+  if (name == "late-copies") {
+    code = LateCopies();
+  } else if (name == "late-order") {
+    code = LateOrder();
+  }
+  gRecord.Line(code == kBroken ? "the rule was broken"
+               : code == kHeld ? "the rule held"
+                               : "the case could not run");
+  // Threads of servers may still wait for connections.
+  std::fflush(nullptr);
+  _exit(code);
+}
