--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 . "$(dirname "$0")/../lab.sh"
-deploy 3 3
-THREADS=250 RATE=260 "$bin/cases" late-copies
+deploy 5 ${E:-15}
+export ATTEMPTS=${ATTEMPTS:-1} THREADS=${THREADS:-400} RATE=${RATE:-600} SLOTS=${SLOTS:-3} QUEUE=${QUEUE:-12} WORK=${WORK:-15} WINDOWS=${WINDOWS:-3}
+"$bin/cases" late-copies
 exit $?
--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -159,7 +159,7 @@
 {
   constexpr long kWindowMs = 5000;
   constexpr long kPauseMs = 3000;
-  constexpr int kWindows = 5;
+  const int kWindows = std::atoi(Env("WINDOWS").c_str());
   constexpr double kShareOfAnswers = 0.03;
   std::atomic<bool> isTroubled{ false };
   std::mutex lock;
@@ -173,9 +173,9 @@
                        "work-log",
                        zones[number],
                        ServerAddress(number),
-                       6,
-                       24,
-                       90 }));
+                       std::atoi(Env("SLOTS").c_str()),
+                       std::atoi(Env("QUEUE").c_str()),
+                       std::atof(Env("WORK").c_str()) }));
     servers.back()->mOnRun = [&](const server& aServer, const string& aId) {
       std::lock_guard guard(lock);
       runs[aId].push_back(aServer.mSettings.mId);
@@ -193,7 +193,7 @@
   string route =
     "{\"name\":\"order\",\"host\":\"leno12.example\",\"path_prefix\":\"/order/"
     "\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":"
-    "400,\"priority\":1,\"service\":\"work-log\",\"max_attempts\":2}";
+    "400,\"priority\":1,\"service\":\"work-log\",\"max_attempts\":" + Env("ATTEMPTS") + "}";
   if (!SetUp(servers, Configuration(1, route, Service("work-log")))) {
     return kCannotRun;
   }
