Review: show that a late copy of a refusal makes a request run twice

Cause: an answer is told from another one by X-Request-Id alone, and a request that a server refused is sent to it again under the same id, mostly on the same connection.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
+# Requests that aren't idempotent, at servers that are full at times and whose
+# answers are doubled, late. Exit: 1 broken, 0 held, 2 couldn't run.
 . "$(dirname "$0")/../lab.sh"
-deploy 5 ${E:-15}
-export ATTEMPTS=${ATTEMPTS:-1} THREADS=${THREADS:-400} RATE=${RATE:-600} SLOTS=${SLOTS:-3} QUEUE=${QUEUE:-12} WORK=${WORK:-15} WINDOWS=${WINDOWS:-3}
+zones=(asahikawa-a sapporo-b obihiro-c)
+deploy 5 17
 "$bin/cases" late-copies
 exit $?
--- a/review/lab.sh
+++ b/review/lab.sh
@@ -19,11 +19,14 @@
 
 cleanup() {
   local pid
+  disown -a 2>/dev/null
   for pid in "${pids[@]}"; do
     kill -CONT "$pid" 2>/dev/null
     kill -KILL "$pid" 2>/dev/null
   done
-  wait 2>/dev/null
+  for pid in "${pids[@]}"; do
+    tail --pid="$pid" -f /dev/null 2>/dev/null
+  done
   rm -rf "$folder"
 }
 trap cleanup EXIT
--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -38,10 +38,12 @@
 }
 
 string
-Service(const string& aName)
+Service(const string& aName, int aConnections)
 {
   return "{\"name\":\"" + aName +
-         "\",\"health_path\":\"/health\",\"max_conns\":214,\"protocol\":\"h1\","
+         "\",\"health_path\":\"/health\",\"max_conns\":" +
+         std::to_string(aConnections) +
+         ",\"protocol\":\"h1\","
          "\"tls\":false,\"warmup_s\":3.0,\"warmup_per_s\":0.0}";
 }
 
@@ -68,8 +70,7 @@
   address first = ParseAddress(Env("SERVERS"));
   std::size_t dot = first.mIp.rfind('.');
   int last = std::atoi(first.mIp.c_str() + dot + 1);
-  first.mIp =
-    first.mIp.substr(0, dot + 1) + std::to_string(last + aNumber);
+  first.mIp = first.mIp.substr(0, dot + 1) + std::to_string(last + aNumber);
   return first;
 }
 
@@ -123,16 +124,15 @@
             continue;
           }
           sent_request sent{ NewId(), 0 };
-          answer got =
-            Exchange(*kept,
-                     MakeRequest(aMethod,
-                                 aPath,
-                                 "leno12.example",
-                                 { { "X-Request-Id", sent.mId },
-                                   { "X-Deadline-Ms",
-                                     std::to_string(aDeadlineMs) } },
-                                 aBody),
-                     NowMs() + aDeadlineMs + 1000);
+          answer got = Exchange(
+            *kept,
+            MakeRequest(aMethod,
+                        aPath,
+                        "leno12.example",
+                        { { "X-Request-Id", sent.mId },
+                          { "X-Deadline-Ms", std::to_string(aDeadlineMs) } },
+                        aBody),
+            NowMs() + aDeadlineMs + 1000);
           sent.mStatus = got.mStatus;
           aOnEnd(sent);
         }
@@ -159,48 +159,57 @@
 {
   constexpr long kWindowMs = 5000;
   constexpr long kPauseMs = 3000;
-  const int kWindows = std::atoi(Env("WINDOWS").c_str());
+  constexpr int kWindows = 4;
+  constexpr int kClients = 400;
+  constexpr double kPerSecond = 700;
   constexpr double kShareOfAnswers = 0.03;
   std::atomic<bool> isTroubled{ false };
   std::mutex lock;
   std::map<string, std::vector<string>> runs;
   std::map<string, int> statuses;
+  std::map<string, std::vector<string>> events;
   std::vector<std::unique_ptr<server>> servers;
-  const char* zones[] = { "neng-merr", "neng-conn", "neng-kenn" };
+  const char* zones[] = { "asahikawa-a", "sapporo-b", "obihiro-c" };
   for (int number = 0; number < 3; ++number) {
     servers.push_back(std::make_unique<server>(
       server_settings{ "i-" + std::to_string(number) + NewId(),
-                       "work-log",
+                       "workshop-ledger",
                        zones[number],
                        ServerAddress(number),
-                       std::atoi(Env("SLOTS").c_str()),
-                       std::atoi(Env("QUEUE").c_str()),
-                       std::atof(Env("WORK").c_str()) }));
+                       3,
+                       18,
+                       15 }));
     servers.back()->mOnRun = [&](const server& aServer, const string& aId) {
       std::lock_guard guard(lock);
       runs[aId].push_back(aServer.mSettings.mId);
     };
+    servers.back()->mOnEvent =
+      [&](const server& aServer, const string& aId, const string& aWhat) {
+        std::lock_guard guard(lock);
+        events[aId].push_back(std::to_string(NowMs()) +
+                              " ms: " + aServer.mSettings.mId + " " + aWhat);
+      };
     if (number < 2) {
-      auto random =
-        std::make_shared<std::mt19937>(std::random_device{}());
+      auto random = std::make_shared<std::mt19937>(std::random_device{}());
       servers.back()->mIsDoubled = [&, random] {
         std::lock_guard guard(lock);
-        return isTroubled && std::uniform_real_distribution<double>(
-                               0, 1)(*random) < kShareOfAnswers;
+        return isTroubled && std::uniform_real_distribution<double>(0, 1)(
+                               *random) < kShareOfAnswers;
       };
     }
   }
   string route =
     "{\"name\":\"order\",\"host\":\"leno12.example\",\"path_prefix\":\"/order/"
     "\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":"
-    "400,\"priority\":1,\"service\":\"work-log\",\"max_attempts\":" + Env("ATTEMPTS") + "}";
-  if (!SetUp(servers, Configuration(1, route, Service("work-log")))) {
+    "400,\"priority\":1,\"service\":\"workshop-ledger\",\"max_attempts\":2}";
+  if (!SetUp(servers,
+             Configuration(1, route, Service("workshop-ledger", 66)))) {
     return kCannotRun;
   }
   SleepMs(2000);
   clients load;
-  load.Start(std::atoi(Env("THREADS").c_str()),
-             std::atof(Env("RATE").c_str()),
+  load.Start(kClients,
+             kPerSecond,
              "POST",
              "/order/new",
              "one strap",
@@ -251,6 +260,11 @@
       gRecord.Line("REFUSED: request " + id + " answered " +
                    std::to_string(status) + ", run at" + where);
     }
+    if (count > 1 || (isPromise && count > 0)) {
+      for (const string& event : events[id]) {
+        gRecord.Line("    " + event);
+      }
+    }
   }
   for (const auto& [status, count] : byStatus) {
     gRecord.Line("clients: status " + std::to_string(status) + ": " +
@@ -302,28 +316,22 @@
     "{\"name\":\"find\",\"host\":\"leno12.example\",\"path_prefix\":\"/find/"
     "\",\"kind\":\"idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":400,"
     "\"priority\":1,\"service\":\"yard-stock\",\"max_attempts\":2}";
-  if (!SetUp(servers, Configuration(1, route, Service("yard-stock")))) {
+  if (!SetUp(servers, Configuration(1, route, Service("yard-stock", 214)))) {
     return kCannotRun;
   }
   clients load;
-  load.Start(30,
-             120,
-             "GET",
-             "/find/tine",
-             "",
-             3000,
-             [&](const sent_request& aSent) {
-               std::lock_guard guard(lock);
-               ++byStatus[aSent.mStatus];
-             });
+  load.Start(
+    30, 120, "GET", "/find/tine", "", 3000, [&](const sent_request& aSent) {
+      std::lock_guard guard(lock);
+      ++byStatus[aSent.mStatus];
+    });
   auto count = [&](const string& aWhen, long aMs) {
     long before = inZone;
     long other = elsewhere;
     SleepMs(aMs);
-    gRecord.Line("servers: " + aWhen + ", " + std::to_string(aMs) +
-                 " ms: " + std::to_string(inZone - before) + " requests in " +
-                 zone + ", " + std::to_string(elsewhere - other) +
-                 " elsewhere");
+    gRecord.Line("servers: " + aWhen + ", " + std::to_string(aMs) + " ms: " +
+                 std::to_string(inZone - before) + " requests in " + zone +
+                 ", " + std::to_string(elsewhere - other) + " elsewhere");
     return inZone - before;
   };
   long usual = count("before the evacuation", 4000);
@@ -339,15 +347,11 @@
     gRecord.Line("control host " + kControl[frozen].Text() + " is frozen");
   }
   isTaken =
-    isTaken &&
-    CallControl(kControl, frozen, end, "", 5000, "take back") == 200;
+    isTaken && CallControl(kControl, frozen, end, "", 5000, "take back") == 200;
   SleepMs(1000);
-  isTaken = isTaken && CallControl(kControl,
-                                   frozen + 1,
-                                   start,
-                                   "",
-                                   5000,
-                                   "evacuate again") == 200;
+  isTaken =
+    isTaken &&
+    CallControl(kControl, frozen + 1, start, "", 5000, "evacuate again") == 200;
   long evacuatedAt = NowMs();
   SleepMs(frozenAt + kFreezeMs - NowMs());
   if (kTrouble) {
--- a/review/standin/lab.h
+++ b/review/standin/lab.h
@@ -314,14 +314,13 @@
   if (opened == nullptr) {
     return {};
   }
-  return Exchange(
-    *opened,
-    MakeRequest(aMethod,
-                aPath,
-                aAddress.Text(),
-                { { "Content-Type", "application/json" } },
-                aBody),
-    until);
+  return Exchange(*opened,
+                  MakeRequest(aMethod,
+                              aPath,
+                              aAddress.Text(),
+                              { { "Content-Type", "application/json" } },
+                              aBody),
+                  until);
 }
 
 /** A caller of the control hosts: another host after a failure, a 5xx or a
@@ -379,11 +378,10 @@
   std::function<void(const server&, const string&)> mOnRun;
   /** Called for each request that arrives and is not refused with 421. */
   std::function<void(const server&, const string&)> mOnArrival;
+  /** Called for what happens to a request here; with its id. */
+  std::function<void(const server&, const string&, const string&)> mOnEvent;
   /** Whether this answer is sent a second time, late. */
   std::function<bool()> mIsDoubled;
-  /** Bytes to send instead of an answer, if any; then `mIsEndless`. */
-  std::function<bool()> mIsEndless;
-  std::atomic<long> mEndlessBytesPerSecond{ 0 };
   std::atomic<long> mAnswers{ 0 };
   std::atomic<long> mRefusals{ 0 };
   std::atomic<long> mDoubled{ 0 };
@@ -423,6 +421,13 @@
     return true;
   }
 
+  void Tell(const string& aId, const string& aWhat)
+  {
+    if (mOnEvent) {
+      mOnEvent(*this, aId, aWhat);
+    }
+  }
+
   void Release()
   {
     {
@@ -465,8 +470,10 @@
     long deadline = NowMs() + std::atol(aFields["x-deadline-ms"].c_str());
     if (!Acquire(deadline)) {
       ++mRefusals;
+      Tell(id, "is full, answers 503 with X-Not-Executed");
       return Head(503, id, "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
     }
+    Tell(id, "runs the request");
     if (mOnRun) {
       mOnRun(*this, id);
     }
@@ -488,25 +495,10 @@
                   "\r\nContent-Length: 8\r\n\r\nanswered");
   }
 
-  void SendEndless(connection& aConnection, const string& aId)
-  {
-    long end = NowMs() + 30000;
-    string block(4096, 'x');
-    bool isOpen = aConnection.Write(
-      Head(200, aId, "X-Server-Stamp: e\r\nContent-Length: 99999999999\r\n\r\n"),
-      end);
-    while (isOpen && !mIsStopping && NowMs() < end) {
-      isOpen = aConnection.Write(block, end);
-      long rate = std::max(1L, mEndlessBytesPerSecond.load());
-      std::this_thread::sleep_for(
-        std::chrono::microseconds(4096L * 1000000 / rate));
-    }
-    aConnection.Close();
-  }
-
   void Serve(std::shared_ptr<connection> aConnection)
   {
     string extra;
+    string extraId;
     while (!mIsStopping) {
       string first;
       std::map<string, string> fields;
@@ -517,17 +509,17 @@
       // The point where the next answer is expected.
       if (!extra.empty()) {
         ++mDoubled;
+        Tell(extraId,
+             "sends the late copy of its answer to this id, as request " +
+               fields["x-request-id"] + " has come on the connection");
         if (!aConnection->Write(std::exchange(extra, {}), NowMs() + 5000)) {
           return;
         }
       }
-      if (mIsEndless && mIsEndless()) {
-        SendEndless(*aConnection, fields["x-request-id"]);
-        return;
-      }
       string answered = Handle(first, fields);
       if (mIsDoubled && mIsDoubled()) {
         extra = answered;
+        extraId = fields["x-request-id"];
       }
       if (!aConnection->Write(answered, NowMs() + 5000)) {
         return;
