--- a/review/lab.sh
+++ b/review/lab.sh
@@ -61,7 +61,11 @@
     ip="$net.$n"
     mkdir -p "$folder/data-$ip"
     fill control "$ip" "${zones[$(((n - 1) % 3))]}" >"$folder/$ip.ini"
-    "$program" serve --settings "$folder/$ip.ini" >"$folder/$ip.log" 2>&1 &
+    (
+      # With a limit, no file of this host grows beyond it.
+      [ -z "${DISK_KB:-}" ] || ulimit -f "$DISK_KB"
+      exec "$program" serve --settings "$folder/$ip.ini"
+    ) >"$folder/$ip.log" 2>&1 &
     pids+=($!)
     CONTROL_PIDS="$CONTROL_PIDS${CONTROL_PIDS:+,}$!"
   done
--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -380,6 +380,110 @@
   return late > 0 ? kBroken : kHeld;
 }
 
+/** A configuration with `aRoutes` routes to a few services; each version
+ * changes the time-out of one route. */
+string
+LargeConfiguration(int aVersion, int aRoutes)
+{
+  constexpr int kServices = 25;
+  std::stringstream routes;
+  std::stringstream services;
+  auto name = [](int aNumber) {
+    return "huvo" + std::to_string(aNumber) + "a";
+  };
+  for (int number = 0; number < aRoutes; ++number) {
+    bool isChanged = number == aVersion % aRoutes;
+    routes << (number == 0 ? "" : ",") << "{\"name\":\"r-" << 10000 + number
+           << "xwy\",\"host\":\"leno12.example\",\"path_prefix\":\"/rany"
+           << 10000 + number << "/\",\"kind\":\"idempotent\",\"timeout_ms\":"
+           << (isChanged ? 900 : 800)
+           << ",\"target_latency_ms\":120,\"priority\":1,\"service\":\""
+           << name(number % kServices) << "\",\"max_attempts\":2}";
+  }
+  for (int number = 0; number < kServices; ++number) {
+    services << (number == 0 ? "" : ",") << Service(name(number), 66);
+  }
+  return Configuration(aVersion, routes.str(), services.str());
+}
+
+/** The version of the configuration that a control host reads back; 0 without a
+ * clear answer. */
+int
+ReadBack(const address& aHost)
+{
+  answer got = Call(aHost, "GET", "/api/Config.Get", "", 2000);
+  std::size_t at = got.mBody.find("\"version\":");
+  bool isRead = got.mStatus == 200 && at != string::npos;
+  return isRead ? std::atoi(got.mBody.c_str() + at + 10) : 0;
+}
+
+/**
+ * Hundreds of changes of the configuration, one after the other. With trouble,
+ * the configuration has grown by three times 360 routes before.
+ */
+int
+ManyChanges()
+{
+  constexpr int kBase = 20;
+  constexpr int kGrowth = 360;
+  constexpr int kChanges = 900;
+  constexpr long kAckMs = 20000;
+  constexpr long kReadMs = 20000;
+  std::vector<std::unique_ptr<server>> none;
+  if (!SetUp(none, LargeConfiguration(1, kBase))) {
+    return kCannotRun;
+  }
+  int routes = kBase;
+  int version = 1;
+  int acknowledged = 1;
+  for (int growth = 0; kTrouble && growth < 3; ++growth) {
+    routes += kGrowth;
+    string document = LargeConfiguration(++version, routes);
+    int status = CallControl(kControl,
+                             0,
+                             "/api/Config.Put",
+                             document,
+                             kAckMs,
+                             "version " + std::to_string(version) + " with " +
+                               std::to_string(routes) + " routes, " +
+                               std::to_string(document.size()) + " bytes,");
+    if (status != 200) {
+      return kCannotRun;
+    }
+    acknowledged = version;
+  }
+  bool isStuck = false;
+  for (int change = 0; change < kChanges && !isStuck; ++change) {
+    ++version;
+    int status = CallControl(
+      kControl,
+      static_cast<std::size_t>(version),
+      "/api/Config.Put",
+      LargeConfiguration(version, routes),
+      kAckMs,
+      change % 100 == 0 ? "version " + std::to_string(version) : "");
+    isStuck = status != 200;
+    acknowledged = isStuck ? acknowledged : version;
+  }
+  gRecord.Line("operator: version " + std::to_string(acknowledged) +
+               " is the newest acknowledged" +
+               (isStuck ? "; version " + std::to_string(version) +
+                            " got no clear answer within " +
+                            std::to_string(kAckMs) + " ms"
+                        : ""));
+  int newest = 0;
+  long end = NowMs() + kReadMs;
+  for (std::size_t number = 0; newest < acknowledged && NowMs() < end;
+       ++number) {
+    newest = std::max(newest, ReadBack(kControl[number % kControl.size()]));
+    SleepMs(100);
+  }
+  gRecord.Line(
+    "operator: the configuration read back within " + std::to_string(kReadMs) +
+    " ms: " + (newest == 0 ? string("none") : std::to_string(newest)));
+  return newest < acknowledged ? kBroken : kHeld;
+}
+
 }
 
 int
@@ -391,6 +495,8 @@
   int code = kCannotRun;
   if (name == "late-copies") {
     code = LateCopies();
+  } else if (name == "many-changes") {
+    code = ManyChanges();
   } else if (name == "late-order") {
     code = LateOrder();
   }
