--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -484,6 +484,145 @@
   return newest < acknowledged ? kBroken : kHeld;
 }
 
+/**
+ * Requests that aren't idempotent, beside one request that crashes each server
+ * that begins to run it and comes again each second. Without trouble it doesn't
+ * come.
+ */
+int
+CrashingRequest()
+{
+  constexpr long kContactMs = 4000;
+  constexpr int kComesAgain = 40;
+  constexpr int kRetriesAllowed = 3;
+  std::mutex lock;
+  std::map<string, int> runs;
+  std::map<string, int> statuses;
+  /** Arrivals of each sending of the crashing request. */
+  std::map<string, int> arrivals;
+  long thirdCrashAt = 0;
+  int crashes = 0;
+  std::vector<std::unique_ptr<server>> servers;
+  const char* zones[] = { "neng-merr", "neng-conn", "neng-kenn" };
+  for (int number = 0; number < 7; ++number) {
+    servers.push_back(std::make_unique<server>(
+      server_settings{ "i-" + std::to_string(number) + NewId(),
+                       "yard-stock",
+                       zones[number % 3],
+                       ServerAddress(number),
+                       6,
+                       24,
+                       90 }));
+    server& one = *servers.back();
+    one.mOnRun = [&](const server&, const string& aId) {
+      std::lock_guard guard(lock);
+      ++runs[aId];
+    };
+    one.mOnArrival = [&](const server&, const string& aId) {
+      std::lock_guard guard(lock);
+      if (aId.starts_with("crasher")) {
+        ++arrivals[aId];
+      }
+    };
+    one.mCrashesOn = [&](const string& aFirst) {
+      bool isPoison = aFirst.find("/find/poison") != string::npos;
+      std::lock_guard guard(lock);
+      if (isPoison && ++crashes == 3) {
+        thirdCrashAt = NowMs();
+      }
+      return isPoison;
+    };
+  }
+  string routes =
+    "{\"name\":\"order\",\"host\":\"leno12.example\",\"path_prefix\":\"/order/"
+    "\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":"
+    "400,\"priority\":1,\"service\":\"yard-stock\",\"max_attempts\":2},"
+    "{\"name\":\"find\",\"host\":\"leno12.example\",\"path_prefix\":\"/find/"
+    "\",\"kind\":\"idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":400,"
+    "\"priority\":1,\"service\":\"yard-stock\",\"max_attempts\":2}";
+  if (!SetUp(servers, Configuration(1, routes, Service("yard-stock", 214)))) {
+    return kCannotRun;
+  }
+  SleepMs(3000);
+  clients load;
+  load.Start(60,
+             120,
+             "POST",
+             "/order/new",
+             "one tine",
+             3000,
+             [&](const sent_request& aSent) {
+               std::lock_guard guard(lock);
+               statuses[aSent.mId] = aSent.mStatus;
+             });
+  SleepMs(2000);
+  struct sending
+  {
+    string mId;
+    long mSentAt;
+    int mStatus;
+  };
+  std::vector<sending> sent;
+  std::mt19937 random(std::random_device{}());
+  for (int number = 0; number < kComesAgain; ++number) {
+    if (!kTrouble) {
+      SleepMs(1000);
+      continue;
+    }
+    sending next{ "crasher-" + std::to_string(number), NowMs(), 0 };
+    auto opened = Connect(kFront[random() % kFront.size()], 1000);
+    if (opened != nullptr) {
+      next.mStatus = Exchange(*opened,
+                              MakeRequest("GET",
+                                          "/find/poison",
+                                          "leno12.example",
+                                          { { "X-Request-Id", next.mId },
+                                            { "X-Deadline-Ms", "3000" } },
+                                          ""),
+                              NowMs() + 4000)
+                       .mStatus;
+    }
+    sent.push_back(next);
+    SleepMs(next.mSentAt + 1000 - NowMs());
+  }
+  load.Stop();
+  for (auto& one : servers) {
+    one->Stop();
+  }
+  std::lock_guard guard(lock);
+  int late = 0;
+  for (const sending& one : sent) {
+    bool isLate = thirdCrashAt != 0 && one.mSentAt > thirdCrashAt + kContactMs;
+    late += isLate && arrivals[one.mId] > 0 ? 1 : 0;
+    gRecord.Line("crashing request " + one.mId + " sent at " +
+                 std::to_string(one.mSentAt) + " ms: reached " +
+                 std::to_string(arrivals[one.mId]) + " servers, answered " +
+                 std::to_string(one.mStatus));
+  }
+  std::map<int, long> byStatus;
+  long lost = 0;
+  for (const auto& [id, status] : statuses) {
+    ++byStatus[status];
+    lost += status != 200 && runs[id] > 0 ? 1 : 0;
+  }
+  for (const auto& [status, count] : byStatus) {
+    gRecord.Line("clients: status " + std::to_string(status) + ": " +
+                 std::to_string(count));
+  }
+  gRecord.Line("servers crashed " + std::to_string(crashes) +
+               " times, the third time at " + std::to_string(thirdCrashAt) +
+               " ms");
+  gRecord.Line("requests of others that ran and whose outcome was lost: " +
+               std::to_string(lost));
+  gRecord.Line("retries that reached servers later than contact_ms after the "
+               "third crash: " +
+               std::to_string(late));
+  if (byStatus[200] == 0 || (kTrouble && crashes < 3)) {
+    return kCannotRun;
+  }
+  return late > kRetriesAllowed ? kBroken : kHeld;
+}
+
 }
 
 int
@@ -497,6 +636,8 @@
     code = LateCopies();
   } else if (name == "many-changes") {
     code = ManyChanges();
+  } else if (name == "crashing-request") {
+    code = CrashingRequest();
   } else if (name == "late-order") {
     code = LateOrder();
   }
--- a/review/standin/lab.h
+++ b/review/standin/lab.h
@@ -382,6 +382,11 @@
   std::function<void(const server&, const string&, const string&)> mOnEvent;
   /** Whether this answer is sent a second time, late. */
   std::function<bool()> mIsDoubled;
+  /** Whether this server crashes as it begins to run such a request; it is
+   * back after some seconds, under the same id. */
+  std::function<bool(const string&)> mCrashesOn;
+  long mDownMs = 3000;
+  std::atomic<long> mCrashes{ 0 };
   std::atomic<long> mAnswers{ 0 };
   std::atomic<long> mRefusals{ 0 };
   std::atomic<long> mDoubled{ 0 };
@@ -395,12 +400,33 @@
   std::mt19937 mRandom{ std::random_device{}() };
   std::vector<std::thread> mThreads;
   int mListener = -1;
-  long mBorn = WallMs();
+  std::atomic<long> mBorn{ WallMs() };
+  std::atomic<long> mDownUntil{ 0 };
+  /** Number of the start; grows with each crash. */
+  std::atomic<int> mEpoch{ 0 };
+  std::map<connection*, int> mOpen;
   long mStamp = 0;
 
+  [[nodiscard]] bool IsDown() const { return NowMs() < mDownUntil; }
+
+  void Crash()
+  {
+    std::lock_guard guard(mLock);
+    ++mCrashes;
+    ++mEpoch;
+    mDownUntil = NowMs() + mDownMs;
+    mRunning = 0;
+    for (auto& [open, socket] : mOpen) {
+      linger atOnce{ 1, 0 };
+      setsockopt(socket, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+      shutdown(socket, SHUT_RDWR);
+    }
+  }
+
   bool Acquire(long aUntilMs)
   {
     std::unique_lock guard(mLock);
+    int epoch = mEpoch;
     if (mRunning < mSettings.mSlots) {
       ++mRunning;
       return true;
@@ -411,10 +437,10 @@
     ++mWaiting;
     bool isFree = mFree.wait_until(
       guard, kStart + std::chrono::milliseconds(aUntilMs), [&] {
-        return mRunning < mSettings.mSlots || mIsStopping;
+        return mRunning < mSettings.mSlots || mIsStopping || epoch != mEpoch;
       });
     --mWaiting;
-    if (!isFree || mIsStopping) {
+    if (!isFree || mIsStopping || epoch != mEpoch) {
       return false;
     }
     ++mRunning;
@@ -428,11 +454,11 @@
     }
   }
 
-  void Release()
+  void Release(int aEpoch)
   {
     {
       std::lock_guard guard(mLock);
-      --mRunning;
+      mRunning -= aEpoch == mEpoch ? 1 : 0;
     }
     mFree.notify_one();
   }
@@ -473,10 +499,15 @@
       Tell(id, "is full, answers 503 with X-Not-Executed");
       return Head(503, id, "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
     }
+    int epoch = mEpoch;
     Tell(id, "runs the request");
     if (mOnRun) {
       mOnRun(*this, id);
     }
+    if (mCrashesOn && mCrashesOn(aFirst)) {
+      Crash();
+      return {};
+    }
     double work = 0;
     long stamp = 0;
     {
@@ -486,7 +517,10 @@
       stamp = ++mStamp;
     }
     std::this_thread::sleep_for(std::chrono::microseconds(long(work * 1000)));
-    Release();
+    Release(epoch);
+    if (epoch != mEpoch) {
+      return {};
+    }
     ++mAnswers;
     return Head(200,
                 id,
@@ -517,6 +551,9 @@
         }
       }
       string answered = Handle(first, fields);
+      if (answered.empty()) {
+        return;
+      }
       if (mIsDoubled && mIsDoubled()) {
         extra = answered;
         extraId = fields["x-request-id"];
@@ -527,9 +564,36 @@
     }
   }
 
+  /** The listening socket, or a negative number. */
+  int Listen()
+  {
+    int made = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int on = 1;
+    setsockopt(made, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in at = ToSockaddr(mSettings.mAddress);
+    if (bind(made, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 ||
+        listen(made, 256) != 0) {
+      close(made);
+      return -1;
+    }
+    return made;
+  }
+
   void Accept()
   {
     while (!mIsStopping) {
+      if (IsDown() && mListener >= 0) {
+        close(mListener);
+        mListener = -1;
+      }
+      if (mListener < 0) {
+        SleepMs(20);
+        if (!IsDown()) {
+          mBorn = WallMs();
+          mListener = Listen();
+        }
+        continue;
+      }
       pollfd waiter{ mListener, POLLIN, 0 };
       if (poll(&waiter, 1, 100) <= 0) {
         continue;
@@ -541,7 +605,14 @@
       int on = 1;
       setsockopt(raw, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
       std::thread([this, made = std::make_shared<connection>(raw)] {
+        {
+          std::lock_guard guard(mLock);
+          mOpen[made.get()] = made->Socket();
+        }
         Serve(made);
+        std::lock_guard guard(mLock);
+        mOpen.erase(made.get());
+        made->Close();
       }).detach();
     }
   }
@@ -550,13 +621,22 @@
   {
     long sequence = 0;
     std::size_t host = std::random_device{}();
+    long born = mBorn;
     while (!mIsStopping) {
+      if (IsDown()) {
+        SleepMs(50);
+        continue;
+      }
+      if (born != mBorn) {
+        born = mBorn;
+        sequence = 0;
+      }
       string body =
         "{\"service\":\"" + mSettings.mService + "\",\"address\":\"" +
         mSettings.mAddress.Text() + "\",\"zone\":\"" + mSettings.mZone +
         "\",\"version\":\"v1\",\"slots\":" + std::to_string(mSettings.mSlots) +
         ",\"state\":\"ready\",\"warmup_left_ms\":0,\"born\":" +
-        std::to_string(mBorn) + ",\"seq\":" + std::to_string(++sequence) + "}";
+        std::to_string(born) + ",\"seq\":" + std::to_string(++sequence) + "}";
       answer got = Call(aControl[host % aControl.size()],
                         "POST",
                         "/api/Instances.Heartbeat/" + mSettings.mId,
@@ -567,7 +647,7 @@
         SleepMs(100);
         continue;
       }
-      for (int step = 0; step < 12 && !mIsStopping; ++step) {
+      for (int step = 0; step < 12 && !mIsStopping && born == mBorn; ++step) {
         SleepMs(100);
       }
     }
@@ -581,12 +661,8 @@
 
   bool Start(const std::vector<address>& aControl)
   {
-    mListener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    int on = 1;
-    setsockopt(mListener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in at = ToSockaddr(mSettings.mAddress);
-    if (bind(mListener, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 ||
-        listen(mListener, 256) != 0) {
+    mListener = Listen();
+    if (mListener < 0) {
       return false;
     }
     mThreads.emplace_back([this] { Accept(); });
