--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -38,13 +38,16 @@
 }
 
 string
-Service(const string& aName, int aConnections)
+Service(const string& aName,
+        int aConnections,
+        const string& aWarmupRate = "0.0")
 {
   return "{\"name\":\"" + aName +
          "\",\"health_path\":\"/health\",\"max_conns\":" +
          std::to_string(aConnections) +
          ",\"protocol\":\"h1\","
-         "\"tls\":false,\"warmup_s\":3.0,\"warmup_per_s\":0.0}";
+         "\"tls\":false,\"warmup_s\":3.0,\"warmup_per_s\":" +
+         aWarmupRate + "}";
 }
 
 /** Starts the servers, puts the configuration, waits for the entry hosts. */
@@ -623,6 +626,139 @@
   return late > kRetriesAllowed ? kBroken : kHeld;
 }
 
+/**
+ * A zone's servers are down for 4.5 s and come back together, cold. Without
+ * trouble they stay. A cold server crashes at twice the rate of the rule.
+ */
+int
+ColdReturn()
+{
+  constexpr double kWarmupPerSecond = 4;
+  constexpr double kBound = kWarmupPerSecond * 1.5 + 5;
+  constexpr long kDownMs = 4500;
+  constexpr long kWarmupMs = 3000;
+  const string zone = "neng-merr";
+  std::mutex lock;
+  std::map<string, int> runs;
+  std::map<string, int> statuses;
+  /** Times of the arrivals at each cold server. */
+  std::map<string, std::vector<long>> arrivals;
+  std::vector<std::unique_ptr<server>> servers;
+  const char* zones[] = { "neng-merr", "neng-conn", "neng-kenn" };
+  for (int number = 0; number < 7; ++number) {
+    servers.push_back(std::make_unique<server>(
+      server_settings{ "i-" + std::to_string(number) + NewId(),
+                       "yard-stock",
+                       zones[number % 3],
+                       ServerAddress(number),
+                       6,
+                       24,
+                       90 }));
+    server& one = *servers.back();
+    one.mDownMs = kDownMs;
+    one.mWarmupMs = kWarmupMs;
+    one.mOnRun = [&](const server&, const string& aId) {
+      std::lock_guard guard(lock);
+      ++runs[aId];
+    };
+    one.mOnArrival = [&](const server& aServer, const string&) {
+      std::lock_guard guard(lock);
+      if (aServer.WarmupLeft() > 0) {
+        arrivals[aServer.mSettings.mId].push_back(NowMs());
+      }
+    };
+    one.mCrashesOn = [&, &self = one](const string&) {
+      std::lock_guard guard(lock);
+      const auto& times = arrivals[self.mSettings.mId];
+      auto inSecond = std::count_if(times.begin(), times.end(), [](long aAt) {
+        return aAt > NowMs() - 1000;
+      });
+      return self.WarmupLeft() > 0 && inSecond > 2 * kBound;
+    };
+  }
+  string route =
+    "{\"name\":\"order\",\"host\":\"leno12.example\",\"path_prefix\":\"/order/"
+    "\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":"
+    "400,\"priority\":1,\"service\":\"yard-stock\",\"max_attempts\":2}";
+  string document = Configuration(1, route, Service("yard-stock", 214, "4.0"));
+  if (!SetUp(servers, document)) {
+    return kCannotRun;
+  }
+  SleepMs(3000);
+  clients load;
+  load.Start(60,
+             120,
+             "POST",
+             "/order/new",
+             "one tine",
+             3000,
+             [&](const sent_request& aSent) {
+               std::lock_guard guard(lock);
+               statuses[aSent.mId] = aSent.mStatus;
+             });
+  SleepMs(6000);
+  for (auto& one : servers) {
+    if (kTrouble && one->mSettings.mZone == zone) {
+      one->Crash();
+      gRecord.Line("server " + one->mSettings.mId + " is down");
+    }
+  }
+  // What the servers lose as they go down isn't counted.
+  SleepMs(2000);
+  std::set<string> before;
+  {
+    std::lock_guard guard(lock);
+    for (const auto& [id, status] : statuses) {
+      before.insert(id);
+    }
+  }
+  SleepMs(20000);
+  load.Stop();
+  for (auto& one : servers) {
+    one->Stop();
+  }
+  std::lock_guard guard(lock);
+  long most = 0;
+  for (const auto& one : servers) {
+    const auto& times = arrivals[one->mSettings.mId];
+    long here = 0;
+    for (long from : times) {
+      here = std::max(here,
+                      static_cast<long>(std::count_if(
+                        times.begin(), times.end(), [&](long aAt) {
+                          return aAt >= from && aAt < from + 1000;
+                        })));
+    }
+    most = std::max(most, here);
+    gRecord.Line("server " + one->mSettings.mId + " in " +
+                 one->mSettings.mZone + ": crashes " +
+                 std::to_string(one->mCrashes) + ", requests while cold " +
+                 std::to_string(times.size()) + ", at most in a second " +
+                 std::to_string(here));
+  }
+  std::map<int, long> byStatus;
+  long lost = 0;
+  for (const auto& [id, status] : statuses) {
+    ++byStatus[status];
+    bool isLater = !before.contains(id);
+    lost += isLater && status != 200 && runs[id] > 0 ? 1 : 0;
+  }
+  for (const auto& [status, count] : byStatus) {
+    gRecord.Line("clients: status " + std::to_string(status) + ": " +
+                 std::to_string(count));
+  }
+  gRecord.Line("requests that ran at servers that crashed while cold, outcome "
+               "lost: " +
+               std::to_string(lost));
+  gRecord.Line(
+    "most requests to a cold server in a second: " + std::to_string(most) +
+    "; allowed are " + std::to_string(static_cast<int>(kBound)));
+  if (byStatus[200] == 0) {
+    return kCannotRun;
+  }
+  return static_cast<double>(most) > kBound ? kBroken : kHeld;
+}
+
 }
 
 int
@@ -638,6 +774,8 @@
     code = ManyChanges();
   } else if (name == "crashing-request") {
     code = CrashingRequest();
+  } else if (name == "cold-return") {
+    code = ColdReturn();
   } else if (name == "late-order") {
     code = LateOrder();
   }
--- a/review/standin/lab.h
+++ b/review/standin/lab.h
@@ -386,6 +386,8 @@
    * back after some seconds, under the same id. */
   std::function<bool(const string&)> mCrashesOn;
   long mDownMs = 3000;
+  /** How long it is cold after a start during traffic. */
+  long mWarmupMs = 0;
   std::atomic<long> mCrashes{ 0 };
   std::atomic<long> mAnswers{ 0 };
   std::atomic<long> mRefusals{ 0 };
@@ -407,22 +409,6 @@
   std::map<connection*, int> mOpen;
   long mStamp = 0;
 
-  [[nodiscard]] bool IsDown() const { return NowMs() < mDownUntil; }
-
-  void Crash()
-  {
-    std::lock_guard guard(mLock);
-    ++mCrashes;
-    ++mEpoch;
-    mDownUntil = NowMs() + mDownMs;
-    mRunning = 0;
-    for (auto& [open, socket] : mOpen) {
-      linger atOnce{ 1, 0 };
-      setsockopt(socket, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
-      shutdown(socket, SHUT_RDWR);
-    }
-  }
-
   bool Acquire(long aUntilMs)
   {
     std::unique_lock guard(mLock);
@@ -484,7 +470,8 @@
     if (aFirst.starts_with("GET /health")) {
       return Head(200,
                   "",
-                  "X-Instance-Id: " + mSettings.mId +
+                  "X-Warmup-Ms: " + std::to_string(WarmupLeft()) +
+                    "\r\nX-Instance-Id: " + mSettings.mId +
                     "\r\nContent-Length: 0\r\n\r\n");
     }
     if (!expected.empty() && expected != mSettings.mId) {
@@ -635,8 +622,9 @@
         "{\"service\":\"" + mSettings.mService + "\",\"address\":\"" +
         mSettings.mAddress.Text() + "\",\"zone\":\"" + mSettings.mZone +
         "\",\"version\":\"v1\",\"slots\":" + std::to_string(mSettings.mSlots) +
-        ",\"state\":\"ready\",\"warmup_left_ms\":0,\"born\":" +
-        std::to_string(born) + ",\"seq\":" + std::to_string(++sequence) + "}";
+        ",\"state\":\"ready\",\"warmup_left_ms\":" +
+        std::to_string(WarmupLeft()) + ",\"born\":" + std::to_string(born) +
+        ",\"seq\":" + std::to_string(++sequence) + "}";
       answer got = Call(aControl[host % aControl.size()],
                         "POST",
                         "/api/Instances.Heartbeat/" + mSettings.mId,
@@ -654,6 +642,30 @@
   }
 
 public:
+  [[nodiscard]] bool IsDown() const { return NowMs() < mDownUntil; }
+
+  /** How much longer it is cold; only after a crash. */
+  [[nodiscard]] long WarmupLeft() const
+  {
+    return mEpoch == 0 || IsDown()
+             ? 0
+             : std::max(0L, mDownUntil + mWarmupMs - NowMs());
+  }
+
+  void Crash()
+  {
+    std::lock_guard guard(mLock);
+    ++mCrashes;
+    ++mEpoch;
+    mDownUntil = NowMs() + mDownMs;
+    mRunning = 0;
+    for (auto& [open, socket] : mOpen) {
+      linger atOnce{ 1, 0 };
+      setsockopt(socket, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+      shutdown(socket, SHUT_RDWR);
+    }
+  }
+
   explicit server(server_settings aSettings)
     : mSettings(std::move(aSettings))
   {
