Review: let the frozen host of case 3 stand still before the order is sent

Cause: SIGSTOP takes effect when the threads are scheduled next, and on a busy machine the host read the order before.

--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -347,6 +347,8 @@
   long frozenAt = NowMs();
   if (kTrouble) {
     kill(pids[frozen], SIGSTOP);
+    // On a busy machine it takes a moment until all threads stand still.
+    SleepMs(300);
     gRecord.Line("control host " + kControl[frozen].Text() + " is frozen");
   }
   isTaken =
