Never send a request twice on one connection to a server

Cause: a refused request may get to the same server again under its own id, on the connection that was kept. The late copy of the refusal then names the right request, and passes for the response to the second attempt. A response without an id was taken for the response to the latest request.

Change: each connection knows the requests that it has carried, until they can't be sent again, and is replaced rather than used for one of them. A response without an id on a connection in use is no proof that a request has not run.

--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -4,6 +4,7 @@
 #include "core/background_task.h"
 #include "core/sharded_map.h"
 #include "core/worker_number.h"
+#include "decisions/exchange_history.h"
 #include "drivers/rate_field.h"
 #include "drivers/retry_after.h"
 
@@ -53,6 +54,7 @@
   steady_time mUsedAt;
   /** The connection is replaced if it was idle for longer. */
   milliseconds mMaxIdleTime{ 0 };
+  exchange_history mHistory;
   worker_number mWorker = CurrentWorker();
 
   explicit backend_connection(const asio::any_io_executor& aExecutor)
@@ -75,8 +77,8 @@
 using backend_request = http::request<http::span_body<const char>>;
 using response_parser = http::response_parser<http::string_body>;
 
-/** Maximum number of responses to other requests that an exchange skips. */
-constexpr int kMaxMismatched = 2;
+/** Maximum number of responses to earlier requests that an exchange skips. */
+constexpr int kMaxSkipped = 2;
 
 backend_request
 MakeRequest(const backend_protocol& aProtocol,
@@ -153,12 +155,24 @@
   return head;
 }
 
+std::string_view
+RequestIdNative(const server_request& aRequest)
+{
+  return aRequest.mAttemptId.mValue;
+}
+
+std::string_view
+NamedRequestNative(const server_response& aResponse)
+{
+  return aResponse.Field("request-id");
+}
+
 attempt_status
 ClassifyNative(const server_request& aRequest, const server_response& aResponse)
 {
   constexpr unsigned kOk = 200;
   // A response to another request proves that the connection is out of sync.
-  if (aResponse.Field("request-id") != aRequest.mAttemptId.mValue) {
+  if (NamedRequestNative(aResponse) != aRequest.mAttemptId.mValue) {
     return attempt_status::BadResponse;
   }
   if (aResponse.mStatus == kUnavailable &&
@@ -201,11 +215,8 @@
 backend_protocol
 MakeNativeProtocol()
 {
-  return { EncodeNative,
-           ClassifyNative,
-           [](const server_request&, const server_response&) { return false; },
-           ReadNoticeNative,
-           true };
+  return { EncodeNative,       ClassifyNative,   RequestIdNative,
+           NamedRequestNative, ReadNoticeNative, true };
 }
 
 const backend_protocol&
@@ -232,7 +243,8 @@
   {
   }
 
-  /** The connection that the permit names, unless it is expired or stale. */
+  /** The connection that the permit names, unless it is expired or stale, or
+   * has carried the request before. */
   connection_pointer TakePermitted(const server_request& aRequest,
                                    steady_time aNow)
   {
@@ -248,7 +260,9 @@
       maxIdle = std::min(maxIdle, kMaxIdleForRun);
     }
     bool isExpired = aNow - (*found)->mUsedAt > maxIdle;
-    if (isExpired || (*found)->IsStale()) {
+    std::string_view id = ProtocolOf(mConfig, aRequest).mRequestId(aRequest);
+    if (isExpired || !(*found)->mHistory.MayCarry(id, aNow) ||
+        (*found)->IsStale()) {
       return nullptr;
     }
     return std::move(*found);
@@ -313,6 +327,8 @@
       outcome.mConnection = Keep(std::move(aConnection), now);
       co_return outcome;
     }
+    std::string_view id = protocol.mRequestId(aRequest);
+    aConnection->mHistory.OnRequest(id, aRequest.mDeadline, now);
     backend_request request = MakeRequest(protocol, aRequest, now);
     auto [writeError, written] =
       co_await http::async_write(aConnection->mSocket, request, kNoThrow);
@@ -327,9 +343,11 @@
       }
       co_return outcome;
     }
-    bool isMismatched = true;
+    response_owner owner = response_owner::Earlier;
     bool keepsAlive = true;
-    for (int number = 0; isMismatched && number <= kMaxMismatched; ++number) {
+    for (int number = 0;
+         owner == response_owner::Earlier && number <= kMaxSkipped;
+         ++number) {
       response_parser parser;
       parser.body_limit(mConfig.mMaxResponseBytes);
       auto [readError, count] = co_await http::async_read(
@@ -340,12 +358,11 @@
       }
       keepsAlive = keepsAlive && number == 0 && parser.keep_alive();
       outcome.mResponse = ToResponse(parser.get());
-      isMismatched = protocol.mIsMismatched(aRequest, outcome.mResponse);
+      owner = aConnection->mHistory.OnResponse(
+        id, protocol.mNamedRequest(outcome.mResponse));
     }
-    outcome.mStatus = isMismatched
-                        ? attempt_status::BadResponse
-                        : protocol.mClassify(aRequest, outcome.mResponse);
-    if (!isMismatched) {
+    outcome.mStatus = JudgeResponse(aRequest, outcome.mResponse, owner);
+    if (owner == response_owner::Current || owner == response_owner::Unnamed) {
       outcome.mNotice = protocol.mReadNotice(outcome.mResponse, WallTime());
     }
     bool isUsable = outcome.mStatus != attempt_status::BadResponse &&
@@ -363,6 +380,26 @@
     co_return outcome;
   }
 
+  attempt_status JudgeResponse(const server_request& aRequest,
+                               const server_response& aResponse,
+                               response_owner aOwner) const
+  {
+    bool isForeign =
+      aOwner == response_owner::Earlier || aOwner == response_owner::Doubtful;
+    if (isForeign) {
+      return attempt_status::BadResponse;
+    }
+    attempt_status status =
+      ProtocolOf(mConfig, aRequest).mClassify(aRequest, aResponse);
+    // A refusal that may belong to an earlier request doesn't prove that this
+    // one has not run.
+    bool isProof =
+      aOwner == response_owner::Current || IsIdempotent(aRequest.mKind);
+    return status == attempt_status::Shed && !isProof
+             ? attempt_status::BadResponse
+             : status;
+  }
+
   static attempt_status StatusOf(beast::error_code aError)
   {
     if (aError == asio::error::operation_aborted) {
--- a/drivers/backend_client.h
+++ b/drivers/backend_client.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace hibiscusspool {
 
@@ -26,9 +27,10 @@
   /** The status of an attempt after a complete response. */
   std::function<attempt_status(const server_request&, const server_response&)>
     mClassify;
-  /** True for a response to another request, which precedes the right one. */
-  std::function<bool(const server_request&, const server_response&)>
-    mIsMismatched;
+  /** The id by which the server knows the request; empty if it has none. */
+  std::function<std::string_view(const server_request&)> mRequestId;
+  /** The id of the request that a response names; empty if it names none. */
+  std::function<std::string_view(const server_response&)> mNamedRequest;
   /** What the server says of itself in a response, at the wall time. */
   std::function<server_notice(const server_response&, wall_ms)> mReadNotice;
   /**
--- a/tests/drivers/backend_responses_test.cpp
+++ b/tests/drivers/backend_responses_test.cpp
@@ -36,6 +36,16 @@
   aPeer.close();
 }
 
+/** A refusal that names this request, or none if it is empty. */
+std::string
+Refusal(const std::string& aRequest)
+{
+  std::string name =
+    aRequest.empty() ? "" : "X-Request-Id: " + aRequest + "\r\n";
+  return "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n" + name +
+         "Content-Length: 0\r\n\r\n";
+}
+
 const std::string kHead = "HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\n";
 
 }
@@ -61,17 +71,18 @@
   attempt_result Send(const std::string& aAddress,
                       const std::string& aRequest,
                       connection_id aConnection = 0,
-                      milliseconds aTimeLeft = milliseconds(20'000))
+                      milliseconds aTimeLeft = milliseconds(20'000),
+                      request_kind aKind = request_kind::Forward)
   {
     server_request request;
-    request.mKind = request_kind::Forward;
+    request.mKind = aKind;
     request.mPermit.mAddress = aAddress;
     request.mPermit.mServer.mValue = "i-1";
     request.mPermit.mConnection = aConnection;
     request.mDeadline = Now() + aTimeLeft;
     request.mGiveUpAt = request.mDeadline;
     request.mBody = std::make_shared<const std::string>();
-    request.mIsPart = true;
+    request.mIsPart = aKind == request_kind::Forward;
     auto forwarded = std::make_shared<forwarded_request>();
     forwarded->mMethod = "GET";
     forwarded->mTarget = "/a/";
@@ -163,6 +174,84 @@
   STRCMP_EQUAL("second", second.mResponse.mBody.c_str());
 }
 
+// Guards against requests that run twice: the late copy of a refusal passed for
+// the response to the same request when it was sent again.
+TEST(backend_responses, LateCopyOfARefusalDoesNotAnswerTheRequestSentAgain)
+{
+  std::atomic<int> connections{ 0 };
+  scripted_server server(2, [&](scripted_server::socket& aPeer) {
+    bool isFirst = connections++ == 0;
+    scripted_server::ReadHead(aPeer);
+    scripted_server::Write(aPeer, isFirst ? Refusal("r1") : Response("r1", ""));
+    if (isFirst && !scripted_server::ReadHead(aPeer).empty()) {
+      scripted_server::Write(aPeer, Refusal("r1"));
+      scripted_server::Write(aPeer, Response("r1", ""));
+    }
+  });
+  attempt_result refused = Send(
+    server.Address(), "r1", 0, milliseconds(5000), request_kind::ForwardOnce);
+  CHECK(refused.mStatus == attempt_status::Shed);
+  attempt_result sentAgain = Send(server.Address(),
+                                  "r1",
+                                  refused.mConnection,
+                                  milliseconds(5000),
+                                  request_kind::ForwardOnce);
+  CHECK(sentAgain.mStatus == attempt_status::Answered);
+  LONGS_EQUAL(2, connections);
+}
+
+// Guards against requests that run twice: a refusal without an id, which may be
+// the copy of an earlier one, passed for the response to the next request.
+TEST(backend_responses, RefusalWithoutIdProvesNothingOnAConnectionInUse)
+{
+  for (bool namesRequests : { true, false }) {
+    scripted_server server(1, [&](scripted_server::socket& aPeer) {
+      scripted_server::ReadHead(aPeer);
+      scripted_server::Write(aPeer, Refusal(namesRequests ? "r1" : ""));
+      scripted_server::ReadHead(aPeer);
+      scripted_server::Write(aPeer, Refusal(""));
+    });
+    attempt_result first = Send(
+      server.Address(), "r1", 0, milliseconds(5000), request_kind::ForwardOnce);
+    CHECK(first.mStatus == attempt_status::Shed);
+    attempt_result second = Send(server.Address(),
+                                 "r2",
+                                 first.mConnection,
+                                 milliseconds(5000),
+                                 request_kind::ForwardOnce);
+    CHECK(second.mStatus == attempt_status::BadResponse);
+    LONGS_EQUAL(0, second.mConnection);
+  }
+}
+
+// Guards against mixed responses: a response without an id passed for the next
+// request's on a connection whose server names the requests that it answers.
+TEST(backend_responses, ResponseWithoutIdIsRefusedWhereTheServerNamesRequests)
+{
+  scripted_server server(1, [](scripted_server::socket& aPeer) {
+    scripted_server::ReadHead(aPeer);
+    scripted_server::Write(aPeer, Response("r1", "first"));
+    scripted_server::ReadHead(aPeer);
+    scripted_server::Write(aPeer, kHead + "Content-Length: 0\r\n\r\n");
+  });
+  attempt_result first = Send(server.Address(), "r1");
+  attempt_result second = Send(server.Address(), "r2", first.mConnection);
+  CHECK(second.mStatus == attempt_status::BadResponse);
+}
+
+TEST(backend_responses, ServerThatNamesNoRequestsKeepsItsConnection)
+{
+  scripted_server server(1, [](scripted_server::socket& aPeer) {
+    for (int number = 0; number < 2; ++number) {
+      scripted_server::ReadHead(aPeer);
+      scripted_server::Write(aPeer, kHead + "Content-Length: 0\r\n\r\n");
+    }
+  });
+  attempt_result first = Send(server.Address(), "r1");
+  attempt_result second = Send(server.Address(), "r2", first.mConnection);
+  CHECK(second.mStatus == attempt_status::Answered);
+}
+
 TEST(backend_responses, ResponseThatBreaksOffIsNotComplete)
 {
   std::string sized = kHead + "Content-Length: 10\r\n\r\n12345";
--- a/tests/drivers/scripted_server.h
+++ b/tests/drivers/scripted_server.h
@@ -46,10 +46,12 @@
   scripted_server& operator=(const scripted_server&) = delete;
   ~scripted_server()
   {
-    // Wakes an accept that still waits.
-    boost::system::error_code ignored;
-    socket last(mContext);
-    last.connect(mAcceptor.local_endpoint(), ignored);
+    // Wakes an accept that still waits, and ends the connection at once.
+    {
+      boost::system::error_code ignored;
+      socket last(mContext);
+      last.connect(mAcceptor.local_endpoint(), ignored);
+    }
     mThread.join();
   }
 
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -188,8 +188,8 @@
   request.mIsPart = true;
   CHECK(classify(404, { stamp }) == attempt_status::Failed);
 
-  CHECK(protocol.mIsMismatched(request,
-                               Response(200, { { "x-request-id", "other" } })));
-  CHECK_FALSE(protocol.mIsMismatched(
-    request, Response(200, { { "x-request-id", "mine" } })));
+  STRCMP_EQUAL("mine", std::string(protocol.mRequestId(request)).c_str());
+  server_response named = Response(200, { { "x-request-id", "other" } });
+  STRCMP_EQUAL("other", std::string(protocol.mNamedRequest(named)).c_str());
+  CHECK(protocol.mNamedRequest(Response(200, {})).empty());
 }
