Bound the messages that wait for a control host by their bytes

Cause: a leader queued up to 256 messages for each member, and each may hold 1 MiB of entries.

Members tolerate lost messages.

Evidence: raft_message_queue (3 tests); the queue is a type of its own now, so they could not run before.

--- a/drivers/raft_transport.cpp
+++ b/drivers/raft_transport.cpp
@@ -1,12 +1,12 @@
 #include "drivers/raft_transport.h"
 
 #include "core/log_event.h"
+#include "decisions/raft_message_queue.h"
 #include "drivers/grpc_settings.h"
 #include "drivers/host_address.h"
 #include "messages/raft_codec.h"
 
 #include <condition_variable>
-#include <deque>
 #include <mutex>
 #include <set>
 
@@ -18,8 +18,11 @@
 namespace {
 
 constexpr milliseconds kCallTimeout{ 1000 };
-constexpr std::size_t kMaxQueuedMessages = 256;
+/** Added to the time of a call for each mebibyte, for a host that has a small
+ * part of a processor. */
+constexpr milliseconds kCallTimePerMebibyte{ 1000 };
 constexpr std::size_t kMaxMessagesPerCall = 64;
+constexpr std::uint64_t kMaxBytesPerCall = 1U << 20U;
 
 /** Minimum age of a connection attempt before a sign of life from the peer
  * starts another one. */
@@ -38,7 +41,7 @@
 {
   std::shared_ptr<grpc::Channel> mChannel;
   steady_time mChannelOpenedAt;
-  std::deque<raft_message> mQueue;
+  raft_message_queue mQueue;
   /** The call in progress; null while there is none. */
   std::shared_ptr<delivery> mCall;
   /** The latest call failed. */
@@ -132,10 +135,7 @@
     }
     mState->mLinks.Update(host, [&queued = messages](peer_link& aLink) {
       for (raft_message& message : queued) {
-        aLink.mQueue.push_back(std::move(message));
-      }
-      while (aLink.mQueue.size() > kMaxQueuedMessages) {
-        aLink.mQueue.pop_front();
+        aLink.mQueue.Push(std::move(message));
       }
     });
     SendNext(mState, host);
@@ -167,15 +167,12 @@
   std::shared_ptr<grpc::Channel> channel;
   std::shared_ptr<delivery> call;
   aState->mLinks.Update(aHost, [&](peer_link& aLink) {
-    if (aLink.mCall != nullptr || aLink.mQueue.empty()) {
+    if (aLink.mCall != nullptr || aLink.mQueue.IsEmpty()) {
       return;
     }
     call = std::make_shared<delivery>();
     aLink.mCall = call;
-    while (!aLink.mQueue.empty() && messages.size() < kMaxMessagesPerCall) {
-      messages.push_back(std::move(aLink.mQueue.front()));
-      aLink.mQueue.pop_front();
-    }
+    messages = aLink.mQueue.Take(kMaxMessagesPerCall, kMaxBytesPerCall);
     if (aLink.mChannel == nullptr) {
       aLink.mChannel = OpenChannel(*AddressOf(aState->mAddresses, aHost));
       aLink.mChannelOpenedAt = std::chrono::steady_clock::now();
@@ -188,11 +185,14 @@
   if (!aState->BeginCall(call)) {
     return;
   }
+  std::uint64_t bytes = 0;
   for (const raft_message& message : messages) {
+    bytes += PayloadBytes(message);
     WriteMessage(message, *call->mRequest.add_messages());
   }
   call->mStub = wire::Control::NewStub(channel);
-  call->mContext.set_deadline(std::chrono::system_clock::now() + kCallTimeout);
+  milliseconds timeout = kCallTimeout + kCallTimePerMebibyte * (bytes >> 20U);
+  call->mContext.set_deadline(std::chrono::system_clock::now() + timeout);
   call->mStub->async()->Deliver(
     &call->mContext,
     &call->mRequest,
