Bound the changes kept for lagging streams by their bytes

Cause: 2,048 batches of changes were kept whatever their size.

Change: 4 MiB are kept besides the latest batch; a stream that lags further behind gets the full state, as before.

Evidence: watch_hub/ChangesKeptForLaggingStreamsAreBoundedInBytes failed before.

--- a/controllers/watch_hub.cpp
+++ b/controllers/watch_hub.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-/** Record batches kept for lagging streams. A stream that lags further behind
- * gets the full state. */
+// Record batches kept for lagging streams. A stream that lags further behind
+// gets the full state.
 constexpr std::size_t kMaxBatches = 2048;
+constexpr std::size_t kMaxBacklogBytes = 4U << 20U;
 
 }
 
@@ -29,11 +30,9 @@
   {
     std::lock_guard guard(mBacklogLock);
     mApplied = aIndex;
+    mBacklogBytes += encoded->size();
     mBacklog.push_back({ aIndex, std::move(encoded) });
-    if (mBacklog.size() > kMaxBatches) {
-      mBacklogStart = mBacklog.front().mIndex;
-      mBacklog.pop_front();
-    }
+    TrimBacklog();
     isDue = aNow >= mNextFlushAt;
     isScheduled = !isDue && !std::exchange(mIsFlushScheduled, true);
     nextFlush = mNextFlushAt;
@@ -45,6 +44,19 @@
   }
 }
 
+void
+watch_hub::TrimBacklog()
+{
+  // The latest batch stays, so that a single change goes to all streams as it
+  // is.
+  while (mBacklog.size() > 1 &&
+         (mBacklog.size() > kMaxBatches || mBacklogBytes > kMaxBacklogBytes)) {
+    mBacklogStart = mBacklog.front().mIndex;
+    mBacklogBytes -= mBacklog.front().mChanges->size();
+    mBacklog.pop_front();
+  }
+}
+
 void
 watch_hub::Flush(steady_time aNow)
 {
@@ -63,6 +75,7 @@
   {
     std::lock_guard guard(mBacklogLock);
     mBacklog.clear();
+    mBacklogBytes = 0;
     mFullState = {};
     mApplied = aIndex;
     mFlushed = aIndex;
--- a/controllers/watch_hub.h
+++ b/controllers/watch_hub.h
@@ -127,6 +127,7 @@
 
   mutable std::mutex mBacklogLock;
   std::deque<record_batch> mBacklog;
+  std::size_t mBacklogBytes = 0;
   log_index mApplied = 0;
   /** Index of the latest change that is no longer in the backlog; a stream that
    * has not received it needs the full state. */
@@ -150,6 +151,8 @@
   void StartRound();
   void EndRound(std::uint64_t aRound);
   void WakeAll();
+  /** Drops the oldest batches beyond the limits; needs the backlog's lock. */
+  void TrimBacklog();
   /** Adds the backlog after `aFrom` and up to `aTo`; needs the backlog's lock.
    */
   void AppendBacklog(log_index aFrom,
--- a/tests/controllers/watch_hub_test.cpp
+++ b/tests/controllers/watch_hub_test.cpp
@@ -306,3 +306,18 @@
     LONGS_EQUAL(2, Next(stream)->mConfirmedMark);
   }
 }
+
+// Guards against control hosts that run out of memory: changes that lagging
+// streams may still need were bounded by their number alone.
+TEST(watch_hub, ChangesKeptForLaggingStreamsAreBoundedInBytes)
+{
+  constexpr std::size_t kChange = 200'000;
+  constexpr std::size_t kMaxKept = 8U << 20U;
+  stream_id stream = OpenWithFullState();
+  for (log_index index = 11; index < 311; ++index) {
+    Publish(index, { Change(std::string(kChange, 'r')) });
+  }
+  auto next = Next(stream);
+  CHECK(next->mIsFullState);
+  CHECK(ChangesOf(next).size() <= kMaxKept);
+}
