--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -1,6 +1,7 @@
 #include "controllers/control_group.h"
 
 #include "core/log_event.h"
+#include "decisions/raft_message_queue.h"
 
 #include <memory>
 
@@ -15,6 +16,12 @@
 /** Interval between retries of a failed write, which cost little while the disk
  * is full. */
 constexpr milliseconds kDiskRetryInterval{ 100 };
+/** Interval between attempts to store a snapshot that the disk refused. */
+constexpr milliseconds kStoreRetryInterval{ 1000 };
+/** Interval between log lines about commands that the log has no room for. */
+constexpr milliseconds kRefusalLogInterval{ 1000 };
+/** Maximum bytes of received messages that wait for the group's thread. */
+constexpr std::uint64_t kMaxReceivedBytes = 16U << 20U;
 
 }
 
@@ -86,9 +93,16 @@
 void
 control_group::Receive(std::vector<raft_message> aMessages)
 {
+  std::uint64_t bytes = 0;
+  for (const raft_message& message : aMessages) {
+    bytes += PayloadBytes(message);
+  }
   std::lock_guard guard(mQueueLock);
   // Raft tolerates lost messages: senders repeat those that still matter.
-  if (!mIsStalled) {
+  bool hasRoom =
+    mReceivedBytes == 0 || mReceivedBytes + bytes <= kMaxReceivedBytes;
+  if (!mIsStalled && hasRoom) {
+    mReceivedBytes += bytes;
     mQueue.emplace_back(receive_event{ std::move(aMessages) });
     mQueueChanged.notify_one();
   }
@@ -137,12 +151,13 @@
     {
       std::unique_lock guard(mQueueLock);
       mQueueChanged.wait_until(guard, std::min(mNode.NextDue(), readsDue), [&] {
-        return !mQueue.empty() || mIsStopping;
+        return !mQueue.empty() || mIsStopping || mNode.HasUndelivered();
       });
       if (mIsStopping) {
         break;
       }
       events.swap(mQueue);
+      mReceivedBytes = 0;
     }
     steady_time now = mHooks.mSteadyNow();
     for (event& next : events) {
@@ -203,7 +218,13 @@
     aEvent.mCallback({ propose_status::Busy, {}, {} });
     return;
   }
-  auto appended = mNode.Propose(mHooks.mEncodeCommand(aEvent.mCommand), aNow);
+  std::string payload = mHooks.mEncodeCommand(aEvent.mCommand);
+  bool isLeading = mNode.Role() == raft_role::Leader;
+  if (isLeading && !CheckRoom(payload.size(), aNow)) {
+    aEvent.mCallback({ propose_status::Busy, {}, {} });
+    return;
+  }
+  auto appended = mNode.Propose(std::move(payload), aNow);
   if (!appended) {
     aEvent.mCallback({ propose_status::NotLeader, mNode.Leader().mHost, {} });
     return;
@@ -286,6 +307,7 @@
       }
     }
     mQueue = std::move(kept);
+    mReceivedBytes = 0;
   }
   {
     std::lock_guard guard(mStateLock);
@@ -319,6 +341,11 @@
         return false;
       }
     }
+    steady_time now = mHooks.mSteadyNow();
+    if (mState.Index() > mNode.Snapshot().mIndex && now >= mNextStoreAt) {
+      // A log that fills the disk gives way to a snapshot.
+      Compact(now);
+    }
     isWritten = aWrite();
   }
   {
@@ -366,6 +393,8 @@
     std::lock_guard guard(mStateLock);
     mState = std::move(mReceivedStates.at(aSnapshot.mIndex));
   }
+  // The received snapshot is on disk, and replaces one that is not.
+  mHasUnstoredSnapshot = false;
   mHooks.mOnStateReplaced(aSnapshot.mIndex);
   return true;
 }
@@ -531,19 +560,67 @@
   mNode.TransferLeadership({}, aNow);
 }
 
+log_usage
+control_group::LogUsage(steady_time aNow) const
+{
+  log_usage usage;
+  usage.mAppliedEntries = mState.Index() - mNode.Snapshot().mIndex;
+  usage.mMemoryBytes = mNode.LogBytes();
+  usage.mDiskBytes = mHooks.mLogBytesOnDisk ? mHooks.mLogBytesOnDisk() : 0;
+  usage.mSnapshotBytes = mNode.Snapshot().mState.size();
+  usage.mIsReplicated = mNode.IsReplicated(mState.Index(), aNow);
+  return usage;
+}
+
+bool
+control_group::CheckRoom(std::uint64_t aBytes, steady_time aNow)
+{
+  log_usage usage = LogUsage(aNow);
+  if (HasRoomFor(usage, mConfig.mLog, aBytes)) {
+    return true;
+  }
+  if (aNow >= mNextRefusalLogAt) {
+    mNextRefusalLogAt = aNow + kRefusalLogInterval;
+    log_event("proposal_refused", log_event::severity::Warning)
+      .Add("cause", "log_full")
+      .Add("bytes", aBytes)
+      .Add("log_bytes", std::max(usage.mMemoryBytes, usage.mDiskBytes))
+      .Add("max_log_bytes", mConfig.mLog.mMaxBytes);
+  }
+  return false;
+}
+
 void
 control_group::CompactIfDue()
 {
-  log_index applied = mState.Index();
-  if (applied < mNode.Snapshot().mIndex + mConfig.mSnapshotThreshold) {
+  // While entries are still delivered, the snapshot would be followed by a long
+  // log that has to be written with it.
+  if (mNode.HasUndelivered()) {
     return;
   }
-  mNode.Compact(applied, mHooks.mEncodeState(mState));
+  steady_time now = mHooks.mSteadyNow();
+  bool isDue = mHasUnstoredSnapshot
+                 ? now >= mNextStoreAt
+                 : IsCompactionDue(LogUsage(now), mConfig.mLog);
+  if (isDue) {
+    Compact(now);
+  }
+}
+
+void
+control_group::Compact(steady_time aNow)
+{
+  log_index applied = mState.Index();
+  if (applied > mNode.Snapshot().mIndex) {
+    mNode.Compact(applied, mHooks.mEncodeState(mState));
+  }
   // If storing fails, the log on disk still holds the same state.
-  bool isStored =
-    mHooks.mStoreSnapshot(mNode.Snapshot(), mNode.HardState(), mNode.Log());
-  log_event(isStored ? "snapshot_made" : "snapshot_not_stored")
-    .Add("index", applied);
+  mHasUnstoredSnapshot =
+    !mHooks.mStoreSnapshot(mNode.Snapshot(), mNode.HardState(), mNode.Log());
+  mNextStoreAt = aNow + kStoreRetryInterval;
+  log_event(mHasUnstoredSnapshot ? "snapshot_not_stored" : "snapshot_made")
+    .Add("index", applied)
+    .Add("bytes", mNode.Snapshot().mState.size());
 }
 
 void
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -2,6 +2,7 @@
 
 #include "core/failure.h"
 #include "decisions/control_state.h"
+#include "decisions/log_bounds.h"
 #include "decisions/raft_node.h"
 
 #include <condition_variable>
@@ -59,6 +60,8 @@
                      const raft_hard_state&,
                      const std::deque<raft_entry>&)>
     mStoreSnapshot;
+  /** Bytes of the log on disk; unset if there is no disk to fill. */
+  std::function<std::uint64_t()> mLogBytesOnDisk;
   std::function<void(std::vector<raft_message>)> mSend;
   /** Publishes the record changes of one applied entry. */
   std::function<void(log_index, std::vector<record_change>)> mPublish;
@@ -74,8 +77,7 @@
   raft_config mRaft;
   control_limits mLimits;
   failure_domain_id mFailureDomain;
-  /** Number of log entries after which the log is compacted. */
-  log_index mSnapshotThreshold = 4096;
+  log_limits mLog;
   /** Maximum number of queued events, and also of proposals in progress. */
   std::size_t mMaxPending = 20'000;
 };
@@ -163,6 +165,8 @@
   std::mutex mQueueLock;
   std::condition_variable mQueueChanged;
   std::vector<event> mQueue;
+  /** Bytes of the messages in the queue. */
+  std::uint64_t mReceivedBytes = 0;
   bool mIsStopping = false;
   /** The disk rejects writes: proposals and messages are not accepted. */
   bool mIsStalled = false;
@@ -186,6 +190,10 @@
   raft_peer_id mReadLeader;
   bool mIsLeader = false;
   steady_time mNextTransferAt;
+  /** The node has compacted its log, but the snapshot is not on disk yet. */
+  bool mHasUnstoredSnapshot = false;
+  steady_time mNextStoreAt;
+  steady_time mNextRefusalLogAt;
 
   control_group(control_group_config aConfig,
                 control_group_hooks aHooks,
@@ -218,7 +226,12 @@
   void FailPendingOnStop();
   void FailProposals();
   void TransferIfDomainOut(steady_time aNow);
+  [[nodiscard]] log_usage LogUsage(steady_time aNow) const;
+  /** True if the log has room for a command; logs when it has none. */
+  bool CheckRoom(std::uint64_t aBytes, steady_time aNow);
   void CompactIfDue();
+  /** Replaces the applied entries by a snapshot, in memory and on disk. */
+  void Compact(steady_time aNow);
   void UpdateStatus();
 
 public:
--- a/decisions/raft_members.cpp
+++ b/decisions/raft_members.cpp
@@ -59,7 +59,8 @@
 void
 raft_node::UpdatePeers()
 {
-  for (auto entry = mLog.rbegin(); entry != mLog.rend(); ++entry) {
+  const std::deque<raft_entry>& entries = mLog.Entries();
+  for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
     if (entry->mPeers) {
       mPeers = *entry->mPeers;
       mPeersIndex = entry->mIndex;
@@ -260,7 +261,8 @@
   if (mPeersIndex <= mCommit) {
     return mPeers;
   }
-  for (auto entry = mLog.rbegin(); entry != mLog.rend(); ++entry) {
+  const std::deque<raft_entry>& entries = mLog.Entries();
+  for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
     if (entry->mPeers && entry->mIndex <= mCommit) {
       return *entry->mPeers;
     }
--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/** Bytes of committed entries that one batch of actions delivers, unless a
+ * single entry is larger. */
+constexpr std::uint64_t kMaxDeliveredBytes = 4U << 20U;
+
 }
 
 result<raft_node, raft_error>
@@ -35,7 +39,7 @@
   , mRandom(mConfig.mSeed)
   , mHardState(std::move(aPersisted.mHardState))
   , mSnapshot(std::move(aPersisted.mSnapshot))
-  , mLog(aPersisted.mEntries.begin(), aPersisted.mEntries.end())
+  , mLog(std::move(aPersisted.mEntries))
   , mCommit(mSnapshot.mIndex)
   , mDeliveredIndex(mSnapshot.mIndex)
   , mHeartbeatDue(aNow)
@@ -100,7 +104,7 @@
     mFirstUnpersisted = aEntry.mIndex;
   }
   bool changesPeers = aEntry.mPeers.has_value();
-  mLog.push_back(std::move(aEntry));
+  mLog.Append(std::move(aEntry));
   if (changesPeers) {
     UpdatePeers();
   }
@@ -109,9 +113,11 @@
 void
 raft_node::DeliverCommitted()
 {
-  while (mDeliveredIndex < mCommit) {
+  std::uint64_t bytes = 0;
+  while (mDeliveredIndex < mCommit && bytes < kMaxDeliveredBytes) {
     ++mDeliveredIndex;
     mActions.mCommitted.push_back(EntryAt(mDeliveredIndex));
+    bytes += mActions.mCommitted.back().mPayload.size();
   }
 }
 
@@ -159,15 +165,31 @@
   snapshot.mTerm = TermAt(aIndex).value_or(0);
   snapshot.mState = std::move(aState);
   snapshot.mPeers = mSnapshot.mPeers;
-  while (!mLog.empty() && mLog.front().mIndex <= aIndex) {
-    if (mLog.front().mPeers) {
-      snapshot.mPeers = *mLog.front().mPeers;
+  while (!mLog.IsEmpty() && mLog.Entries().front().mIndex <= aIndex) {
+    const raft_entry& first = mLog.Entries().front();
+    if (first.mPeers) {
+      snapshot.mPeers = *first.mPeers;
     }
-    mLog.pop_front();
+    mLog.DropFirst();
   }
   mSnapshot = std::move(snapshot);
 }
 
+bool
+raft_node::IsReplicated(log_index aIndex, steady_time aNow) const
+{
+  if (mRole != raft_role::Leader) {
+    return true;
+  }
+  return std::all_of(
+    mProgress.begin(), mProgress.end(), [&](const auto& aPeer) {
+      const progress& state = aPeer.second;
+      bool isActive = aNow - state.mLastContact < mConfig.mElectionTimeout;
+      return aPeer.first == mConfig.mSelf || !isActive ||
+             state.mMatch >= aIndex;
+    });
+}
+
 void
 raft_node::RequestRead(std::uint64_t aToken)
 {
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/failure.h"
+#include "decisions/entry_log.h"
 #include "decisions/raft_types.h"
 
-#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -104,7 +104,7 @@
   std::mt19937_64 mRandom;
   raft_hard_state mHardState;
   raft_snapshot mSnapshot;
-  std::deque<raft_entry> mLog;
+  entry_log mLog;
   std::vector<raft_peer> mPeers;
   log_index mPeersIndex = 0;
   log_index mCommit = 0;
@@ -135,7 +135,7 @@
   [[nodiscard]] log_index FirstIndex() const { return mSnapshot.mIndex + 1; }
   [[nodiscard]] const raft_entry& EntryAt(log_index aIndex) const
   {
-    return mLog[aIndex - FirstIndex()];
+    return mLog.Entries()[aIndex - FirstIndex()];
   }
   [[nodiscard]] std::optional<raft_term> TermAt(log_index aIndex) const;
   [[nodiscard]] bool IsVoter(const raft_peer_id& aId) const;
@@ -241,14 +241,28 @@
   [[nodiscard]] log_index CommitIndex() const { return mCommit; }
   [[nodiscard]] log_index LastIndex() const
   {
-    return mSnapshot.mIndex + mLog.size();
+    return mSnapshot.mIndex + mLog.Count();
   }
   [[nodiscard]] const raft_snapshot& Snapshot() const { return mSnapshot; }
   /** This host and those that replied within the last election time-out. */
   [[nodiscard]] std::set<host_id> ActiveHosts(steady_time aNow) const;
   [[nodiscard]] std::uint64_t HeartbeatRound() const { return mRound; }
   /** The log after the snapshot. */
-  [[nodiscard]] const std::deque<raft_entry>& Log() const { return mLog; }
+  [[nodiscard]] const std::deque<raft_entry>& Log() const
+  {
+    return mLog.Entries();
+  }
+  /** Bytes of the payloads of the log after the snapshot. */
+  [[nodiscard]] std::uint64_t LogBytes() const { return mLog.Bytes(); }
+  /** Committed entries are left, since actions deliver a limited number of
+   * bytes at a time. */
+  [[nodiscard]] bool HasUndelivered() const
+  {
+    return mDeliveredIndex < mCommit;
+  }
+  /** False if this leader knows of a member that can be reached and lacks an
+   * entry up to this index. */
+  [[nodiscard]] bool IsReplicated(log_index aIndex, steady_time aNow) const;
 };
 
 }
--- a/decisions/raft_replication.cpp
+++ b/decisions/raft_replication.cpp
@@ -181,10 +181,10 @@
       continue;
     }
     while (LastIndex() >= entry.mIndex) {
-      hasNewPeers = hasNewPeers || mLog.back().mPeers.has_value();
-      mLog.pop_back();
+      hasNewPeers = hasNewPeers || mLog.Entries().back().mPeers.has_value();
+      mLog.DropLast();
     }
-    mLog.push_back(entry);
+    mLog.Append(entry);
     hasNewPeers = hasNewPeers || entry.mPeers.has_value();
     bool isFirst = mFirstUnpersisted == 0 || entry.mIndex < mFirstUnpersisted;
     mFirstUnpersisted = isFirst ? entry.mIndex : mFirstUnpersisted;
@@ -229,11 +229,12 @@
   if (received.mIndex > mCommit) {
     bool keepsLaterEntries = TermAt(received.mIndex) == received.mTerm;
     if (keepsLaterEntries) {
-      while (!mLog.empty() && mLog.front().mIndex <= received.mIndex) {
-        mLog.pop_front();
+      while (!mLog.IsEmpty() &&
+             mLog.Entries().front().mIndex <= received.mIndex) {
+        mLog.DropFirst();
       }
     } else {
-      mLog.clear();
+      mLog.Clear();
     }
     mSnapshot = received;
     mCommit = received.mIndex;
--- a/drivers/data_folder.cpp
+++ b/drivers/data_folder.cpp
@@ -89,6 +89,12 @@
   return ReadWholeFile(mPath / aName);
 }
 
+result<frame_reader, file_error>
+data_folder::OpenFrames(const std::string& aName) const
+{
+  return frame_reader::Open(mPath / aName);
+}
+
 result<int, file_error>
 data_folder::OpenForAppend(const std::string& aName) const
 {
--- a/drivers/data_folder.h
+++ b/drivers/data_folder.h
@@ -89,6 +89,9 @@
     const std::string& aName) const;
   [[nodiscard]] result<std::string, file_error> Read(
     const std::string& aName) const;
+  /** Opens a file to read it frame by frame. */
+  [[nodiscard]] result<frame_reader, file_error> OpenFrames(
+    const std::string& aName) const;
 
   /** Opens a file to append to it, and creates it if it is missing; returns
    * its descriptor, which the caller closes. */
--- a/drivers/raft_storage.cpp
+++ b/drivers/raft_storage.cpp
@@ -36,6 +36,31 @@
   return Fail(aCode, aPath.string() + ": " + std::strerror(errno));
 }
 
+/** A batch as it is written; `aFollowsSnapshot` is 0 if it replaces nothing. */
+template<typename entries>
+std::string
+EncodeBatch(const raft_hard_state* aHardState,
+            log_index aFollowsSnapshot,
+            const entries& aEntries)
+{
+  wire::DiskBatch head;
+  head.set_follows_snapshot(aFollowsSnapshot);
+  if (aHardState != nullptr) {
+    WriteHardState(*aHardState, *head.mutable_hard_state());
+  }
+  std::string bytes = StartFrame();
+  head.AppendToString(&bytes);
+  // Concatenated messages are one message with the fields of all, so only one
+  // entry is held twice.
+  for (const raft_entry& entry : aEntries) {
+    wire::DiskBatch one;
+    WriteEntry(entry, *one.add_entries());
+    one.AppendToString(&bytes);
+  }
+  SealFrame(bytes);
+  return bytes;
+}
+
 failure<storage_error>
 ToStorageError(const failure<file_error>& aCause)
 {
@@ -53,6 +78,7 @@
   , mSegmentFile(std::exchange(aOther.mSegmentFile, -1))
   , mSegmentNumber(aOther.mSegmentNumber)
   , mSegmentBytes(aOther.mSegmentBytes)
+  , mOlderBytes(aOther.mOlderBytes)
   , mHasTornTail(aOther.mHasTornTail)
   , mDiskId(std::move(aOther.mDiskId))
   , mPersisted(std::move(aOther.mPersisted))
@@ -154,13 +180,16 @@
     return boost::outcome_v2::success();
   }
   std::string name = SnapshotName(numbers.value().back());
-  auto bytes = mFolder.Read(name);
-  if (!bytes) {
-    return ToStorageError(bytes.error());
+  auto reader = mFolder.OpenFrames(name);
+  if (!reader) {
+    return ToStorageError(reader.error());
+  }
+  auto payload = reader.value().Next();
+  if (!payload) {
+    return ToStorageError(payload.error());
   }
-  auto read = ParseFrame(bytes.value(), 0);
   wire::Snapshot snapshot;
-  bool isValid = read && snapshot.ParseFromString(read->mPayload);
+  bool isValid = payload.value() && snapshot.ParseFromString(*payload.value());
   if (!isValid) {
     return Fail(storage_error::Corrupt,
                 (mFolder.Path() / name).string() + " at offset 0 is corrupt.");
@@ -217,13 +246,17 @@
   std::vector<std::uint64_t> numbers = std::move(found.value());
   for (auto number = numbers.end(); number != numbers.begin();) {
     --number;
-    auto bytes = mFolder.Read(SegmentName(*number));
-    if (!bytes) {
-      return ToStorageError(bytes.error());
+    auto reader = mFolder.OpenFrames(SegmentName(*number));
+    if (!reader) {
+      return ToStorageError(reader.error());
+    }
+    auto first = reader.value().Next();
+    if (!first) {
+      return ToStorageError(first.error());
     }
-    auto first = ParseFrame(bytes.value(), 0);
     wire::DiskBatch batch;
-    bool replacesOlder = first && batch.ParseFromString(first->mPayload) &&
+    bool replacesOlder = first.value() &&
+                         batch.ParseFromString(*first.value()) &&
                          batch.follows_snapshot() != 0;
     if (replacesOlder) {
       numbers.erase(numbers.begin(), number);
@@ -237,33 +270,53 @@
 raft_storage::LoadSegment(std::uint64_t aNumber, bool aIsLast)
 {
   std::string name = SegmentName(aNumber);
-  std::string path = (mFolder.Path() / name).string();
-  auto bytes = mFolder.Read(name);
-  if (!bytes) {
-    return ToStorageError(bytes.error());
-  }
-  std::size_t offset = 0;
-  while (offset < bytes.value().size()) {
-    auto found = ParseFrame(bytes.value(), offset);
-    if (found && ApplyBatch(found->mPayload)) {
-      offset = found->mEnd;
-      continue;
+  auto reader = mFolder.OpenFrames(name);
+  if (!reader) {
+    return ToStorageError(reader.error());
+  }
+  frame_reader& frames = reader.value();
+  while (!frames.IsAtEnd()) {
+    std::uint64_t offset = frames.Offset();
+    auto batch = frames.Next();
+    if (!batch) {
+      return ToStorageError(batch.error());
+    }
+    if (!batch.value()) {
+      return CutDamagedEnd(name, frames, aIsLast);
     }
-    // A batch is written only after the one before it was synced, so a damaged
-    // batch that none follows is the last one, which was never acknowledged.
-    if (!found && aIsLast && !HasFrameAfter(bytes.value(), offset)) {
-      log_event("torn_tail_cut", log_event::severity::Warning)
-        .Add("file", path)
-        .Add("offset", offset)
-        .Add("bytes", bytes.value().size() - offset);
-      auto resized = mFolder.Resize(name, offset);
-      if (!resized) {
-        return ToStorageError(resized.error());
-      }
-      return boost::outcome_v2::success();
+    if (!ApplyBatch(*batch.value())) {
+      return Fail(storage_error::Corrupt,
+                  (mFolder.Path() / name).string() + " at offset " +
+                    std::to_string(offset) + " is corrupt.");
     }
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void, storage_error>
+raft_storage::CutDamagedEnd(const std::string& aName,
+                            const frame_reader& aReader,
+                            bool aIsLast) const
+{
+  std::string path = (mFolder.Path() / aName).string();
+  auto hasFrameAhead = aReader.HasFrameAhead();
+  if (!hasFrameAhead) {
+    return ToStorageError(hasFrameAhead.error());
+  }
+  // A batch is written only after the one before it was synced, so a damaged
+  // batch that none follows is the last one, which was never acknowledged.
+  if (!aIsLast || hasFrameAhead.value()) {
     return Fail(storage_error::Corrupt,
-                path + " at offset " + std::to_string(offset) + " is corrupt.");
+                path + " at offset " + std::to_string(aReader.Offset()) +
+                  " is corrupt.");
+  }
+  log_event("torn_tail_cut", log_event::severity::Warning)
+    .Add("file", path)
+    .Add("offset", aReader.Offset())
+    .Add("bytes", aReader.Size() - aReader.Offset());
+  auto resized = mFolder.Resize(aName, aReader.Offset());
+  if (!resized) {
+    return ToStorageError(resized.error());
   }
   return boost::outcome_v2::success();
 }
@@ -279,8 +332,8 @@
     mPersisted.mHardState = ReadHardState(batch.hard_state());
   }
   auto& entries = mPersisted.mEntries;
-  for (const wire::Entry& wireEntry : batch.entries()) {
-    raft_entry entry = ReadEntry(wireEntry);
+  for (wire::Entry& wireEntry : *batch.mutable_entries()) {
+    raft_entry entry = TakeEntry(wireEntry);
     while (!entries.empty() && entries.back().mIndex >= entry.mIndex) {
       entries.pop_back();
     }
@@ -341,25 +394,25 @@
   mSegmentFile = file.value();
   ++mSegmentNumber;
   mSegmentBytes = 0;
+  CountOlderBytes();
   return boost::outcome_v2::success();
 }
 
 result<void, storage_error>
-raft_storage::WriteBatch(const std::string& aBatch)
+raft_storage::WriteBatch(const std::string& aFrame)
 {
   auto truncated = CutTornTail();
   if (!truncated) {
     return truncated.error();
   }
-  std::string bytes = MakeFrame(aBatch);
   mHasTornTail = true;
   auto written = mFolder.Append(
-    mSegmentFile, SegmentName(mSegmentNumber), mSegmentBytes, bytes);
+    mSegmentFile, SegmentName(mSegmentNumber), mSegmentBytes, aFrame);
   if (!written) {
     return ToStorageError(written.error());
   }
   mHasTornTail = false;
-  mSegmentBytes += bytes.size();
+  mSegmentBytes += aFrame.size();
   return boost::outcome_v2::success();
 }
 
@@ -369,14 +422,9 @@
   if (!aActions.mHardState && aActions.mAppend.empty()) {
     return boost::outcome_v2::success();
   }
-  wire::DiskBatch batch;
-  if (aActions.mHardState) {
-    WriteHardState(*aActions.mHardState, *batch.mutable_hard_state());
-  }
-  for (const raft_entry& entry : aActions.mAppend) {
-    WriteEntry(entry, *batch.add_entries());
-  }
-  return WriteBatch(batch.SerializeAsString());
+  const raft_hard_state* hardState =
+    aActions.mHardState ? &*aActions.mHardState : nullptr;
+  return WriteBatch(EncodeBatch(hardState, 0, aActions.mAppend));
 }
 
 result<void, storage_error>
@@ -384,10 +432,14 @@
                             const raft_hard_state& aHardState,
                             const std::deque<raft_entry>& aTail)
 {
-  wire::Snapshot snapshot;
-  WriteSnapshot(aSnapshot, snapshot);
-  auto replaced = mFolder.Replace(SnapshotName(aSnapshot.mIndex),
-                                  MakeFrame(snapshot.SerializeAsString()));
+  std::string bytes = StartFrame();
+  {
+    wire::Snapshot snapshot;
+    WriteSnapshot(aSnapshot, snapshot);
+    snapshot.AppendToString(&bytes);
+  }
+  SealFrame(bytes);
+  auto replaced = mFolder.Replace(SnapshotName(aSnapshot.mIndex), bytes);
   if (!replaced) {
     return ToStorageError(replaced.error());
   }
@@ -395,22 +447,35 @@
   if (!started) {
     return started.error();
   }
-  wire::DiskBatch batch;
-  batch.set_follows_snapshot(aSnapshot.mIndex);
-  WriteHardState(aHardState, *batch.mutable_hard_state());
-  for (const raft_entry& entry : aTail) {
-    WriteEntry(entry, *batch.add_entries());
-  }
-  auto written = WriteBatch(batch.SerializeAsString());
+  auto written = WriteBatch(EncodeBatch(&aHardState, aSnapshot.mIndex, aTail));
   if (!written) {
     return written.error();
   }
   // Only now do the new files hold everything that the old ones hold.
   RemoveBefore(kSegmentPrefix, mSegmentNumber);
   RemoveBefore(kSnapshotPrefix, aSnapshot.mIndex);
+  CountOlderBytes();
   return boost::outcome_v2::success();
 }
 
+void
+raft_storage::CountOlderBytes()
+{
+  mOlderBytes = 0;
+  auto numbers = mFolder.Numbers(kSegmentPrefix);
+  if (!numbers) {
+    log_event("log_not_counted", log_event::severity::Warning)
+      .Add("cause", numbers.error().mDetail);
+    return;
+  }
+  for (std::uint64_t number : numbers.value()) {
+    auto size = mFolder.Size(SegmentName(number));
+    if (size && number < mSegmentNumber) {
+      mOlderBytes += size.value();
+    }
+  }
+}
+
 void
 raft_storage::RemoveBefore(const std::string& aPrefix,
                            std::uint64_t aNumber) const
--- a/drivers/raft_storage.h
+++ b/drivers/raft_storage.h
@@ -43,6 +43,8 @@
   std::uint64_t mSegmentNumber = 0;
   /** Bytes of complete batches in the current segment. */
   std::uint64_t mSegmentBytes = 0;
+  /** Bytes of the segments before the current one. */
+  std::uint64_t mOlderBytes = 0;
   /** The current segment may end in an incomplete batch. */
   bool mHasTornTail = false;
   disk_id mDiskId;
@@ -66,10 +68,17 @@
   result<void, storage_error> LoadSegment(std::uint64_t aNumber, bool aIsLast);
   /** Applies a batch to `mPersisted`; false if it can't be decoded. */
   bool ApplyBatch(const std::string& aBatch);
+  /** Handles bytes that are not a complete frame, where a reader stopped. */
+  result<void, storage_error> CutDamagedEnd(const std::string& aName,
+                                            const frame_reader& aReader,
+                                            bool aIsLast) const;
   void LogOpened() const;
   result<void, storage_error> CutTornTail();
   result<void, storage_error> StartSegment();
-  result<void, storage_error> WriteBatch(const std::string& aBatch);
+  /** Writes a frame and syncs it. */
+  result<void, storage_error> WriteBatch(const std::string& aFrame);
+  /** Counts the bytes of the segments before the current one. */
+  void CountOlderBytes();
   /** Removes the files of a kind with lower numbers. */
   void RemoveBefore(const std::string& aPrefix, std::uint64_t aNumber) const;
 
@@ -93,6 +102,12 @@
   /** The folder's contents when it was opened; call it once. */
   raft_persistent_state TakePersisted() { return std::move(mPersisted); }
 
+  /** Bytes of all segments of the log. */
+  [[nodiscard]] std::uint64_t LogBytes() const
+  {
+    return mOlderBytes + mSegmentBytes;
+  }
+
   /** Writes and syncs the hard state and the entries of the actions. */
   result<void, storage_error> Persist(const raft_actions& aActions);
   /**
--- a/drivers/synced_file.cpp
+++ b/drivers/synced_file.cpp
@@ -36,6 +36,21 @@
   return XXH3_64bits(&aHeader, offsetof(frame_header, mHeaderHash));
 }
 
+/** The header at the start of these bytes, if it is valid. */
+std::optional<frame_header>
+ParseHeader(std::string_view aBytes)
+{
+  frame_header header;
+  if (aBytes.size() < sizeof header) {
+    return std::nullopt;
+  }
+  std::memcpy(&header, aBytes.data(), sizeof header);
+  bool isValid = header.mMagic == kMagic &&
+                 header.mHeaderHash == HashHeader(header) &&
+                 header.mLength <= kMaxPayloadBytes;
+  return isValid ? std::optional(header) : std::nullopt;
+}
+
 std::optional<std::uint64_t>
 NumberAfter(const std::string& aPrefix, const std::string& aName)
 {
@@ -155,38 +170,48 @@
 }
 
 std::string
-MakeFrame(const std::string& aPayload)
+StartFrame()
+{
+  return std::string(sizeof(frame_header), '\0');
+}
+
+void
+SealFrame(std::string& aFrame)
 {
+  std::string_view payload =
+    std::string_view(aFrame).substr(sizeof(frame_header));
   frame_header header;
-  header.mLength = static_cast<std::uint32_t>(aPayload.size());
-  header.mPayloadHash = XXH3_64bits(aPayload.data(), aPayload.size());
+  header.mLength = static_cast<std::uint32_t>(payload.size());
+  header.mPayloadHash = XXH3_64bits(payload.data(), payload.size());
   header.mHeaderHash = HashHeader(header);
-  std::string bytes(sizeof header, '\0');
-  std::memcpy(bytes.data(), &header, sizeof header);
-  return bytes + aPayload;
+  std::memcpy(aFrame.data(), &header, sizeof header);
+}
+
+std::string
+MakeFrame(const std::string& aPayload)
+{
+  std::string bytes = StartFrame();
+  bytes += aPayload;
+  SealFrame(bytes);
+  return bytes;
 }
 
 std::optional<frame>
 ParseFrame(const std::string& aBytes, std::size_t aOffset)
 {
-  frame_header header;
-  if (aBytes.size() < aOffset + sizeof header) {
-    return std::nullopt;
-  }
-  std::memcpy(&header, aBytes.data() + aOffset, sizeof header);
-  std::size_t start = aOffset + sizeof header;
-  bool isHeaderValid = header.mMagic == kMagic &&
-                       header.mHeaderHash == HashHeader(header) &&
-                       header.mLength <= kMaxPayloadBytes;
-  if (!isHeaderValid || aBytes.size() - start < header.mLength) {
+  std::string_view rest = std::string_view(aBytes).substr(aOffset);
+  auto header = ParseHeader(rest);
+  if (!header || rest.size() - sizeof *header < header->mLength) {
     return std::nullopt;
   }
+  std::size_t start = aOffset + sizeof *header;
   bool isPayloadValid =
-    XXH3_64bits(aBytes.data() + start, header.mLength) == header.mPayloadHash;
+    XXH3_64bits(aBytes.data() + start, header->mLength) == header->mPayloadHash;
   if (!isPayloadValid) {
     return std::nullopt;
   }
-  return frame{ aBytes.substr(start, header.mLength), start + header.mLength };
+  return frame{ aBytes.substr(start, header->mLength),
+                start + header->mLength };
 }
 
 bool
@@ -204,4 +229,99 @@
   return false;
 }
 
+frame_reader::frame_reader(frame_reader&& aOther) noexcept
+  : mPath(std::move(aOther.mPath))
+  , mFile(std::exchange(aOther.mFile, -1))
+  , mSize(aOther.mSize)
+  , mOffset(aOther.mOffset)
+{
+}
+
+frame_reader::~frame_reader()
+{
+  if (mFile >= 0) {
+    close(mFile);
+  }
+}
+
+result<frame_reader, file_error>
+frame_reader::Open(const std::filesystem::path& aPath)
+{
+  int file = open(aPath.c_str(), O_RDONLY | O_CLOEXEC);
+  if (file < 0) {
+    bool isMissing = errno == ENOENT;
+    return FailWithErrno(
+      isMissing ? file_error::NotFound : file_error::CannotRead, aPath);
+  }
+  frame_reader reader(aPath, file, 0);
+  off_t size = lseek(file, 0, SEEK_END);
+  if (size < 0) {
+    return FailWithErrno(file_error::CannotRead, aPath);
+  }
+  reader.mSize = static_cast<std::uint64_t>(size);
+  return reader;
+}
+
+result<std::string, file_error>
+frame_reader::ReadAt(std::uint64_t aOffset, std::uint64_t aBytes) const
+{
+  if (lseek(mFile, static_cast<off_t>(aOffset), SEEK_SET) < 0) {
+    return FailWithErrno(file_error::CannotRead, mPath);
+  }
+  std::string bytes(std::min(aBytes, mSize - std::min(mSize, aOffset)), '\0');
+  std::size_t total = 0;
+  while (total < bytes.size()) {
+    ssize_t count = read(mFile, bytes.data() + total, bytes.size() - total);
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count < 0) {
+      return FailWithErrno(file_error::CannotRead, mPath);
+    }
+    if (count == 0) {
+      break;
+    }
+    total += static_cast<std::size_t>(count);
+  }
+  bytes.resize(total);
+  return bytes;
+}
+
+result<std::optional<std::string>, file_error>
+frame_reader::Next()
+{
+  std::optional<std::string> payload;
+  auto head = ReadAt(mOffset, sizeof(frame_header));
+  if (!head) {
+    return head.error();
+  }
+  auto header = ParseHeader(head.value());
+  std::uint64_t start = mOffset + sizeof(frame_header);
+  if (!header || mSize - start < header->mLength) {
+    return payload;
+  }
+  auto bytes = ReadAt(start, header->mLength);
+  if (!bytes) {
+    return bytes.error();
+  }
+  bool isComplete = bytes.value().size() == header->mLength &&
+                    XXH3_64bits(bytes.value().data(), bytes.value().size()) ==
+                      header->mPayloadHash;
+  if (isComplete) {
+    mOffset = start + header->mLength;
+    payload = std::move(bytes.value());
+  }
+  return payload;
+}
+
+result<bool, file_error>
+frame_reader::HasFrameAhead() const
+{
+  auto rest = ReadAt(mOffset, mSize - mOffset);
+  if (!rest) {
+    return rest.error();
+  }
+  return HasFrameAfter(rest.value(), 0);
+}
+
 }
--- a/drivers/synced_file.h
+++ b/drivers/synced_file.h
@@ -59,6 +59,14 @@
 std::string
 MakeFrame(const std::string& aPayload);
 
+/** The beginning of a frame whose payload the caller appends. */
+std::string
+StartFrame();
+
+/** Completes a frame that `StartFrame` began; the payload is not copied. */
+void
+SealFrame(std::string& aFrame);
+
 /** Reads the frame at an offset; nothing if the bytes there are not one
  * complete frame. */
 std::optional<frame>
@@ -68,4 +76,46 @@
 bool
 HasFrameAfter(const std::string& aBytes, std::size_t aOffset);
 
+/** Reads a file one frame at a time, so that memory doesn't depend on the
+ * file's size. */
+class frame_reader
+{
+  std::filesystem::path mPath;
+  int mFile = -1;
+  std::uint64_t mSize = 0;
+  std::uint64_t mOffset = 0;
+
+  frame_reader(std::filesystem::path aPath, int aFile, std::uint64_t aSize)
+    : mPath(std::move(aPath))
+    , mFile(aFile)
+    , mSize(aSize)
+  {
+  }
+
+  /** Reads up to this many bytes from the offset on; fewer at the end. */
+  [[nodiscard]] result<std::string, file_error> ReadAt(
+    std::uint64_t aOffset,
+    std::uint64_t aBytes) const;
+
+public:
+  frame_reader(const frame_reader&) = delete;
+  frame_reader& operator=(const frame_reader&) = delete;
+  frame_reader(frame_reader&& aOther) noexcept;
+  frame_reader& operator=(frame_reader&&) = delete;
+  ~frame_reader();
+
+  static result<frame_reader, file_error> Open(
+    const std::filesystem::path& aPath);
+
+  /** The payload of the next frame; nothing, and the offset stays, at the end
+   * of the file and where the bytes are not one complete frame. */
+  result<std::optional<std::string>, file_error> Next();
+  /** True if a complete frame starts anywhere after the offset. */
+  [[nodiscard]] result<bool, file_error> HasFrameAhead() const;
+  /** Where the next frame begins. */
+  [[nodiscard]] std::uint64_t Offset() const { return mOffset; }
+  [[nodiscard]] std::uint64_t Size() const { return mSize; }
+  [[nodiscard]] bool IsAtEnd() const { return mOffset >= mSize; }
+};
+
 }
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -196,6 +196,7 @@
                                 const std::deque<raft_entry>& aTail) {
     return CheckWrite(mStorage.StoreSnapshot(aSnapshot, aHardState, aTail));
   };
+  hooks.mLogBytesOnDisk = [this] { return mStorage.LogBytes(); };
   hooks.mSend = [this](std::vector<raft_message> aMessages) {
     mTransport.Send(std::move(aMessages));
   };
@@ -252,8 +253,10 @@
   config.mLimits.mClaimRetention =
     std::chrono::hours(mSettings.mControlClaimHours);
   config.mFailureDomain.mValue = mSettings.mHostFailureDomain;
-  config.mSnapshotThreshold =
+  config.mLog.mMaxEntries =
     static_cast<log_index>(mSettings.mControlSnapshotThreshold);
+  config.mLog.mMaxBytes =
+    static_cast<std::uint64_t>(mSettings.mControlMaxLogBytes);
   auto group = control_group::Create(
     std::move(config), GroupHooks(), mStorage.TakePersisted(), SteadyNow());
   if (!group) {
--- a/messages/raft_codec.cpp
+++ b/messages/raft_codec.cpp
@@ -52,11 +52,18 @@
 
 raft_entry
 ReadEntry(const wire::Entry& aIn)
+{
+  wire::Entry copy = aIn;
+  return TakeEntry(copy);
+}
+
+raft_entry
+TakeEntry(wire::Entry& aIn)
 {
   raft_entry entry;
   entry.mTerm = aIn.term();
   entry.mIndex = aIn.index();
-  entry.mPayload = aIn.payload();
+  entry.mPayload = std::move(*aIn.mutable_payload());
   if (aIn.has_peers()) {
     entry.mPeers = ReadPeers(aIn.peers());
   }
--- a/messages/raft_codec.h
+++ b/messages/raft_codec.h
@@ -20,6 +20,9 @@
 WriteEntry(const raft_entry& aEntry, wire::Entry& aOut);
 raft_entry
 ReadEntry(const wire::Entry& aIn);
+/** Like `ReadEntry`, but moves the payload out of the entry. */
+raft_entry
+TakeEntry(wire::Entry& aIn);
 
 void
 WriteHardState(const raft_hard_state& aState, wire::HardState& aOut);
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -483,6 +483,15 @@
            16,
            10'000'000,
            "Number of log entries after which a snapshot replaces them."),
+    Number("control",
+           "max_log_bytes",
+           type::Bytes,
+           &settings::mControlMaxLogBytes,
+           8 * kMebibyte,
+           4096 * kMebibyte,
+           "Maximum size of the log since the latest snapshot, in memory and "
+           "on disk. A snapshot replaces it at a quarter to half of that; "
+           "changes that would exceed it are refused."),
     Number(
       "control",
       "most_claims",
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -127,6 +127,7 @@
   std::int64_t mControlEntryHostTimeoutMs = 3000;
   std::int64_t mControlOrphanTimeoutMs = 6000;
   std::int64_t mControlSnapshotThreshold = 4096;
+  std::int64_t mControlMaxLogBytes = 32 << 20;
   std::int64_t mControlMaxClaims = 200'000;
   std::int64_t mControlClaimHours = 48;
   std::int64_t mControlRefusalDays = 14;
--- a/tests/controllers/control_group_test.cpp
+++ b/tests/controllers/control_group_test.cpp
@@ -56,7 +56,7 @@
     config.mRaft.mElectionTimeout = milliseconds(40);
     raft_persistent_state persisted;
     persisted.mSnapshot.mPeers = mVoters;
-    config.mSnapshotThreshold = kSnapshotThreshold;
+    config.mLog.mMaxEntries = kSnapshotThreshold;
     mGroup = std::move(
       control_group::Create(std::move(config), Hooks(), persisted, mNow())
         .value());
