Drop orders whose callers no longer wait

Cause: each hop counted an order's time from when it read the order. One that had waited unread at a frozen host was proposed as new, after its operator had sent it to another host and given a later one.

Change: a caller that has closed is noticed before its request is handled; after a stall of the process orders are answered 503 for a second; a proposal names the leader's latest heartbeat round that its sender knows, by which the leader tells how long it was under way. Leave and the operator API have the same check.

--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -76,13 +76,14 @@
 void
 control_group::Propose(change_command aCommand,
                        propose_callback aCallback,
-                       steady_time aDeadline)
+                       steady_time aDeadline,
+                       std::optional<proposal_age> aAge)
 {
   {
     std::lock_guard guard(mQueueLock);
     if (!mIsStopping && !mIsStalled && mQueue.size() < mConfig.mMaxPending) {
-      mQueue.emplace_back(
-        propose_event{ std::move(aCommand), std::move(aCallback), aDeadline });
+      mQueue.emplace_back(propose_event{
+        std::move(aCommand), std::move(aCallback), aDeadline, aAge });
       mQueueChanged.notify_one();
       return;
     }
@@ -164,6 +165,9 @@
       std::visit([&](auto& aEvent) { Handle(aEvent, now); }, next);
     }
     mNode.Tick(now);
+    if (mNode.Role() == raft_role::Leader) {
+      mRounds.OnRound({ mNode.Term(), mNode.HeartbeatRound() }, ElapsedNow());
+    }
     TransferIfDomainOut(now);
     RetryReads(now);
     if (!ExecuteActions(mNode.TakeActions())) {
@@ -213,8 +217,7 @@
 {
   aEvent.mCommand.mProposedAt = mHooks.mWallNow();
   bool isFull = mProposals.size() >= mConfig.mMaxPending;
-  bool isLate = aNow >= aEvent.mDeadline;
-  if (isFull || isLate) {
+  if (isFull || IsOutdated(aEvent, aNow)) {
     aEvent.mCallback({ propose_status::Busy, {}, {} });
     return;
   }
@@ -233,6 +236,35 @@
                                           std::move(aEvent.mCallback) };
 }
 
+bool
+control_group::IsOutdated(const propose_event& aEvent, steady_time aNow) const
+{
+  if (aNow >= aEvent.mDeadline) {
+    return true;
+  }
+  // Only a leader knows how old its rounds are; other members refuse anyway.
+  bool isLeading = mNode.Role() == raft_role::Leader;
+  if (!aEvent.mAge || !isLeading) {
+    return false;
+  }
+  auto age = mRounds.AgeOf(aEvent.mAge->mHeard, ElapsedNow());
+  if (age && *age <= aEvent.mAge->mMax) {
+    return false;
+  }
+  log_event("proposal_outdated", log_event::severity::Warning)
+    .Add("term", aEvent.mAge->mHeard.mTerm)
+    .Add("round", aEvent.mAge->mHeard.mNumber)
+    .Add("age_ms", age ? age->count() : -1)
+    .Add("max_age_ms", aEvent.mAge->mMax.count());
+  return true;
+}
+
+steady_time
+control_group::ElapsedNow() const
+{
+  return mHooks.mElapsedNow ? mHooks.mElapsedNow() : mHooks.mSteadyNow();
+}
+
 void
 control_group::Handle(receive_event& aEvent, steady_time aNow)
 {
@@ -631,6 +663,7 @@
   mStatus.mRole = mNode.Role();
   mStatus.mTerm = mNode.Term();
   mStatus.mLeader = mNode.Leader().mHost;
+  mStatus.mRound = mNode.LatestRound();
   mStatus.mSelf = mNode.Self();
   mStatus.mCommit = mNode.CommitIndex();
   mStatus.mApplied = mState.Index();
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -4,6 +4,7 @@
 #include "decisions/control_state.h"
 #include "decisions/log_bounds.h"
 #include "decisions/raft_node.h"
+#include "decisions/round_history.h"
 
 #include <condition_variable>
 #include <functional>
@@ -40,12 +41,25 @@
 };
 
 using propose_callback = std::function<void(propose_result)>;
+
+/** How old a proposal may be that was sent by another control host. */
+struct proposal_age
+{
+  /** The latest round of the leader that the sender had heard of. */
+  leader_round mHeard;
+  /** The longest time from that round to the proposal's arrival. */
+  milliseconds mMax{ 0 };
+};
+
 using read_callback = std::function<void(log_index)>;
 
 /** Hooks into the layers above; called without a lock held. */
 struct control_group_hooks
 {
   std::function<steady_time()> mSteadyNow;
+  /** The steady time plus the time for which the machine was suspended; unset
+   * if it never is. */
+  std::function<steady_time()> mElapsedNow;
   std::function<wall_ms()> mWallNow;
   std::function<std::string(const change_command&)> mEncodeCommand;
   std::function<std::optional<change_command>(const std::string&)>
@@ -88,6 +102,8 @@
   raft_term mTerm = 0;
   host_id mLeader;
   raft_peer_id mSelf;
+  /** The leader's latest heartbeat round that this member knows of. */
+  std::uint64_t mRound = 0;
   log_index mCommit = 0;
   log_index mApplied = 0;
   std::vector<raft_peer> mPeers;
@@ -122,6 +138,7 @@
     change_command mCommand;
     propose_callback mCallback;
     steady_time mDeadline;
+    std::optional<proposal_age> mAge;
   };
   struct receive_event
   {
@@ -177,6 +194,7 @@
 
   // The members below are accessed only by the thread that runs the group.
   raft_node mNode;
+  round_history mRounds;
   std::map<log_index, pending_proposal> mProposals;
   std::map<std::uint64_t, pending_read> mPendingReads;
   /** Reads that wait until this member has applied the index. */
@@ -201,6 +219,10 @@
                 raft_node aNode);
 
   void Enqueue(event aEvent);
+  [[nodiscard]] steady_time ElapsedNow() const;
+  /** True if a proposal waited so long that its sender has given up. */
+  [[nodiscard]] bool IsOutdated(const propose_event& aEvent,
+                                steady_time aNow) const;
   void Handle(propose_event& aEvent, steady_time aNow);
   void Handle(receive_event& aEvent, steady_time aNow);
   void Handle(read_event& aEvent, steady_time aNow);
@@ -246,10 +268,14 @@
 
   /** Proposes a command; calls back once it is committed and applied. A command
    * that is still queued at the deadline, when its caller has given up, is
-   * `Busy`: work for nobody would delay all that is queued behind it. */
+   * `Busy`: work for nobody would delay all that is queued behind it, and an
+   * order that its operator has sent again elsewhere may undo a later one. The
+   * same holds for one from another control host that is older than `aAge`
+   * says. */
   void Propose(change_command aCommand,
                propose_callback aCallback,
-               steady_time aDeadline = steady_time::max());
+               steady_time aDeadline = steady_time::max(),
+               std::optional<proposal_age> aAge = std::nullopt);
   void Receive(std::vector<raft_message> aMessages);
   /** Linearizable read barrier: calls back once this host has applied all
    * entries that were committed before the call. */
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -120,6 +120,8 @@
   steady_time mLeaderSince;
   steady_time mJoinDue;
   steady_time mLeaderContactAt;
+  /** The latest heartbeat round of the leader that this member follows. */
+  std::uint64_t mHeardRound = 0;
   std::set<raft_peer_id> mGrantedVotes;
   std::map<raft_peer_id, progress> mProgress;
   std::uint64_t mRound = 0;
@@ -247,6 +249,12 @@
   /** This host and those that replied within the last election time-out. */
   [[nodiscard]] std::set<host_id> ActiveHosts(steady_time aNow) const;
   [[nodiscard]] std::uint64_t HeartbeatRound() const { return mRound; }
+  /** The latest heartbeat round of this leader, or of the leader that this
+   * member follows. */
+  [[nodiscard]] std::uint64_t LatestRound() const
+  {
+    return mRole == raft_role::Leader ? mRound : mHeardRound;
+  }
   /** The log after the snapshot. */
   [[nodiscard]] const std::deque<raft_entry>& Log() const
   {
--- a/decisions/raft_replication.cpp
+++ b/decisions/raft_replication.cpp
@@ -144,6 +144,7 @@
     BecomeFollower(aMessage.mTerm, aMessage.mFrom, aNow);
   }
   mLeaderContactAt = aNow;
+  mHeardRound = aMessage.mNumber;
   SetElectionDue(mConfig.mElectionTimeout, aNow);
 }
 
--- a/drivers/control_client.cpp
+++ b/drivers/control_client.cpp
@@ -3,6 +3,7 @@
 #include "core/log_event.h"
 #include "drivers/grpc_settings.h"
 #include "drivers/host_address.h"
+#include "drivers/suspended_time.h"
 #include "messages/control_codec.h"
 #include "messages/refusal_codec.h"
 
@@ -27,6 +28,9 @@
 
 constexpr milliseconds kStatusTimeout{ 1000 };
 constexpr milliseconds kRetryDelay{ 50 };
+/** Time from the beginning of a heartbeat round until a command that names it
+ * can be sent: the interval of the rounds and the way here. */
+constexpr milliseconds kRoundAge{ 300 };
 /** Maximum number of known control hosts, including those configured. */
 constexpr std::size_t kMaxHosts = 32;
 
@@ -48,6 +52,7 @@
 struct control_client::state
 {
   asio::any_io_executor mExecutor;
+  control_client_hooks mHooks;
   std::map<host_id, std::string> mAddresses;
   std::mutex mLock;
   std::map<host_id, std::shared_ptr<grpc::Channel>> mChannels;
@@ -176,9 +181,11 @@
 
 control_client
 control_client::Create(asio::any_io_executor aExecutor,
-                       std::map<host_id, std::string> aAddresses)
+                       std::map<host_id, std::string> aAddresses,
+                       control_client_hooks aHooks)
 {
   auto made = std::make_shared<state>();
+  made->mHooks = std::move(aHooks);
   made->mExecutor = std::move(aExecutor);
   made->mAddresses = std::move(aAddresses);
   return control_client(std::move(made));
@@ -229,6 +236,13 @@
   using call = unary_call<wire::ProposeRequest, wire::ProposeReply>;
   wire::ProposeRequest request;
   WriteCommand(aCommand, *request.mutable_command());
+  if (mState->mHooks.mLatestRound) {
+    leader_round heard = mState->mHooks.mLatestRound();
+    request.set_leader_term(heard.mTerm);
+    request.set_leader_round(heard.mNumber);
+    request.set_max_age_ms(
+      static_cast<std::uint64_t>((aTimeout + kRoundAge).count()));
+  }
   unary_start<wire::ProposeRequest, wire::ProposeReply> start =
     [](call& aCall, std::function<void(grpc::Status)> aDone) {
       aCall.mStub->async()->Propose(
@@ -256,9 +270,12 @@
 control_client::Propose(change_command aCommand, steady_time aDeadline)
 {
   asio::steady_timer retryTimer(co_await asio::this_coro::executor);
+  milliseconds suspendedBefore = SuspendedTime();
   for (std::size_t tries = 0;; ++tries) {
+    // The caller's time also passes while this machine is suspended.
     auto left = std::chrono::duration_cast<milliseconds>(
-      aDeadline - std::chrono::steady_clock::now());
+      aDeadline - std::chrono::steady_clock::now() -
+      (SuspendedTime() - suspendedBefore));
     if (left <= milliseconds(0)) {
       co_return Fail(
         control_client_error::NoLeader,
--- a/drivers/control_client.h
+++ b/drivers/control_client.h
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -30,6 +31,13 @@
     { control_client_error::Stopped, "stopped" },
   } };
 
+struct control_client_hooks
+{
+  /** The leader's latest heartbeat round that this control host knows of; unset
+   * on other hosts. */
+  std::function<leader_round()> mLatestRound;
+};
+
 /** Calls to the control hosts from any process of the system. */
 class control_client
 {
@@ -47,7 +55,8 @@
   /** `aAddresses` gives the `ip:port` of each control host; others, or all, may
    * be learned later. */
   static control_client Create(boost::asio::any_io_executor aExecutor,
-                               std::map<host_id, std::string> aAddresses);
+                               std::map<host_id, std::string> aAddresses,
+                               control_client_hooks aHooks = {});
 
   /**
    * Sends a command to the leader and retries across changes of leader. A
--- a/drivers/control_service.cpp
+++ b/drivers/control_service.cpp
@@ -254,6 +254,17 @@
     return mHooks.mSteadyNow() + std::min(left, longest);
   }
 
+  static std::optional<proposal_age> AgeOf(const wire::ProposeRequest& aRequest)
+  {
+    if (aRequest.leader_term() == 0) {
+      return std::nullopt;
+    }
+    auto max =
+      std::min<std::uint64_t>(aRequest.max_age_ms(), kMaxCallTime.count());
+    return proposal_age{ { aRequest.leader_term(), aRequest.leader_round() },
+                         milliseconds(static_cast<std::int64_t>(max)) };
+  }
+
   grpc::ServerUnaryReactor* Propose(grpc::CallbackServerContext* aContext,
                                     const wire::ProposeRequest* aRequest,
                                     wire::ProposeReply* aReply) override
@@ -274,7 +285,8 @@
         }
         reactor->Finish(grpc::Status::OK);
       },
-      DeadlineOf(*aContext));
+      DeadlineOf(*aContext),
+      AgeOf(*aRequest));
     return reactor;
   }
 
--- a/drivers/control_service.h
+++ b/drivers/control_service.h
@@ -38,8 +38,13 @@
   std::function<steady_time()> mSteadyNow;
   std::function<void(std::vector<raft_message>)> mReceiveMessages;
   std::function<probe_result()> mProbe;
-  /** Proposes a change for a caller that waits until a time. */
-  std::function<void(change_command, propose_callback, steady_time)> mPropose;
+  /** Proposes a change for a caller that waits until a time; the age limits a
+   * change that another control host sent. */
+  std::function<void(change_command,
+                     propose_callback,
+                     steady_time,
+                     std::optional<proposal_age>)>
+    mPropose;
   /** Opens the stream of a daemon that has all changes up to an index; calls
    * back when `mNextMessage` has a message. */
   std::function<stream_id(entry_host_record, log_index, std::function<void()>)>
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -77,6 +77,18 @@
   return http_read_error::Malformed;
 }
 
+/** True if the peer has closed its side and all that it sent was read. */
+bool
+HasPeerClosed(tcp::socket& aSocket)
+{
+  char byte = 0;
+  ssize_t got =
+    recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  bool isOpen =
+    got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+  return !isOpen;
+}
+
 /** True if the peer has disconnected, so that it can't receive a response. */
 bool
 IsDisconnected(beast::error_code aError)
@@ -269,24 +281,19 @@
     co_return progress->mHasTimedOut ? beast::error::timeout : error;
   }
 
-  /** Detects that the caller disconnects while its request is active. */
+  /** Detects that the caller disconnects while its request is active, or that
+   * it had done so before the request was read. */
   static void WatchForDisconnect(
     const std::shared_ptr<http_connection>& aConnection)
   {
-    auto& socket = aConnection->mStream.socket();
-    socket.async_wait(
+    if (HasPeerClosed(aConnection->mStream.socket())) {
+      aConnection->mCaller->Disconnect();
+      return;
+    }
+    aConnection->mStream.socket().async_wait(
       tcp::socket::wait_read,
       [aConnection, caller = aConnection->mCaller](beast::error_code aError) {
-        if (aError) {
-          return;
-        }
-        auto& socket = aConnection->mStream.socket();
-        char byte = 0;
-        ssize_t got =
-          recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        bool hasMore =
-          got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
-        if (!hasMore) {
+        if (!aError && HasPeerClosed(aConnection->mStream.socket())) {
           caller->Disconnect();
         }
       });
--- a/drivers/operator_api.cpp
+++ b/drivers/operator_api.cpp
@@ -206,6 +206,20 @@
   if (headerError) {
     co_return std::move(*headerError);
   }
+  bool isCallerGone =
+    aRequest.mCaller != nullptr && aRequest.mCaller->mIsDisconnected;
+  auto arrivedAt = aHooks.mEarliestArrival();
+  if (isCallerGone || !arrivedAt) {
+    // The operator may have sent the change again to another host, and another
+    // one after it, which this one must not undo.
+    log_event("order_dropped", log_event::severity::Warning)
+      .Add("path", aRequest.mPath)
+      .Add("cause", isCallerGone ? "caller_gone" : "may_be_outdated");
+    co_return ErrorResponse(
+      503,
+      "outdated",
+      "The change may have waited for too long and was not made.");
+  }
   auto parsed = ParseChange(aPath, aRequest);
   if (!parsed) {
     co_return ErrorResponse(
@@ -217,8 +231,8 @@
   }
   command.mChanges.push_back(std::move(parsed.value()));
   change_id changeId = command.mChangeId;
-  auto outcomes = co_await aHooks.mPropose(std::move(command),
-                                           aHooks.mNow() + kChangeTimeout);
+  auto outcomes =
+    co_await aHooks.mPropose(std::move(command), *arrivedAt + kChangeTimeout);
   if (!outcomes || outcomes.value().size() != 1) {
     co_return ErrorResponse(
       503,
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -35,6 +35,11 @@
 /** Connections of servers and operators; leaves descriptors for the other
  * control hosts and the daemons. */
 constexpr std::size_t kMaxPlatformConnections = 2048;
+/** Time from an order's arrival until which it may be proposed. With the age
+ * that a proposal may have at the leader, it is below the second after which
+ * callers send an order again to another host. */
+constexpr milliseconds kOrderTimeout{ 600 };
+constexpr milliseconds kTickInterval{ 100 };
 /** Time limit for a change that this host proposes itself. */
 constexpr milliseconds kSystemChangeTimeout{ 2000 };
 
@@ -106,6 +111,7 @@
                   milliseconds(mSettings.mControlEntryHostTimeoutMs),
                   milliseconds(mSettings.mControlOrphanTimeoutMs) },
                 SteadyNow())
+  , mStalls({}, ElapsedNow())
 {
 }
 
@@ -125,12 +131,18 @@
   // A host reaches itself without being told of any other.
   auto hosts = ControlHosts(aSettings);
   hosts.emplace(host_id{ aSettings.mHostId }, aSettings.mControlAddress);
+  // Set once the role, whose group the hook asks, has been created.
+  auto latestRound = std::make_shared<std::function<leader_round()>>();
+  control_client_hooks clientHooks;
+  clientHooks.mLatestRound = [latestRound] { return (*latestRound)(); };
   std::unique_ptr<control_role> role(new control_role(
     aContext,
     aSettings,
     std::move(storage.value()),
     std::move(refusals.value()),
-    control_client::Create(aContext.get_executor(), std::move(hosts))));
+    control_client::Create(
+      aContext.get_executor(), std::move(hosts), std::move(clientHooks))));
+  *latestRound = [made = role.get()] { return made->LatestRound(); };
   auto group = role->SetUpGroup();
   if (!group) {
     return group.error();
@@ -175,6 +187,7 @@
   limits.mClaimRetention = std::chrono::hours(mSettings.mControlClaimHours);
   control_group_hooks hooks;
   hooks.mSteadyNow = SteadyNow;
+  hooks.mElapsedNow = ElapsedNow;
   hooks.mWallNow = WallNow;
   hooks.mEncodeCommand = EncodeCommand;
   hooks.mDecodeCommand =
@@ -291,8 +304,9 @@
   };
   hooks.mPropose = [this](change_command aCommand,
                           propose_callback aCallback,
-                          steady_time aDeadline) {
-    mGroup->Propose(std::move(aCommand), std::move(aCallback), aDeadline);
+                          steady_time aDeadline,
+                          std::optional<proposal_age> aAge) {
+    mGroup->Propose(std::move(aCommand), std::move(aCallback), aDeadline, aAge);
   };
   hooks.mOpenStream = [this](entry_host_record aHost,
                              log_index aAppliedIndex,
@@ -351,6 +365,7 @@
   hooks.mRefusals = [this](wall_ms aFrom) {
     return mClient.ReadRefusals(aFrom);
   };
+  hooks.mEarliestArrival = [this] { return EarliestArrival(); };
   hooks.mNewChangeId = [this] {
     return change_id{ mSettings.mHostId + "-" + RandomHex(2) + "-" +
                       std::to_string(mNextChangeNumber++) };
@@ -371,6 +386,8 @@
 void
 control_role::StartPeriodicTasks()
 {
+  RunPeriodically(
+    mContext, "stalls", kTickInterval, mIsStopping, [this] { return Tick(); });
   RunPeriodically(
     mContext, "bootstrap", kBootstrapInterval, mIsStopping, [this] {
       return BootstrapGroup();
@@ -493,6 +510,31 @@
   }
 }
 
+asio::awaitable<void>
+control_role::Tick()
+{
+  mStalls.OnTick(ElapsedNow());
+  co_return;
+}
+
+leader_round
+control_role::LatestRound() const
+{
+  control_group_status status = mGroup->Status();
+  return { status.mTerm, status.mRound };
+}
+
+std::optional<steady_time>
+control_role::EarliestArrival()
+{
+  steady_time elapsed = ElapsedNow();
+  auto arrivedAt = mStalls.EarliestArrival(elapsed);
+  if (!arrivedAt) {
+    return std::nullopt;
+  }
+  return SteadyNow() - (elapsed - *arrivedAt);
+}
+
 asio::awaitable<bool>
 control_role::ConfirmRead(steady_time aDeadline)
 {
@@ -598,6 +640,13 @@
     return Client().ProposeOne(
       std::move(aChange), std::nullopt, SteadyNow() + kPlatformTimeout);
   };
+  hooks.mOrderDeadline = [this]() -> std::optional<steady_time> {
+    auto arrivedAt = EarliestArrival();
+    return arrivedAt ? std::optional(*arrivedAt + kOrderTimeout) : std::nullopt;
+  };
+  hooks.mProposeOrder = [this](record_change aChange, steady_time aDeadline) {
+    return Client().ProposeOne(std::move(aChange), std::nullopt, aDeadline);
+  };
   hooks.mReadDocument =
     [this]() -> asio::awaitable<std::optional<std::optional<std::string>>> {
     std::optional<std::optional<std::string>> document;
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "controllers/control_group.h"
+#include "controllers/stall_controller.h"
 #include "controllers/watch_hub.h"
 #include "decisions/membership.h"
 #include "drivers/control_client.h"
@@ -46,6 +47,8 @@
   server_lease_manager mServerLeases;
   condition_waiter mStopWaiter;
   membership mMembership;
+  /** Tells how long requests may have waited unread. */
+  stall_controller mStalls;
   std::thread mGroupThread;
   std::atomic<bool> mIsStopping{ false };
   std::atomic<std::uint64_t> mNextChangeNumber{ 1 };
@@ -62,6 +65,11 @@
   result<void, role_error> SetUpPlatform();
   server_lease_hooks ServerLeaseHooks();
   platform::control_api_hooks PlatformHooks();
+  /** The leader's latest heartbeat round, as this host knows it. */
+  [[nodiscard]] leader_round LatestRound() const;
+  /** The earliest time, by the steady clock, at which a request may have
+   * arrived that is read now; nothing if that may be before a stall. */
+  std::optional<steady_time> EarliestArrival();
   boost::asio::awaitable<bool> ConfirmRead(steady_time aDeadline);
   /** The source text of the active configuration, if there is one. */
   [[nodiscard]] std::optional<std::string> ConfigurationDocument() const;
@@ -72,6 +80,7 @@
   bool CheckWrite(const result<void, storage_error>& aResult);
   control_group_hooks GroupHooks();
   watch_hub_hooks HubHooks();
+  boost::asio::awaitable<void> Tick();
   boost::asio::awaitable<void> BootstrapGroup();
   boost::asio::awaitable<void> UpdateMembership();
   /** Asks members for their failure domains, until they are known. */
--- a/main/role_support.cpp
+++ b/main/role_support.cpp
@@ -1,6 +1,7 @@
 #include "main/role_support.h"
 
 #include "core/address.h"
+#include "drivers/suspended_time.h"
 
 #include <random>
 
@@ -18,6 +19,12 @@
   return std::chrono::steady_clock::now();
 }
 
+steady_time
+ElapsedNow()
+{
+  return SteadyNow() + SuspendedTime();
+}
+
 std::map<host_id, std::string>
 ToHostMap(const host_address_map& aAddresses)
 {
--- a/main/role_support.h
+++ b/main/role_support.h
@@ -20,6 +20,10 @@
 steady_time
 SteadyNow();
 
+/** The steady time plus the time for which the machine was suspended. */
+steady_time
+ElapsedNow();
+
 /** Converts host addresses from the settings to a map by host id. */
 std::map<host_id, std::string>
 ToHostMap(const host_address_map& aAddresses);
--- a/tests/controllers/control_group_test.cpp
+++ b/tests/controllers/control_group_test.cpp
@@ -409,3 +409,34 @@
   LONGS_EQUAL(0, group.mGroup->Status().mApplied);
   CHECK(group.mStoredTails.empty());
 }
+
+// Guards against orders that undo later ones: a proposal that waited on its way
+// from another control host was appended whenever it arrived.
+TEST(control_group, AProposalOlderThanItsSenderWaitsIsRefused)
+{
+  running_group group({ "a" }, [] { return std::chrono::steady_clock::now(); });
+  CHECK(running_group::WaitUntil([&] { return group.mGroup->KnowsLeader(); }));
+  CHECK(running_group::WaitUntil(
+    [&] { return group.mGroup->Status().mRound > 0; }));
+  control_group_status status = group.mGroup->Status();
+  leader_round heard{ status.mTerm, status.mRound };
+  auto propose = [&](leader_round aHeard, milliseconds aMax) {
+    auto promise = std::make_shared<std::promise<propose_status>>();
+    group.mGroup->Propose(
+      {},
+      [promise](const propose_result& aResult) {
+        promise->set_value(aResult.mStatus);
+      },
+      steady_time::max(),
+      proposal_age{ aHeard, aMax });
+    auto future = promise->get_future();
+    CHECK(future.wait_for(kReactionTimeout) == std::future_status::ready);
+    return future.get();
+  };
+  CHECK(propose(heard, milliseconds(60'000)) == propose_status::Applied);
+  std::this_thread::sleep_for(milliseconds(50));
+  CHECK(propose(heard, milliseconds(20)) == propose_status::Busy);
+  // A round of another leader.
+  CHECK(propose({ heard.mTerm + 1, 1 }, milliseconds(60'000)) ==
+        propose_status::Busy);
+}
--- a/tests/integration/control_side_test.cpp
+++ b/tests/integration/control_side_test.cpp
@@ -1,5 +1,10 @@
+#include "core/address.h"
 #include "tests/integration/test_system.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
 #include <atomic>
 #include <csignal>
 #include <fstream>
@@ -380,3 +385,63 @@
   }));
   LONGS_EQUAL(200, put("after").mStatus);
 }
+
+namespace {
+
+/** Sends an order and closes the connection after a second without having read
+ * a response. */
+void
+SendAndGiveUp(const std::string& aAddress, const std::string& aBody)
+{
+  auto address = hibiscusspool::ParseAddress(aAddress);
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  boost::system::error_code error;
+  socket.connect(
+    { boost::asio::ip::make_address(address->mIp), address->mPort }, error);
+  std::string bytes = "PUT /v1/failure-domains/b HTTP/1.1\r\nHost: a\r\n"
+                      "Content-Length: " +
+                      std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  boost::asio::write(socket, boost::asio::buffer(bytes), error);
+  std::this_thread::sleep_for(milliseconds(1000));
+}
+
+}
+
+// Guards against orders that undo later ones: an order that waited unread at a
+// frozen control host was carried out when the host went on, after its operator
+// had sent it to another host and then given a later order.
+TEST(control_side, AnOrderThatWaitedAtAFrozenHostDoesNotUndoALaterOne)
+{
+  const std::string out = R"({"state":"out"})";
+  const std::string in = R"({"state":"in"})";
+  test_system system({});
+  system.StartAll();
+  for (bool freezesLeader : { false, true }) {
+    LONGS_EQUAL(200, system.Put("/v1/failure-domains/b", out).mStatus);
+    std::string leader = system.Leader();
+    std::string follower = leader == "c1" ? "c2" : "c1";
+    std::string frozen = freezesLeader ? leader : follower;
+    std::string other = frozen == "c3" ? "c2" : "c3";
+    system.Signal(frozen, SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(300));
+    SendAndGiveUp(system.OperatorsAddress(frozen), in);
+    auto put = [&](const std::string& aBody) {
+      return WaitFor([&] {
+        return Call("PUT",
+                    system.OperatorsAddress(other),
+                    "/v1/failure-domains/b",
+                    aBody)
+                 .mStatus == 200;
+      });
+    };
+    CHECK(put(in));
+    CHECK(put(out));
+    system.Signal(frozen, SIGCONT);
+    std::this_thread::sleep_for(milliseconds(3000));
+    auto read =
+      Call("GET", system.OperatorsAddress(other), "/v1/failure-domains/b");
+    LONGS_EQUAL(200, read.mStatus);
+    STRCMP_EQUAL("out", read.Text("state").c_str());
+  }
+}
