Refuse forwarded requests that crash servers

Cause: only the product's own interface counts crashes. A forwarded request that lost its server was retried like after any other failure, on every host, each time it came again.

Change: an entry host that loses a connection looks whether the server has ended; if so, the request is suspected unless some host answered the same one of late. The control group counts incidents that are apart in time, so that servers that end together count once; after three, every host refuses the request. Any complete answer ends the suspicion.

--- a/controllers/catalog_controller.cpp
+++ b/controllers/catalog_controller.cpp
@@ -248,6 +248,17 @@
   return mPolicies.Get(aTeam);
 }
 
+std::vector<fingerprint_id>
+catalog_controller::QuarantinedRequests() const
+{
+  std::vector<fingerprint_id> requests;
+  mQuarantine.ForEach(
+    [&](const fingerprint_id& aRequest, const quarantine_record& /*aRecord*/) {
+      requests.push_back(aRequest);
+    });
+  return requests;
+}
+
 std::optional<quarantine_record>
 catalog_controller::Quarantine(const fingerprint_id& aFingerprint) const
 {
--- a/controllers/catalog_controller.h
+++ b/controllers/catalog_controller.h
@@ -85,6 +85,8 @@
   [[nodiscard]] log_index Index() const { return mIndex; }
   [[nodiscard]] std::optional<versioned_policy> Team(
     const team_id& aTeam) const;
+  /** The requests that have a quarantine record. */
+  [[nodiscard]] std::vector<fingerprint_id> QuarantinedRequests() const;
   [[nodiscard]] std::optional<quarantine_record> Quarantine(
     const fingerprint_id& aFingerprint) const;
   [[nodiscard]] std::vector<entry_host_record> EntryHosts() const;
--- a/controllers/fingerprint_controller.h
+++ b/controllers/fingerprint_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/ids.h"
 #include "core/sharded_map.h"
 
@@ -8,14 +9,14 @@
 namespace hibiscusspool {
 
 /**
- * Fingerprints of requests that a server has answered without crashing; these
- * need no canary again. All are discarded when the maximum is reached.
+ * Fingerprints of requests that a server has answered without crashing, and
+ * when it last did. All are discarded when the maximum is reached.
  */
 class fingerprint_controller
 {
   std::size_t mMaxFingerprints;
   std::atomic<std::size_t> mCount{ 0 };
-  sharded_map<fingerprint_id, bool> mHarmless;
+  sharded_map<fingerprint_id, steady_time> mHarmless;
 
 public:
   explicit fingerprint_controller(std::size_t aMaxFingerprints)
@@ -28,14 +29,25 @@
     return mHarmless.Get(aFingerprint).has_value();
   }
 
-  void SetHarmless(const fingerprint_id& aFingerprint)
+  /** True if a server has answered the request since then. */
+  [[nodiscard]] bool WasAnsweredSince(const fingerprint_id& aFingerprint,
+                                      steady_time aTime) const
+  {
+    auto answeredAt = mHarmless.Get(aFingerprint);
+    return answeredAt && *answeredAt >= aTime;
+  }
+
+  void SetHarmless(const fingerprint_id& aFingerprint, steady_time aNow)
   {
     if (mCount >= mMaxFingerprints) {
-      mHarmless.EraseIf([](const auto&, bool) { return true; });
+      mHarmless.EraseIf([](const auto&, steady_time) { return true; });
       mCount = 0;
     }
-    mHarmless.Set(aFingerprint, true);
-    ++mCount;
+    mHarmless.Update(aFingerprint, [&](steady_time& aAnsweredAt) {
+      bool isNew = aAnsweredAt == steady_time{};
+      mCount += isNew ? 1 : 0;
+      aAnsweredAt = aNow;
+    });
   }
 
   void SetHarmful(const fingerprint_id& aFingerprint)
--- a/decisions/control_state.cpp
+++ b/decisions/control_state.cpp
@@ -132,6 +132,9 @@
                    const std::optional<log_index>& /*aIfVersion*/,
                    change_effects& aEffects)
 {
+  if (aProposed.mIncidents > 0) {
+    return PutIncident(aProposed, aEffects);
+  }
   auto found = mQuarantine.find(aProposed.mFingerprint);
   bool isTrial = aProposed.mCrashedServers.empty();
   if (isTrial && aProposed.mTrials.empty()) {
@@ -180,6 +183,29 @@
   return Accept(mIndex);
 }
 
+change_outcome
+control_state::PutIncident(const quarantine_record& aProposed,
+                           change_effects& aEffects)
+{
+  quarantine_record& stored = mQuarantine[aProposed.mFingerprint];
+  stored.mFingerprint = aProposed.mFingerprint;
+  bool isKnown = stored.mIncidents > 0 &&
+                 mTime < stored.mIncidentAt + mLimits.mIncidentGap.count();
+  if (isKnown) {
+    return Accept(stored.mVersion);
+  }
+  stored.mIncidents =
+    std::min(stored.mIncidents + 1, quarantine_record::kMaxIncidents);
+  stored.mIncidentAt = mTime;
+  stored.mVersion = mIndex;
+  milliseconds duration = stored.IsForwardRefused()
+                            ? mLimits.mForwardQuarantineDuration
+                            : mLimits.mSuspicionDuration;
+  stored.mUntil = mTime + duration.count();
+  aEffects.mRecordChanges.emplace_back(stored);
+  return Accept(mIndex);
+}
+
 change_outcome
 control_state::Put(const configuration_record& aProposed,
                    const std::optional<log_index>& /*aIfVersion*/,
@@ -315,8 +341,24 @@
     mEvaluationOrder.pop_front();
   }
   ExpireGoneServers(aEffects);
+  ExpireQuarantine(aEffects);
+}
+
+void
+control_state::ExpireQuarantine(change_effects& aEffects)
+{
   for (auto entry = mQuarantine.begin(); entry != mQuarantine.end();) {
-    if (entry->second.mUntil >= mTime) {
+    quarantine_record& record = entry->second;
+    if (record.mUntil >= mTime) {
+      ++entry;
+      continue;
+    }
+    if (record.IsForwardRefused()) {
+      // The servers may have been mended, so that one more run is tried.
+      --record.mIncidents;
+      record.mUntil = mTime + mLimits.mForwardQuarantineDuration.count();
+      record.mVersion = mIndex;
+      aEffects.mRecordChanges.emplace_back(record);
       ++entry;
       continue;
     }
--- a/decisions/control_state.h
+++ b/decisions/control_state.h
@@ -21,6 +21,14 @@
   std::size_t mMaxChangeIds = 20'000;
   milliseconds mChangeIdRetention = std::chrono::hours(24 * 7);
   milliseconds mQuarantineDuration = std::chrono::minutes(30);
+  /** How long a forwarded request is refused after its last incident; then one
+   * more incident suffices. */
+  milliseconds mForwardQuarantineDuration = std::chrono::minutes(10);
+  /** How long a forwarded request is suspected after an incident. */
+  milliseconds mSuspicionDuration = std::chrono::minutes(1);
+  /** Crashes that are reported within this time count as one incident, since
+   * many servers may end at once for another cause. */
+  milliseconds mIncidentGap{ 500 };
   /**
    * How long the record of a gone server is kept, so that a server that
    * returns in the same incarnation is not treated as a new one while hosts may
@@ -89,6 +97,9 @@
   change_outcome Put(const quarantine_record& aProposed,
                      const std::optional<log_index>& aIfVersion,
                      change_effects& aEffects);
+  /** Counts an incident of a forwarded request. */
+  change_outcome PutIncident(const quarantine_record& aProposed,
+                             change_effects& aEffects);
   change_outcome Put(const claim_record& aProposed,
                      const std::optional<log_index>& aIfVersion,
                      change_effects& aEffects);
@@ -112,6 +123,7 @@
               change_effects& aEffects);
   void RetireServer(server_record& aServer, change_effects& aEffects);
   void ExpireGoneServers(change_effects& aEffects);
+  void ExpireQuarantine(change_effects& aEffects);
   void Expire(change_effects& aEffects);
   void ExpireClaims(std::deque<std::pair<wall_ms, std::string>>& aSettled,
                     milliseconds aRetention);
--- a/decisions/records.h
+++ b/decisions/records.h
@@ -174,6 +174,21 @@
   /** Ids of the permitted trials for which no crash was reported. */
   std::vector<std::string> mTrials;
   wall_ms mUntil = 0;
+  /** Crashes, apart in time, that a forwarded request had in common; in a
+   * proposal, 1 for one more. */
+  std::uint32_t mIncidents = 0;
+  /** When the latest incident was recorded. */
+  wall_ms mIncidentAt = 0;
+
+  /** Incidents after which no host runs a forwarded request. */
+  static constexpr std::uint32_t kMaxIncidents = 3;
+
+  /** True for a forwarded request that is not run; otherwise the record of one
+   * is a suspicion. */
+  [[nodiscard]] bool IsForwardRefused() const
+  {
+    return mIncidents >= kMaxIncidents;
+  }
 
   bool operator==(const quarantine_record&) const = default;
 };
--- a/filters/identify.cpp
+++ b/filters/identify.cpp
@@ -1,31 +1,13 @@
 #include "filters/identify.h"
 
-#include <algorithm>
+#include "filters/fingerprint.h"
 
-#include <xxhash.h>
+#include <algorithm>
 
 namespace hibiscusspool {
 
 namespace {
 
-fingerprint_id
-FingerprintOf(const request_context& aRequest)
-{
-  XXH128_hash_t hash =
-    XXH3_128bits_withSeed(aRequest.mBody->data(),
-                          aRequest.mBody->size(),
-                          static_cast<XXH64_hash_t>(aRequest.mKind));
-  XXH128_canonical_t canonical;
-  XXH128_canonicalFromHash(&canonical, hash);
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string text;
-  for (unsigned char byte : canonical.digest) {
-    text += kDigits[byte >> 4U];
-    text += kDigits[byte & 15U];
-  }
-  return fingerprint_id{ text };
-}
-
 void
 Identify(const identify_hooks& aHooks, request_context& aRequest)
 {
@@ -56,7 +38,8 @@
     wait = std::min(wait, *aRequest.mCallerTimeout);
   }
   aRequest.mDeadline = aRequest.mReceivedAt + wait;
-  aRequest.mFingerprint = FingerprintOf(aRequest);
+  aRequest.mFingerprint =
+    FingerprintOf(*aRequest.mBody, static_cast<std::uint64_t>(aRequest.mKind));
   bool isRun = aRequest.mKind == request_kind::Run;
   if (!isRun) {
     aRequest.mServices = aRequest.mPolicy.mServices;
--- a/filters/quarantine.cpp
+++ b/filters/quarantine.cpp
@@ -9,6 +9,9 @@
 boost::asio::awaitable<void>
 CheckQuarantine(const quarantine_hooks& aHooks, request_context& aRequest)
 {
+  if (aHooks.mIsSuspect && aHooks.mIsSuspect(aRequest.mFingerprint)) {
+    aRequest.mMaxAttempts = 1;
+  }
   auto record = aHooks.mFindRecord(aRequest.mFingerprint);
   if (!record) {
     co_return;
--- a/filters/route.cpp
+++ b/filters/route.cpp
@@ -1,5 +1,7 @@
 #include "filters/route.h"
 
+#include "filters/fingerprint.h"
+
 #include <algorithm>
 
 namespace hibiscusspool {
@@ -34,6 +36,7 @@
   bool isOnce = route.mKind == route_kind::NonIdempotent;
   aRequest.mKind = isOnce ? request_kind::ForwardOnce : request_kind::Forward;
   aRequest.mIsMerged = !route.mShards.empty();
+  aRequest.mFingerprint = FingerprintOf(*aRequest.mForwarded, *aRequest.mBody);
   aRequest.mTopRecords = route.mTopRecords;
   aRequest.mMaxAttempts = std::max(1U, route.mMaxAttempts);
   aRequest.mPriority = route.mPriority;
--- a/filters/scatter.h
+++ b/filters/scatter.h
@@ -72,6 +72,12 @@
     mReportCrash;
   /** Reports that a suspect request was answered by all services. */
   std::function<void(const fingerprint_id&)> mReportHarmless;
+  /** A forwarded request lost the connection to a server that had got it; unset
+   * if nobody needs to know. */
+  std::function<void(const fingerprint_id&, const attempt_permit&)> mOnLost;
+  /** Servers answered a forwarded request, and none that got it is left without
+   * an answer. */
+  std::function<void(const fingerprint_id&)> mOnAnswered;
   /** Chooses another index version after the first became unavailable. */
   std::function<std::optional<snapshot_number>(const request_context&)> mReplan;
   std::function<bool(steady_time)> mIsLeaseValid;
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -306,6 +306,7 @@
   if (aResult.mStatus == attempt_status::Shed) {
     service.mRefusedBy.push_back(server);
   }
+  RecordEnd(service, node.mapped().mPermit, aResult.mStatus);
   RecordFailure(service, node.mapped(), aResult);
   if (!service.mIsDone) {
     HandleResult(service, node.mapped().mPermit, std::move(aResult));
@@ -313,6 +314,24 @@
   Wake();
 }
 
+void
+scatter_operation::RecordEnd(service_progress& aService,
+                             const attempt_permit& aPermit,
+                             attempt_status aStatus)
+{
+  if (mForwarded == nullptr) {
+    return;
+  }
+  bool isAnswered =
+    aStatus == attempt_status::Answered || aStatus == attempt_status::Failed;
+  bool isLost = aStatus == attempt_status::Reset;
+  aService.mIsAnswered = aService.mIsAnswered || isAnswered;
+  aService.mWasLost = aService.mWasLost || isLost;
+  if (isLost && mHooks.mOnLost) {
+    mHooks.mOnLost(mFingerprint, aPermit);
+  }
+}
+
 void
 scatter_operation::RecordFailure(const service_progress& aService,
                                  const in_flight_attempt& aAttempt,
--- a/filters/scatter_operation.cpp
+++ b/filters/scatter_operation.cpp
@@ -271,6 +271,20 @@
   }
 }
 
+void
+scatter_operation::ReportAnswered() const
+{
+  bool isAnyAnswered = false;
+  bool isAnyLost = false;
+  for (const service_progress& service : mServices) {
+    isAnyAnswered = isAnyAnswered || service.mIsAnswered;
+    isAnyLost = isAnyLost || (service.mWasLost && !service.mIsAnswered);
+  }
+  if (isAnyAnswered && !isAnyLost && mHooks.mOnAnswered) {
+    mHooks.mOnAnswered(mFingerprint);
+  }
+}
+
 void
 scatter_operation::Finish(request_context& aRequest)
 {
@@ -299,6 +313,7 @@
       RetryAfterPause(std::max(milliseconds(0), left),
                       std::hash<std::string>{}(mRequest.mValue));
   }
+  ReportAnswered();
   aRequest.mFailedResponse = std::move(mFailedResponse);
   aRequest.mResponses = std::move(mResponses);
   aRequest.mMissing = std::move(mMissing);
--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -40,6 +40,10 @@
   service_id mService;
   bool mIsDone = false;
   bool mIsAwaitingCapacity = false;
+  /** A server answered, if only with an error. */
+  bool mIsAnswered = false;
+  /** A server that had got the request lost the connection. */
+  bool mWasLost = false;
   bool mIsHedged = false;
   /** The subquery in progress that asks the service, if any. */
   std::optional<std::size_t> mSubquery;
@@ -222,6 +226,11 @@
   void OnAttemptDone(std::size_t aIndex,
                      attempt_number aNumber,
                      attempt_result aResult);
+  /** Keeps account of servers that answered a forwarded request and of those
+   * that may have crashed. */
+  void RecordEnd(service_progress& aService,
+                 const attempt_permit& aPermit,
+                 attempt_status aStatus);
   /** Logs a failed attempt of a forwarded request and keeps the server's error
    * response. */
   void RecordFailure(const service_progress& aService,
@@ -267,6 +276,8 @@
   void ScheduleReport(steady_time aNow);
   void ReportIfDue(steady_time aNow);
   void ReportPart();
+  /** Reports that the request crashes no servers, if that is known. */
+  void ReportAnswered() const;
   void Finish(request_context& aRequest);
   [[nodiscard]] execution_status ExecutionStatus(
     const request_context& aRequest) const;
--- a/filters/scatter_verdict.cpp
+++ b/filters/scatter_verdict.cpp
@@ -60,7 +60,7 @@
   }
   if (mIsCanary) {
     mIsCanary = false;
-    mFingerprints.SetHarmless(mFingerprint);
+    mFingerprints.SetHarmless(mFingerprint, mHooks.mNow());
   }
   CancelAttempts(aService);
 }
--- a/filters/subquery_result.cpp
+++ b/filters/subquery_result.cpp
@@ -1,5 +1,7 @@
 #include "filters/subquery_result.h"
 
+#include "filters/fingerprint.h"
+
 #include "decisions/top_records.h"
 
 namespace hibiscusspool {
@@ -16,6 +18,7 @@
   context.mRequest = aSubquery.mRequest;
   context.mBody = aSubquery.mBody;
   context.mForwarded = aSubquery.mForwarded;
+  context.mFingerprint = FingerprintOf(*aSubquery.mForwarded, *aSubquery.mBody);
   context.mConfiguration = aSubquery.mConfiguration;
   context.mReceivedAt = aNow;
   context.mDeadline = aNow + aSubquery.mTimeLeft;
--- a/main/entry_hooks.cpp
+++ b/main/entry_hooks.cpp
@@ -52,6 +52,16 @@
   hooks.mSlowPart = [this](const team_id& aTeam) {
     return mPartTimes.SlowThreshold(aTeam);
   };
+  hooks.mOnLost = [this](const fingerprint_id& aFingerprint,
+                         const attempt_permit& aPermit) {
+    mCrashes.OnLost(aFingerprint,
+                    { aPermit.mServer, aPermit.mIncarnation },
+                    aPermit.mAddress,
+                    SteadyNow());
+  };
+  hooks.mOnAnswered = [this](const fingerprint_id& aFingerprint) {
+    OnForwardAnswered(aFingerprint);
+  };
   hooks.mHedgePercent = static_cast<int>(mSettings.mEntryMaxHedgeDelayPercent);
   hooks.mIsLeaseValid = [this](steady_time aNow) { return MayForward(aNow); };
   return hooks;
@@ -132,12 +142,14 @@
 quarantine_hooks
 entry_role::QuarantineHooks()
 {
-  return { [this](const fingerprint_id& aFingerprint) {
-            return mCatalog.Quarantine(aFingerprint);
-          },
-           [this](request_context& aRequest) {
-             return RequestTrial(aRequest);
-           } };
+  quarantine_hooks hooks;
+  hooks.mFindRecord = [this](const fingerprint_id& aFingerprint) {
+    return mCatalog.Quarantine(aFingerprint);
+  };
+  hooks.mRequestTrial = [this](request_context& aRequest) {
+    return RequestTrial(aRequest);
+  };
+  return hooks;
 }
 
 claim_hooks
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -34,6 +34,8 @@
 constexpr milliseconds kRefusalReplicationInterval{ 500 };
 constexpr std::size_t kMaxBatchRefusals = 1000;
 constexpr std::size_t kMaxHarmlessFingerprints = 100'000;
+constexpr std::size_t kMaxAnsweredRequests = 20'000;
+constexpr milliseconds kCrashCheckInterval{ 100 };
 /** Control hosts that must have stored a refusal before it is dropped here. */
 constexpr std::size_t kRefusalCopies = 2;
 constexpr double kPercent = 0.01;
@@ -118,6 +120,7 @@
              mSettings.mEntryExtraWindowS > 0 ? kMaxSharedBurst : kMaxBurst,
              { [this](steady_time aNow) { return SharedBudget(aNow); } })
   , mFingerprints(kMaxHarmlessFingerprints)
+  , mAnsweredRequests(kMaxAnsweredRequests)
   , mRefusals(mSelf,
               mIncarnation,
               static_cast<std::size_t>(mSettings.mEntryRefusalsKept))
@@ -226,6 +229,7 @@
     MakeAdmit(
       mAdmission,
       { SteadyNow, [this] { return mCatalog.ServingHosts(); }, mayForward }),
+    MakeQuarantine(ForwardQuarantineHooks()),
     MakeScatter(mBackends, mBudgets, mFingerprints, ForwardHooks()),
     MakeDeliver(),
     MakeAccount(mAdmission, mTeamStats, mRefusals, { SteadyNow, WallNow }),
@@ -284,6 +288,10 @@
     mContext, "server_leases", kMaintenanceInterval, mIsStopping, [this] {
       return mServerLeases.ExpireLeases();
     });
+  RunPeriodically(
+    mContext, "crashes", kCrashCheckInterval, mIsStopping, [this] {
+      return RecordCrashes();
+    });
   RunPeriodically(
     mContext, "surplus_connections", kMaintenanceInterval, mIsStopping, [this] {
       return CloseSurplusConnections();
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -4,6 +4,7 @@
 #include "controllers/backend_controller.h"
 #include "controllers/budget_controller.h"
 #include "controllers/catalog_controller.h"
+#include "controllers/crash_controller.h"
 #include "controllers/fingerprint_controller.h"
 #include "controllers/lease_controller.h"
 #include "controllers/part_time_controller.h"
@@ -62,6 +63,9 @@
   part_time_controller mPartTimes;
   budget_controller mBudgets;
   fingerprint_controller mFingerprints;
+  /** Forwarded requests that were answered of late. */
+  fingerprint_controller mAnsweredRequests;
+  crash_controller mCrashes;
   team_stats_controller mTeamStats;
   refusal_controller mRefusals;
   server_lease_manager mServerLeases;
@@ -88,6 +92,7 @@
   /** Number of the last refusal that each control host has stored. */
   std::map<host_id, std::uint64_t> mLastStoredRefusal;
   std::atomic<steady_time::rep> mNextCrashReportAt{ 0 };
+  std::atomic<steady_time::rep> mNextSuspicionLiftAt{ 0 };
 
   entry_role(boost::asio::io_context& aContext,
              settings aSettings,
@@ -112,6 +117,7 @@
 
   [[nodiscard]] claim_hooks ClaimHooks();
   [[nodiscard]] quarantine_hooks QuarantineHooks();
+  [[nodiscard]] quarantine_hooks ForwardQuarantineHooks();
   [[nodiscard]] scatter_hooks ScatterHooks();
   [[nodiscard]] scatter_hooks ForwardHooks();
   [[nodiscard]] subquery_hooks SubqueryHooks();
@@ -134,6 +140,16 @@
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] steady_time StopListeningAt(steady_time aNow) const;
 
+  /** Looks for forwarded requests that crashed servers, and records them. */
+  boost::asio::awaitable<void> RecordCrashes();
+  boost::asio::awaitable<void> ProbeServer(due_probe aProbe);
+  [[nodiscard]] server_fate FateOf(const server_start& aStart) const;
+  /** Ends the suspicion of a request that was answered, now and then. */
+  void LiftSuspicion(const fingerprint_id& aFingerprint, steady_time aNow);
+  /** The same for all requests that were answered here of late. */
+  void LiftSuspicions(steady_time aNow);
+  /** A forwarded request was answered, so it is not what crashed servers. */
+  void OnForwardAnswered(const fingerprint_id& aFingerprint);
   boost::asio::awaitable<crash_verdict> ReportCrash(crash_report aReport);
   boost::asio::awaitable<trial_verdict> RequestTrial(request_context& aRequest);
   boost::asio::awaitable<bool> WaitForIndex(log_index aIndex,
--- a/messages/control_codec.cpp
+++ b/messages/control_codec.cpp
@@ -127,6 +127,8 @@
   }
   record.mTrials.assign(aIn.trials().begin(), aIn.trials().end());
   record.mUntil = aIn.until_ms();
+  record.mIncidents = aIn.incidents();
+  record.mIncidentAt = aIn.incident_at_ms();
   return record;
 }
 
@@ -178,6 +180,8 @@
       out.add_trials(trial);
     }
     out.set_until_ms(aRecord.mUntil);
+    out.set_incidents(aRecord.mIncidents);
+    out.set_incident_at_ms(aRecord.mIncidentAt);
   }
   void operator()(const claim_record& aRecord) const
   {
--- a/messages/operator_json.cpp
+++ b/messages/operator_json.cpp
@@ -98,6 +98,7 @@
              { "version", aRecord.mVersion },
              { "crashed_servers", std::move(servers) },
              { "trials", aRecord.mTrials.size() },
+             { "incidents", aRecord.mIncidents },
              { "until_ms", aRecord.mUntil } };
   }
   json::object operator()(const claim_record& aRecord) const
--- a/tests/decisions/control_state_test.cpp
+++ b/tests/decisions/control_state_test.cpp
@@ -301,6 +301,57 @@
   CheckVerdict(change_verdict::Accepted, mFixture.Evaluate(trial));
 }
 
+TEST(control_state, IncidentsThatAreApartInTimeRefuseAForwardedRequest)
+{
+  quarantine_record incident;
+  incident.mFingerprint.mValue = "f";
+  incident.mIncidents = 1;
+  auto isRefused = [&] {
+    for (const record_change& record : mFixture.mState.Records()) {
+      const auto* found = std::get_if<quarantine_record>(&record);
+      if (found != nullptr) {
+        return found->IsForwardRefused();
+      }
+    }
+    return false;
+  };
+  // Reports of several hosts on servers that ended at the same time.
+  for (int report = 0; report < 10; ++report) {
+    mFixture.mNow += 10;
+    CheckVerdict(change_verdict::Accepted, mFixture.Evaluate(incident));
+  }
+  CHECK(!isRefused());
+  mFixture.mNow += 500;
+  mFixture.Evaluate(incident);
+  CHECK(!isRefused());
+  mFixture.mNow += 500;
+  mFixture.Evaluate(incident);
+  CHECK(isRefused());
+  // After a while, one more run is tried, and one more incident suffices.
+  mFixture.mNow += 601'000;
+  mFixture.Evaluate(Server("x", 1));
+  CHECK(!isRefused());
+  mFixture.Evaluate(incident);
+  CHECK(isRefused());
+}
+
+TEST(control_state, AnAnswerEndsTheSuspicionOfAForwardedRequest)
+{
+  quarantine_record incident;
+  incident.mFingerprint.mValue = "f";
+  incident.mIncidents = 1;
+  for (int round = 0; round < 10; ++round) {
+    mFixture.mNow += 1000;
+    mFixture.Evaluate(incident);
+    mFixture.Evaluate(record_removal{ record_kind::Quarantine, "f" });
+  }
+  auto records = mFixture.mState.Records();
+  CHECK(std::none_of(
+    records.begin(), records.end(), [](const record_change& aRecord) {
+      return std::holds_alternative<quarantine_record>(aRecord);
+    }));
+}
+
 TEST(control_state, AQuarantineWithoutCrashOrTrialIsRefused)
 {
   quarantine_record crash;
--- a/tests/filters/scatter_test.cpp
+++ b/tests/filters/scatter_test.cpp
@@ -59,6 +59,9 @@
   /** What all servers say of themselves in their responses. */
   server_notice mNotice;
   int mCancelled = 0;
+  /** Connections that the request lost, and whether it was answered. */
+  int mLost = 0;
+  int mAnswered = 0;
   /** Attempts end without having waited for anything. */
   bool mEndsAtOnce = false;
   request_context mRequest;
@@ -139,6 +142,11 @@
     hooks.mNewAttemptId = [] { return request_id{ "attempt" }; };
     hooks.mIsLeaseValid = [](steady_time /*aNow*/) { return true; };
     hooks.mUsesCanary = false;
+    hooks.mOnLost = [this](const fingerprint_id& /*aFingerprint*/,
+                           const attempt_permit& /*aPermit*/) { ++mLost; };
+    hooks.mOnAnswered = [this](const fingerprint_id& /*aFingerprint*/) {
+      ++mAnswered;
+    };
     filter_chain chain{ MakeScatter(mBackends, mBudgets, mFingerprints, hooks),
                         MakeDeliver() };
     steady_time start = Now();
@@ -360,3 +368,24 @@
   CHECK(mRequest.mMissing.back().mReason == missing_reason::RateLimited);
   LONGS_EQUAL(0, mSentTo["q"].size());
 }
+
+TEST(scatter, LostConnectionsAndAnswersOfAForwardedRequestAreReported)
+{
+  mOutcomes = { attempt_status::Reset, attempt_status::Answered };
+  Serve();
+  LONGS_EQUAL(1, mLost);
+  LONGS_EQUAL(1, mAnswered);
+}
+
+TEST(scatter, AnswersOfOtherShardsDoNotClearOneThatLostItsServer)
+{
+  mRequest.mServices.clear();
+  AddService("t", 1);
+  AddService("u", 1);
+  mRequest.mIsMerged = true;
+  mOutcomes = { attempt_status::Reset, attempt_status::Answered };
+  mRequest.mMaxAttempts = 1;
+  Serve();
+  LONGS_EQUAL(1, mLost);
+  LONGS_EQUAL(0, mAnswered);
+}
--- /dev/null
+++ b/tests/integration/platform_server.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <list>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+namespace test {
+
+/**
+ * A backend server that speaks the platform's protocol. It crashes when it
+ * begins to run a request whose path contains "harmful", and is back after a
+ * while under its id.
+ */
+class platform_server
+{
+  using socket = boost::asio::ip::tcp::socket;
+
+  std::string mId;
+  std::string mAddress;
+  std::string mControlAddress;
+  boost::asio::io_context mContext;
+  std::mutex mLock;
+  std::set<int> mOpen;
+  std::atomic<bool> mIsStopping{ false };
+  /** Counts the starts. */
+  std::atomic<int> mStarts{ 0 };
+  std::atomic<bool> mIsUp{ false };
+  std::atomic<int> mHarmfulArrivals{ 0 };
+  std::thread mListener;
+  std::thread mHeartbeats;
+  std::list<std::thread> mConnections;
+
+  void Listen();
+  void Serve(socket aPeer, int aStart);
+  void SendHeartbeats();
+  void Crash();
+
+public:
+  platform_server(std::string aId,
+                  std::string aAddress,
+                  std::string aControlAddress);
+  platform_server(const platform_server&) = delete;
+  platform_server& operator=(const platform_server&) = delete;
+  ~platform_server();
+
+  /** Harmful requests that reached the server. */
+  [[nodiscard]] int HarmfulArrivals() const { return mHarmfulArrivals; }
+};
+
+}
--- /dev/null
+++ b/tests/integration/platform_side_test.cpp
@@ -0,0 +1,71 @@
+#include "tests/integration/platform_server.h"
+#include "tests/integration/seeded_system.h"
+
+#include <memory>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace test;
+
+namespace {
+
+const std::string kConfiguration =
+  R"({"version":1,"routes":[{"name":"find","host":"a","path_prefix":"/find/",)"
+  R"("kind":"idempotent","timeout_ms":2000,"target_latency_ms":400,)"
+  R"("priority":1,"service":"find","max_attempts":2}],"services":[{)"
+  R"("name":"find","health_path":"/health","max_conns":64,"protocol":"h1",)"
+  R"("tls":false,"warmup_s":0.0,"warmup_per_s":0.0}],"limits":{)"
+  R"("max_header_bytes":16384,"max_body_bytes":262144,)"
+  R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+}
+
+TEST_GROUP(platform_side){};
+
+// Guards against forwarded requests that crash one server after the other:
+// nobody counted their crashes, and each crash lost the requests of others.
+TEST(platform_side, AForwardedRequestThatCrashesServersIsRefused)
+{
+  constexpr int kServers = 5;
+  constexpr int kSent = 16;
+  // Three incidents of two servers at most, and what is sent before they are
+  // known.
+  constexpr int kMaxArrivals = 8;
+  seeded_system hosts({});
+  hosts.StartControlHosts(hosts.AllSeeds(), true);
+  hosts.WriteEntry(hosts.AllSeeds());
+  hosts.System().Start("e1");
+  CHECK(WaitFor([&] {
+    return Call("POST", hosts.Platform(1), "/api/Config.Put", kConfiguration)
+             .mStatus == 200;
+  }));
+  std::list<platform_server> servers;
+  for (int number = 1; number <= kServers; ++number) {
+    servers.emplace_back(
+      "i-" + std::to_string(number), hosts.Server(number), hosts.Platform(1));
+  }
+  auto get = [&](const std::string& aPath, int aNumber) {
+    return Call("GET",
+                hosts.Clients(),
+                aPath,
+                "",
+                { { "Host", "a" },
+                  { "X-Request-Id", "r" + std::to_string(aNumber) } })
+      .mStatus;
+  };
+  CHECK(WaitFor([&] { return get("/find/one", 0) == 200; }));
+  unsigned last = 0;
+  for (int sent = 1; sent <= kSent; ++sent) {
+    last = get("/find/harmful", sent);
+    std::this_thread::sleep_for(milliseconds(700));
+  }
+  int arrivals = 0;
+  for (const platform_server& server : servers) {
+    arrivals += server.HarmfulArrivals();
+  }
+  CHECK(arrivals <= kMaxArrivals);
+  // Nothing of it ran, and the caller is told so.
+  LONGS_EQUAL(503, last);
+  CHECK(WaitFor([&] { return get("/find/one", kSent + 1) == 200; }));
+}
--- a/tests/integration/seeded_system.cpp
+++ b/tests/integration/seeded_system.cpp
@@ -38,6 +38,24 @@
   return Ip(aNumber) + ":" + std::to_string(kOperatorPort);
 }
 
+std::string
+seeded_system::Platform(int aNumber) const
+{
+  return Ip(aNumber) + ":10905";
+}
+
+std::string
+seeded_system::Clients() const
+{
+  return Ip(kEntryHost) + ":10904";
+}
+
+std::string
+seeded_system::Server(int aNumber) const
+{
+  return Ip(kEntryHost + aNumber) + ":10906";
+}
+
 std::string
 seeded_system::Callers() const
 {
@@ -62,8 +80,8 @@
        << "\noperators_address=" << Operators(aNumber)
        << "\ndata_folder=" << (mSystem.Folder() / ("data-" + name)).string()
        << "\nbootstrap=" << (aIsFirstStart ? "true" : "false")
-       << "\n[platform]\ncontrol_port=" << kControlPort << "\nseeds=" << aSeeds
-       << "\n";
+       << "\n[platform]\ncontrol_address=" << Platform(aNumber)
+       << "\ncontrol_port=" << kControlPort << "\nseeds=" << aSeeds << "\n";
 }
 
 void
@@ -76,7 +94,7 @@
     file << "[host]\nid=" << ip << ":10903\nfailure_domain=a\n"
          << "[entry]\ncallers_address=" << Callers()
          << "\nannounce_address=" << ip << ":10903\nthreads=2\n"
-         << "[platform]\ncallers_address=" << ip << ":10904"
+         << "[platform]\ncallers_address=" << Clients()
          << "\ncontrol_port=" << kControlPort << "\nseeds=" << aSeeds << "\n";
   }
   std::filesystem::rename(path + ".new", path);
--- a/tests/integration/seeded_system.h
+++ b/tests/integration/seeded_system.h
@@ -24,6 +24,12 @@
   test_system& System() { return mSystem; }
   [[nodiscard]] std::string Control(int aNumber) const;
   [[nodiscard]] std::string Operators(int aNumber) const;
+  /** Where the platform's operators and servers connect. */
+  [[nodiscard]] std::string Platform(int aNumber) const;
+  /** Where the platform's clients connect to the entry host. */
+  [[nodiscard]] std::string Clients() const;
+  /** An address of a backend server. */
+  [[nodiscard]] std::string Server(int aNumber) const;
   [[nodiscard]] std::string Callers() const;
   [[nodiscard]] std::string AllSeeds() const;
 
