Bound the bodies that a host holds by their sum

Cause: each response was bounded, but not the sum of those that a host receives at the same time, so that faulty servers whose bytes never end could take its memory and the requests of others with it. An informational response passed for the final one.

Change: all bodies of responses have a sum, and all bodies of requests another; beyond it the largest that is still being received is given up. Informational responses are skipped, up to a number.

--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/address.h"
 #include "core/background_task.h"
+#include "core/log_event.h"
 #include "core/sharded_map.h"
 #include "core/worker_number.h"
 #include "decisions/exchange_history.h"
@@ -79,6 +80,16 @@
 
 /** Maximum number of responses to earlier requests that an exchange skips. */
 constexpr int kMaxSkipped = 2;
+/** Maximum number of informational responses before the final one. */
+constexpr int kMaxInformational = 8;
+
+/** True for a response that precedes the final one and has no body. */
+bool
+IsInformational(unsigned aStatus)
+{
+  constexpr unsigned kSwitchingProtocols = 101;
+  return aStatus / 100 == 1 && aStatus != kSwitchingProtocols;
+}
 
 backend_request
 MakeRequest(const backend_protocol& aProtocol,
@@ -348,16 +359,16 @@
     for (int number = 0;
          owner == response_owner::Earlier && number <= kMaxSkipped;
          ++number) {
-      response_parser parser;
-      parser.body_limit(mConfig.mMaxResponseBytes);
-      auto [readError, count] = co_await http::async_read(
-        aConnection->mSocket, aConnection->mBuffer, parser, kNoThrow);
-      if (readError) {
-        outcome.mStatus = StatusOf(readError);
+      std::optional<response_parser> parser;
+      auto readStatus = co_await ReadFinal(aConnection, parser, outcome);
+      if (readStatus) {
+        outcome.mStatus = *readStatus;
         co_return outcome;
       }
-      keepsAlive = keepsAlive && number == 0 && parser.keep_alive();
-      outcome.mResponse = ToResponse(parser.get());
+      keepsAlive = keepsAlive && number == 0 && parser->keep_alive();
+      auto heldBody = std::move(outcome.mResponse.mHeldBody);
+      outcome.mResponse = ToResponse(parser->get());
+      outcome.mResponse.mHeldBody = std::move(heldBody);
       owner = aConnection->mHistory.OnResponse(
         id, protocol.mNamedRequest(outcome.mResponse));
     }
@@ -380,6 +391,75 @@
     co_return outcome;
   }
 
+  /**
+   * Reads the next response that is not informational. Returns the status of
+   * the attempt if there is none; otherwise `aParser` has the response, and
+   * `aOutcome` what counts its body.
+   */
+  asio::awaitable<std::optional<attempt_status>> ReadFinal(
+    connection_pointer aConnection,
+    std::optional<response_parser>& aParser,
+    attempt_result& aOutcome)
+  {
+    for (int number = 0; number <= kMaxInformational; ++number) {
+      aParser.emplace();
+      aParser->body_limit(mConfig.mMaxResponseBytes);
+      auto failed = co_await ReadResponse(aConnection, *aParser, aOutcome);
+      if (failed || !IsInformational(aParser->get().result_int())) {
+        co_return failed;
+      }
+    }
+    co_return attempt_status::BadResponse;
+  }
+
+  /** Reads one response; returns the status of the attempt if that fails. */
+  asio::awaitable<std::optional<attempt_status>> ReadResponse(
+    connection_pointer aConnection,
+    response_parser& aParser,
+    attempt_result& aOutcome)
+  {
+    struct read_state
+    {
+      bool mIsReading = true;
+      bool mIsGivenUp = false;
+    };
+    auto state = std::make_shared<read_state>();
+    auto executor = co_await asio::this_coro::executor;
+    auto end = [executor, state, connection = aConnection] {
+      asio::post(executor, [state, connection] {
+        // The connection may be in use for another request by now.
+        if (state->mIsReading) {
+          state->mIsGivenUp = true;
+          beast::error_code ignored;
+          connection->mSocket.close(ignored);
+        }
+      });
+    };
+    auto body = std::make_shared<held_transfer>(mConfig.mTransfers, end);
+    beast::error_code error;
+    aParser.eager(true);
+    while (!error && !aParser.is_done() && !state->mIsGivenUp) {
+      auto [readError, count] = co_await http::async_read_some(
+        aConnection->mSocket, aConnection->mBuffer, aParser, kNoThrow);
+      error = readError;
+      body->Grow(aParser.get().body().size());
+    }
+    state->mIsReading = false;
+    body->Complete();
+    if (body->IsCounted()) {
+      aOutcome.mResponse.mHeldBody = body;
+    }
+    if (state->mIsGivenUp) {
+      log_event("response_given_up", log_event::severity::Warning)
+        .Add("bytes", aParser.get().body().size());
+      co_return attempt_status::BadResponse;
+    }
+    if (error) {
+      co_return StatusOf(error);
+    }
+    co_return std::nullopt;
+  }
+
   attempt_status JudgeResponse(const server_request& aRequest,
                                const server_response& aResponse,
                                response_owner aOwner) const
--- a/drivers/backend_client.h
+++ b/drivers/backend_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controllers/transfer_controller.h"
 #include "filters/scatter.h"
 
 #include <boost/asio/io_context.hpp>
@@ -52,6 +53,9 @@
   backend_protocol mForwardProtocol;
   /** Maximum size of a response body in bytes. */
   std::size_t mMaxResponseBytes = 16 << 20;
+  /** Bounds the bodies of all responses that this host holds. */
+  std::shared_ptr<transfer_controller> mTransfers =
+    std::make_shared<transfer_controller>(32ULL << 20U);
   /** A connection that was idle for longer is replaced. */
   milliseconds mMaxIdleTime{ 5000 };
   milliseconds mConnectTimeout{ 1000 };
--- a/drivers/caller_api.cpp
+++ b/drivers/caller_api.cpp
@@ -51,6 +51,9 @@
     case http_read_error::ReadTimeout:
       return { refusal_reason::BadRequest,
                "The request was not received completely in time." };
+    case http_read_error::NoRoom:
+      return { refusal_reason::HostLimit,
+               "This host holds too many bytes of request bodies." };
     case http_read_error::Malformed:
     case http_read_error::None:
       break;
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -74,6 +74,9 @@
   if (aError == beast::error::timeout) {
     return http_read_error::ReadTimeout;
   }
+  if (aError == asio::error::no_buffer_space) {
+    return http_read_error::NoRoom;
+  }
   return http_read_error::Malformed;
 }
 
@@ -200,8 +203,10 @@
       http::request_parser<http::string_body> parser;
       parser.body_limit(mConfig.mMaxBodyBytes);
       parser.header_limit(mConfig.mMaxHeaderBytes);
+      auto progress = std::make_shared<read_progress>();
+      held_transfer body(mConfig.mTransfers, EndHook(aConnection, progress));
       beast::error_code error =
-        co_await ReadRequest(*aConnection, buffer, parser);
+        co_await ReadRequest(*aConnection, buffer, parser, progress, body);
       if (IsDisconnected(error) || (error && !parser.got_some())) {
         break;
       }
@@ -240,10 +245,40 @@
     }
   }
 
+  /** The progress of reading one request, used on its connection's executor.
+   */
+  struct read_progress
+  {
+    bool mIsDone = false;
+    bool mHasTimedOut = false;
+    bool mIsGivenUp = false;
+  };
+
+  /** Gives up reading a request; may be called on any thread. */
+  static std::function<void()> EndHook(
+    const std::shared_ptr<http_connection>& aConnection,
+    const std::shared_ptr<read_progress>& aProgress)
+  {
+    return [connection = std::weak_ptr(aConnection), progress = aProgress] {
+      auto open = connection.lock();
+      if (open == nullptr) {
+        return;
+      }
+      asio::post(open->mStream.get_executor(), [open, progress] {
+        if (!progress->mIsDone) {
+          progress->mIsGivenUp = true;
+          open->mStream.cancel();
+        }
+      });
+    };
+  }
+
   asio::awaitable<beast::error_code> ReadRequest(
     http_connection& aConnection,
     beast::flat_buffer& aBuffer,
-    http::request_parser<http::string_body>& aParser)
+    http::request_parser<http::string_body>& aParser,
+    std::shared_ptr<read_progress> aProgress,
+    held_transfer& aBody)
   {
     // The idle time-out applies until a request begins to arrive, and the
     // transfer time-out from then on.
@@ -260,25 +295,32 @@
     aConnection.mIsReading = true;
     // The stream's own timer would close it, and no response could be sent.
     aConnection.mStream.expires_never();
-    struct read_progress
-    {
-      bool mIsDone = false;
-      bool mHasTimedOut = false;
-    };
-    auto progress = std::make_shared<read_progress>();
     asio::steady_timer limit(aConnection.mStream.get_executor(),
                              mConfig.mTransferTimeout);
-    limit.async_wait([progress, &aConnection](beast::error_code aError) {
-      if (!aError && !progress->mIsDone) {
-        progress->mHasTimedOut = true;
+    limit.async_wait([aProgress, &aConnection](beast::error_code aError) {
+      if (!aError && !aProgress->mIsDone) {
+        aProgress->mHasTimedOut = true;
         aConnection.mStream.cancel();
       }
     });
-    auto [error, count] = co_await http::async_read(
-      aConnection.mStream, aBuffer, aParser, kNoThrow);
-    progress->mIsDone = true;
+    beast::error_code error;
+    aParser.eager(true);
+    while (!error && !aParser.is_done() && !aProgress->mHasTimedOut &&
+           !aProgress->mIsGivenUp) {
+      auto [readError, count] = co_await http::async_read_some(
+        aConnection.mStream, aBuffer, aParser, kNoThrow);
+      error = readError;
+      aBody.Grow(aParser.get().body().size());
+    }
+    bool isRead = aParser.is_done();
+    aProgress->mIsDone = true;
     limit.cancel();
-    co_return progress->mHasTimedOut ? beast::error::timeout : error;
+    aBody.Complete();
+    if (aProgress->mIsGivenUp && !isRead) {
+      co_return asio::error::no_buffer_space;
+    }
+    bool hasTimedOut = aProgress->mHasTimedOut;
+    co_return hasTimedOut ? beast::error::timeout : error;
   }
 
   /** Detects that the caller disconnects while its request is active, or that
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controllers/transfer_controller.h"
 #include "core/clock.h"
 #include "core/failure.h"
 #include "core/name_table.h"
@@ -38,15 +39,19 @@
   HeaderTooLarge,
   BodyTooLarge,
   ReadTimeout,
+  /** This host holds too many bytes of bodies, and most of them are of this
+   * one. */
+  NoRoom,
 };
 
 template<>
-inline constexpr name_table<http_read_error, 5> kNames<http_read_error>{ {
+inline constexpr name_table<http_read_error, 6> kNames<http_read_error>{ {
   { http_read_error::None, "none" },
   { http_read_error::Malformed, "malformed" },
   { http_read_error::HeaderTooLarge, "header_too_large" },
   { http_read_error::BodyTooLarge, "body_too_large" },
   { http_read_error::ReadTimeout, "too_slow" },
+  { http_read_error::NoRoom, "no_room" },
 } };
 
 struct http_request
@@ -78,6 +83,8 @@
   /** The header is omitted if this is empty. */
   std::string mContentType = "application/json";
   std::vector<std::pair<std::string, std::string>> mHeaders;
+  /** Counts the body among those that this host holds, until it is sent. */
+  std::shared_ptr<const void> mHeldBody;
 };
 
 using http_handler =
@@ -91,6 +98,8 @@
   milliseconds mTransferTimeout{ 5000 };
   milliseconds mIdleTimeout{ 60'000 };
   std::size_t mMaxConnections = 4096;
+  /** Bounds the bodies of all requests together; null if nothing does. */
+  std::shared_ptr<transfer_controller> mTransfers;
   /** Selects the context of a new connection; if unset, the listener's own. */
   std::function<boost::asio::io_context&()> mSelectContext;
   /** Called while draining, after each response and each closed connection. */
--- a/filters/forwarded_message.h
+++ b/filters/forwarded_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
   unsigned mStatus = 0;
   std::vector<header_field> mFields;
   std::string mBody;
+  /** Counts the body among those that this host holds; null for a small one. */
+  std::shared_ptr<const void> mHeldBody{};
 
   /** The value of a header field; empty if there is none. */
   [[nodiscard]] std::string_view Field(std::string_view aName) const;
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -32,6 +32,8 @@
 constexpr milliseconds kLeaseCheckInterval{ 250 };
 /** Below the one second that the platform's callers wait for a response. */
 constexpr milliseconds kPlatformTimeout{ 900 };
+/** Maximum size of all bodies that servers and operators send at a time. */
+constexpr std::uint64_t kMaxPlatformBodyBytes = 16U << 20U;
 /** Connections of servers and operators; leaves descriptors for the other
  * control hosts and the daemons. */
 constexpr std::size_t kMaxPlatformConnections = 2048;
@@ -678,6 +680,8 @@
   http_server_config config;
   config.mAddress = address;
   config.mMaxConnections = kMaxPlatformConnections;
+  config.mTransfers =
+    std::make_shared<transfer_controller>(kMaxPlatformBodyBytes);
   auto listener =
     StartHttpServer(mContext,
                     std::move(config),
--- a/main/entry_listeners.cpp
+++ b/main/entry_listeners.cpp
@@ -74,6 +74,7 @@
   config.mAddress = aAddress;
   config.mMaxBodyBytes = static_cast<std::size_t>(mSettings.mEntryMaxBodyBytes);
   config.mTransferTimeout = milliseconds(mSettings.mEntryTransferTimeoutMs);
+  config.mTransfers = mRequestBodies;
   config.mMaxConnections =
     static_cast<std::size_t>(mSettings.mEntryMaxConnections);
   config.mSelectContext = [this]() -> asio::io_context& {
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -127,6 +127,8 @@
   , mServerLeases(mSelf,
                   milliseconds(mSettings.mEntryServerLeaseMs),
                   ServerLeaseHooks())
+  , mRequestBodies(std::make_shared<transfer_controller>(
+      static_cast<std::uint64_t>(mSettings.mEntryMaxHeldBytes)))
 {
 }
 
@@ -165,6 +167,8 @@
   config.mForwardProtocol = platform::MakePlatformProtocol();
   config.mMaxResponseBytes =
     static_cast<std::size_t>(mSettings.mEntryMaxResponseBytes);
+  config.mTransfers = std::make_shared<transfer_controller>(
+    static_cast<std::uint64_t>(mSettings.mEntryMaxHeldBytes));
   config.mMaxIdleTime = milliseconds(mSettings.mEntryMaxIdleMs);
   backend_client_hooks hooks;
   hooks.mMaySend = [this](const server_request& aRequest, steady_time aNow) {
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -77,6 +77,8 @@
   std::unique_ptr<subquery_service> mSubqueryService;
   std::atomic<std::size_t> mRunningSubqueries{ 0 };
   condition_waiter mStopWaiter;
+  /** The bodies of requests that are being received, on all listeners. */
+  std::shared_ptr<transfer_controller> mRequestBodies;
   /** Receives the requests of callers, for `mChain`. */
   std::unique_ptr<http_server> mCallerListener;
   std::unique_ptr<http_server> mAnnounceListener;
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -85,6 +85,7 @@
   std::int64_t mEntryHostListTtlMs = 5000;
   std::int64_t mEntryMaxBodyBytes = 1 << 20;
   std::int64_t mEntryMaxResponseBytes = 16 << 20;
+  std::int64_t mEntryMaxHeldBytes = 32 << 20;
   std::int64_t mEntryTransferTimeoutMs = 5000;
   std::int64_t mEntryMaxConnections = 4096;
   std::int64_t mEntryHostLimit = 512;
