--- a/tests/drivers/backend_responses_test.cpp
+++ b/tests/drivers/backend_responses_test.cpp
@@ -376,11 +376,11 @@
     int failed = 0;
     attempt_status soundStatus = attempt_status::NotSent;
     for (scripted_server& server : faulty) {
-      Spawn(server.Address(), "r1", [&](attempt_result aResult) {
+      Spawn(server.Address(), "r1", [&](const attempt_result& aResult) {
         failed += aResult.mStatus == attempt_status::BadResponse ? 1 : 0;
       });
     }
-    Spawn(sound.Address(), "sound", [&](attempt_result aResult) {
+    Spawn(sound.Address(), "sound", [&](const attempt_result& aResult) {
       soundStatus = aResult.mStatus;
     });
     mContext.restart();
--- a/tests/drivers/control_log_bounds_test.cpp
+++ b/tests/drivers/control_log_bounds_test.cpp
@@ -1,14 +1,13 @@
 #include "controllers/control_group.h"
 #include "drivers/raft_storage.h"
+#include "tests/drivers/file_size_limit.h"
 #include "tests/drivers/memory_peak.h"
 
 #include <algorithm>
 #include <charconv>
-#include <csignal>
 #include <future>
 #include <thread>
 
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
@@ -123,30 +122,6 @@
   [[nodiscard]] log_index Applied() const { return mGroup->Status().mApplied; }
 };
 
-/** Limits the size of each file of this process, which stands for a full disk.
- */
-class file_size_limit
-{
-  rlimit mBefore{};
-  sighandler_t mHandler;
-
-public:
-  explicit file_size_limit(std::uint64_t aBytes)
-    : mHandler(std::signal(SIGXFSZ, SIG_IGN))
-  {
-    getrlimit(RLIMIT_FSIZE, &mBefore);
-    rlimit limit{ aBytes, mBefore.rlim_max };
-    setrlimit(RLIMIT_FSIZE, &limit);
-  }
-  file_size_limit(const file_size_limit&) = delete;
-  file_size_limit& operator=(const file_size_limit&) = delete;
-  ~file_size_limit()
-  {
-    setrlimit(RLIMIT_FSIZE, &mBefore);
-    std::signal(SIGXFSZ, mHandler);
-  }
-};
-
 }
 
 TEST_GROUP(control_log_bounds)
--- a/tests/drivers/raft_storage_test.cpp
+++ b/tests/drivers/raft_storage_test.cpp
@@ -2,12 +2,10 @@
 #include "drivers/raft_storage.h"
 #include "drivers/refusal_store.h"
 #include "drivers/synced_file.h"
+#include "tests/drivers/file_size_limit.h"
 
-#include <csignal>
 #include <fstream>
 
-#include <sys/resource.h>
-
 #include <CppUTest/TestHarness.h>
 
 namespace {
@@ -26,31 +24,6 @@
   return actions;
 }
 
-/** Limits the size of this process's files, to simulate a full disk. */
-class file_size_limit
-{
-  rlimit mBefore{};
-  sighandler_t mHandler;
-
-public:
-  explicit file_size_limit(std::uint64_t aBytes)
-    : mHandler(std::signal(SIGXFSZ, SIG_IGN))
-  {
-    getrlimit(RLIMIT_FSIZE, &mBefore);
-    rlimit limit{ aBytes, mBefore.rlim_max };
-    setrlimit(RLIMIT_FSIZE, &limit);
-  }
-  ~file_size_limit()
-  {
-    Lift();
-    std::signal(SIGXFSZ, mHandler);
-  }
-  file_size_limit(const file_size_limit&) = delete;
-  file_size_limit& operator=(const file_size_limit&) = delete;
-
-  void Lift() const { setrlimit(RLIMIT_FSIZE, &mBefore); }
-};
-
 }
 
 TEST_GROUP(raft_storage)
