End an attempt of our own interface at a mismatched response

Callers of the product's own interface got answers late from a service with a server that names wrong requests.

Cause: since responses are told apart by the connection's history, a response to another request was skipped on both protocols; our own interface, where each attempt has an id of its own, used to end the attempt at once.

Change: the protocol says whether earlier responses are skipped.

--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -356,8 +356,9 @@
     }
     response_owner owner = response_owner::Earlier;
     bool keepsAlive = true;
+    int maxSkipped = protocol.mSkipsEarlier ? kMaxSkipped : 0;
     for (int number = 0;
-         owner == response_owner::Earlier && number <= kMaxSkipped;
+         owner == response_owner::Earlier && number <= maxSkipped;
          ++number) {
       std::optional<response_parser> parser;
       auto readStatus = co_await ReadFinal(aConnection, parser, outcome);
--- a/drivers/backend_client.h
+++ b/drivers/backend_client.h
@@ -39,6 +39,11 @@
    * also sent a cancellation on another connection.
    */
   bool mSendsCancel = false;
+  /**
+   * A response to an earlier request may precede the right one and is skipped;
+   * otherwise it ends the attempt.
+   */
+  bool mSkipsEarlier = false;
 };
 
 /** The protocol of the system's own interface to backend servers. */
