Tell daemons when a control host is cut off from the group

Cause: while the core was split, the entry host's stream fell silent, and it went on to control hosts of the minority one after the other. Each had known for seconds that no leader reached it, took the stream and wrote nothing on it, so that the daemon found out by its own time limits, which double with each time-out. The class: a host that knows that it can't serve lets its caller find out by waiting.

Change: a member that has had no contact to a leader for two election time-outs, or whose disk rejects writes, is cut off (group_contact) and says so on its streams. A daemon then moves on, to another failure domain first, without doubling its patience, which stays for hosts that are busy. Once all hosts say so it waits where it is, so that a group that elects a leader isn't delayed by daemons that go in circles.

The tests of watch_hub, control_host_choice and raft_node use calls that were not there before.

--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -180,6 +180,7 @@
     if (roleChanged) {
       mHooks.mOnRoleChanged();
     }
+    SetContact(ContactOf(mHooks.mSteadyNow()));
   }
   FailPendingOnStop();
 }
@@ -346,6 +347,7 @@
     mStatus.mRole = raft_role::Follower;
     mStatus.mLeader = {};
   }
+  SetContact(group_contact::Stalled);
   for (const propose_callback& callback : refused) {
     callback({ propose_status::Busy, {}, {} });
   }
@@ -674,6 +676,37 @@
   mStatus.mActiveHosts = mNode.ActiveHosts(now);
 }
 
+group_contact
+control_group::ContactOf(steady_time aNow) const
+{
+  if (!mNode.IsCutOff(aNow)) {
+    return group_contact::InTouch;
+  }
+  return mNode.IsVoter(mNode.Self()) ? group_contact::CutOff
+                                     : group_contact::Joining;
+}
+
+void
+control_group::SetContact(group_contact aContact)
+{
+  if (aContact == mContact) {
+    return;
+  }
+  mContact = aContact;
+  {
+    std::lock_guard guard(mStateLock);
+    mStatus.mContact = aContact;
+  }
+  log_event("group_contact")
+    .Add("contact", NameOf(aContact))
+    .Add("term", mNode.Term())
+    .Add("leader", mNode.Leader().mHost.mValue)
+    .Add("commit", mNode.CommitIndex());
+  if (mHooks.mOnContactChanged) {
+    mHooks.mOnContactChanged(aContact);
+  }
+}
+
 control_group_status
 control_group::Status() const
 {
@@ -688,6 +721,13 @@
   return mStatus.mLeader;
 }
 
+group_contact
+control_group::Contact() const
+{
+  std::lock_guard guard(mStateLock);
+  return mStatus.mContact;
+}
+
 std::pair<log_index, std::vector<record_change>>
 control_group::Records() const
 {
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -32,6 +32,26 @@
   { propose_status::Busy, "busy" },
 } };
 
+/** Whether a member can confirm anything. */
+enum class group_contact
+{
+  InTouch,
+  /** It has no vote yet, and no leader has reached it. */
+  Joining,
+  /** No leader reaches it. */
+  CutOff,
+  /** Its disk rejects writes. */
+  Stalled,
+};
+
+template<>
+inline constexpr name_table<group_contact, 4> kNames<group_contact>{ {
+  { group_contact::InTouch, "in_touch" },
+  { group_contact::Joining, "joining" },
+  { group_contact::CutOff, "cut_off" },
+  { group_contact::Stalled, "stalled" },
+} };
+
 /** The result of a proposal; one that was not applied may be repeated. */
 struct propose_result
 {
@@ -84,6 +104,7 @@
   /** This member became or ceased to be leader; called after the status has
    * been updated. */
   std::function<void()> mOnRoleChanged;
+  std::function<void(group_contact)> mOnContactChanged;
 };
 
 struct control_group_config
@@ -111,6 +132,7 @@
   std::size_t mServers = 0;
   /** The member has no log and has never voted. */
   bool mIsEmpty = false;
+  group_contact mContact = group_contact::InTouch;
   /** Control hosts that answered this leader within the election time-out,
    * including itself. */
   std::set<host_id> mActiveHosts;
@@ -207,6 +229,7 @@
   /** The leader to which the pending reads were sent. */
   raft_peer_id mReadLeader;
   bool mIsLeader = false;
+  group_contact mContact = group_contact::InTouch;
   steady_time mNextTransferAt;
   /** The node has compacted its log, but the snapshot is not on disk yet. */
   bool mHasUnstoredSnapshot = false;
@@ -255,6 +278,9 @@
   /** Replaces the applied entries by a snapshot, in memory and on disk. */
   void Compact(steady_time aNow);
   void UpdateStatus();
+  [[nodiscard]] group_contact ContactOf(steady_time aNow) const;
+  /** Reports the contact if it has changed. */
+  void SetContact(group_contact aContact);
 
 public:
   control_group(const control_group&) = delete;
@@ -294,6 +320,7 @@
   /** The leader, which may be this member; empty while none is known. */
   [[nodiscard]] host_id Leader() const;
   [[nodiscard]] bool KnowsLeader() const { return !Leader().IsEmpty(); }
+  [[nodiscard]] group_contact Contact() const;
   /** The applied index and all records of the state. */
   [[nodiscard]] std::pair<log_index, std::vector<record_change>> Records()
     const;
--- a/controllers/watch_hub.cpp
+++ b/controllers/watch_hub.cpp
@@ -84,6 +84,13 @@
   WakeAll();
 }
 
+void
+watch_hub::SetCutOff(bool aIsCutOff)
+{
+  mLoss = aIsCutOff ? ++mLosses : 0;
+  WakeAll();
+}
+
 void
 watch_hub::SetControlHosts(std::vector<control_host> aHosts)
 {
@@ -265,6 +272,8 @@
   // daemon that it need not try another control host.
   message.mHasMajority = isConfirmed && !current->mIsToldOfMajority;
   bool mayChange = isConfirmed && !message.mHasMajority;
+  std::uint64_t loss = mLoss;
+  message.mIsCutOff = loss != 0 && loss != current->mToldLoss;
   // The mark is read before the changes, so that the changes sent with it are
   // at least as new as the index it confirms.
   if (mayChange && current->mConfirmedMark != current->mSentMark) {
@@ -290,7 +299,8 @@
     SetFullState(message);
   }
   if (message.mChanges.empty() && message.mConfirmedMark == 0 &&
-      message.mControlHosts.empty() && !message.mHasMajority) {
+      message.mControlHosts.empty() && !message.mHasMajority &&
+      !message.mIsCutOff) {
     return std::nullopt;
   }
   mStreams.UpdateIfPresent(aStream, [&](stream& aEntry) {
@@ -298,6 +308,7 @@
     aEntry.mSentIndex = message.mIndex;
     aEntry.mSentHostsVersion = hostsVersion;
     aEntry.mIsToldOfMajority = aEntry.mIsToldOfMajority || message.mHasMajority;
+    aEntry.mToldLoss = loss;
     if (message.mConfirmedMark != 0) {
       aEntry.mSentMark = message.mConfirmedMark;
     }
--- a/controllers/watch_hub.h
+++ b/controllers/watch_hub.h
@@ -55,6 +55,8 @@
   std::vector<control_host> mControlHosts;
   /** This host was in touch with a majority after the stream was opened. */
   bool mHasMajority = false;
+  /** This host is cut off from the group; another one may not be. */
+  bool mIsCutOff = false;
 };
 
 /** State of one daemon, as shown by `status`. */
@@ -115,6 +117,8 @@
     std::uint64_t mConfirmedMark = 0;
     std::uint64_t mSentMark = 0;
     bool mIsToldOfMajority = false;
+    /** Number of the latest loss of the group that the daemon knows of. */
+    std::uint64_t mToldLoss = 0;
     /** Version of the list of control hosts that was sent. */
     std::uint64_t mSentHostsVersion = 0;
     std::function<void()> mWake;
@@ -124,6 +128,10 @@
   watch_hub_hooks mHooks;
   sharded_map<stream_id, stream> mStreams;
   std::atomic<stream_id> mNextStream{ 1 };
+  /** Number of the current loss of the group, or 0 while this host is in touch
+   * with it. */
+  std::atomic<std::uint64_t> mLoss{ 0 };
+  std::atomic<std::uint64_t> mLosses{ 0 };
 
   mutable std::mutex mBacklogLock;
   std::deque<record_batch> mBacklog;
@@ -176,6 +184,9 @@
   void Flush(steady_time aNow);
   /** Makes all streams restart from the full state. */
   void ResetStreams(log_index aIndex);
+  /** Tells all daemons if this host is cut off from the group: a stream here
+   * confirms nothing until it is in touch again. */
+  void SetCutOff(bool aIsCutOff);
   /** Sets the control hosts among which daemons choose, sorted. */
   void SetControlHosts(std::vector<control_host> aHosts);
 
--- a/decisions/control_host_choice.cpp
+++ b/decisions/control_host_choice.cpp
@@ -12,6 +12,11 @@
 /** Long enough to try all other hosts before one that failed is tried again. */
 constexpr milliseconds kMinAvoidance{ 10'000 };
 constexpr milliseconds kMaxAvoidance{ 30'000 };
+constexpr milliseconds kCutOffAvoidance{ 10'000 };
+/** Time until a host that was cut off is asked again while all others are cut
+ * off too. */
+constexpr milliseconds kMinCutOffRetryDelay{ 2'000 };
+constexpr milliseconds kMaxCutOffRetryDelay{ 16'000 };
 
 }
 
@@ -59,6 +64,7 @@
     Add(listed.mHost);
     candidate& entry = mCandidates[listed.mHost];
     entry.mIsListed = true;
+    entry.mFailureDomain = listed.mFailureDomain;
     entry.mIsOwnDomain =
       !mOwnDomain.IsEmpty() && listed.mFailureDomain == mOwnDomain;
   }
@@ -70,24 +76,50 @@
   });
 }
 
+bool
+control_host_choice::IsInCutOffDomain(const candidate& aCandidate,
+                                      steady_time aNow) const
+{
+  return !aCandidate.mFailureDomain.IsEmpty() &&
+         std::any_of(
+           mCandidates.begin(), mCandidates.end(), [&](const auto& aEntry) {
+             return aEntry.second.mCutOffUntil > aNow &&
+                    aEntry.second.mFailureDomain == aCandidate.mFailureDomain;
+           });
+}
+
+control_host_choice::rank
+control_host_choice::RankOf(const candidate& aCandidate, steady_time aNow) const
+{
+  return { std::max({ aCandidate.mAvoidUntil, aCandidate.mCutOffUntil, aNow }),
+           IsInCutOffDomain(aCandidate, aNow),
+           !aCandidate.mIsListed,
+           !aCandidate.mIsOwnDomain,
+           ~aCandidate.mWeight };
+}
+
 host_id
 control_host_choice::Preferred(steady_time aNow) const
 {
-  auto preferred = std::min_element(
-    mCandidates.begin(),
-    mCandidates.end(),
-    [&](const auto& aOne, const auto& aOther) {
-      auto rank = [&](const candidate& aCandidate) {
-        return std::tuple(std::max(aCandidate.mAvoidUntil, aNow),
-                          !aCandidate.mIsListed,
-                          !aCandidate.mIsOwnDomain,
-                          ~aCandidate.mWeight);
-      };
-      return rank(aOne.second) < rank(aOther.second);
-    });
+  auto preferred = std::min_element(mCandidates.begin(),
+                                    mCandidates.end(),
+                                    [&](const auto& aOne, const auto& aOther) {
+                                      return RankOf(aOne.second, aNow) <
+                                             RankOf(aOther.second, aNow);
+                                    });
   return preferred == mCandidates.end() ? host_id{} : preferred->first;
 }
 
+bool
+control_host_choice::HasUntried(steady_time aNow) const
+{
+  return std::any_of(
+    mCandidates.begin(), mCandidates.end(), [&](const auto& aEntry) {
+      const candidate& entry = aEntry.second;
+      return std::max(entry.mAvoidUntil, entry.mCutOffRetryAt) <= aNow;
+    });
+}
+
 void
 control_host_choice::OnFailure(const host_id& aHost, steady_time aNow)
 {
@@ -101,11 +133,31 @@
   failed.mAvoidUntil = aNow + failed.mAvoidance;
 }
 
+void
+control_host_choice::OnCutOff(const host_id& aHost, steady_time aNow)
+{
+  auto found = mCandidates.find(aHost);
+  if (found == mCandidates.end()) {
+    return;
+  }
+  candidate& cutOff = found->second;
+  if (cutOff.mCutOffRetryAt > aNow) {
+    return;
+  }
+  cutOff.mCutOffRetryDelay = std::clamp(
+    cutOff.mCutOffRetryDelay * 2, kMinCutOffRetryDelay, kMaxCutOffRetryDelay);
+  cutOff.mCutOffRetryAt = aNow + cutOff.mCutOffRetryDelay;
+  cutOff.mCutOffUntil = aNow + kCutOffAvoidance;
+}
+
 void
 control_host_choice::OnSuccess(const host_id& aHost)
 {
   auto found = mCandidates.find(aHost);
   if (found != mCandidates.end()) {
+    found->second.mCutOffUntil = {};
+    found->second.mCutOffRetryAt = {};
+    found->second.mCutOffRetryDelay = milliseconds(0);
     found->second.mAvoidUntil = {};
     found->second.mAvoidance = milliseconds(0);
   }
--- a/decisions/control_host_choice.h
+++ b/decisions/control_host_choice.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <tuple>
 #include <vector>
 
 namespace hibiscusspool {
@@ -30,6 +31,7 @@
   struct candidate
   {
     std::uint64_t mWeight = 0;
+    failure_domain_id mFailureDomain;
     bool mIsOwnDomain = false;
     /** The host is in the list of current hosts. Others are used only while
      * all of those are avoided. */
@@ -37,6 +39,12 @@
     /** The host is avoided until then, since it did not serve a stream. */
     steady_time mAvoidUntil;
     milliseconds mAvoidance{ 0 };
+    /** The host said that it was cut off from the group; it and, where there is
+     * a choice, its failure domain are avoided until then. */
+    steady_time mCutOffUntil;
+    /** When it may be asked again if no other host is left. */
+    steady_time mCutOffRetryAt;
+    milliseconds mCutOffRetryDelay{ 0 };
   };
 
   std::uint64_t mSeed = 0;
@@ -45,6 +53,12 @@
   std::map<host_id, candidate> mCandidates;
 
   void Add(const host_id& aHost);
+  /** Hosts with a lower rank are preferred. */
+  using rank = std::tuple<steady_time, bool, bool, bool, std::uint64_t>;
+  [[nodiscard]] rank RankOf(const candidate& aCandidate,
+                            steady_time aNow) const;
+  [[nodiscard]] bool IsInCutOffDomain(const candidate& aCandidate,
+                                      steady_time aNow) const;
 
 public:
   /** `aHosts` are used until the control hosts are known. `aSeed` differs for
@@ -63,7 +77,12 @@
   [[nodiscard]] host_id Preferred(steady_time aNow) const;
   /** A stream to this host failed; it is avoided for longer each time. */
   void OnFailure(const host_id& aHost, steady_time aNow);
+  /** This host said that it is cut off from the group. */
+  void OnCutOff(const host_id& aHost, steady_time aNow);
   void OnSuccess(const host_id& aHost);
+  /** True if some host neither failed lately nor said lately that it was cut
+   * off. */
+  [[nodiscard]] bool HasUntried(steady_time aNow) const;
 };
 
 }
--- a/decisions/raft_election.cpp
+++ b/decisions/raft_election.cpp
@@ -1,5 +1,7 @@
 #include "decisions/raft_node.h"
 
+#include <algorithm>
+
 namespace hibiscusspool {
 
 bool
@@ -22,6 +24,15 @@
          aNow - mLeaderContactAt < mConfig.mElectionTimeout;
 }
 
+bool
+raft_node::IsCutOff(steady_time aNow) const
+{
+  // The latest time at which a follower stands for election.
+  milliseconds longest = 2 * mConfig.mElectionTimeout;
+  return mRole != raft_role::Leader &&
+         aNow - std::max(mLeaderContactAt, mStartedAt) >= longest;
+}
+
 void
 raft_node::SetElectionDue(milliseconds aMin, steady_time aNow)
 {
@@ -43,6 +54,9 @@
                           steady_time aNow)
 {
   SetTerm(aTerm);
+  if (mRole == raft_role::Leader) {
+    mLeaderContactAt = aNow;
+  }
   mRole = raft_role::Follower;
   mLeader = aLeader;
   mGrantedVotes.clear();
--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -45,6 +45,7 @@
   , mHeartbeatDue(aNow)
   , mJoinDue(aNow)
   , mLeaderContactAt(aNow - 2 * mConfig.mElectionTimeout)
+  , mStartedAt(aNow)
 {
   UpdatePeers();
   // The group may have no leader, so the first pre-vote comes early.
@@ -298,6 +299,7 @@
   }
   if (activeVoters < Quorum()) {
     BecomeFollower(mHardState.mTerm, {}, aNow);
+    mLeaderContactAt = aNow - mConfig.mElectionTimeout;
     return;
   }
   ++mRound;
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -120,6 +120,7 @@
   steady_time mLeaderSince;
   steady_time mJoinDue;
   steady_time mLeaderContactAt;
+  steady_time mStartedAt;
   /** The latest heartbeat round of the leader that this member follows. */
   std::uint64_t mHeardRound = 0;
   std::set<raft_peer_id> mGrantedVotes;
@@ -140,7 +141,6 @@
     return mLog.Entries()[aIndex - FirstIndex()];
   }
   [[nodiscard]] std::optional<raft_term> TermAt(log_index aIndex) const;
-  [[nodiscard]] bool IsVoter(const raft_peer_id& aId) const;
   [[nodiscard]] std::size_t VoterCount() const;
   [[nodiscard]] std::size_t Quorum() const;
   [[nodiscard]] bool IsUpToDate(const raft_message& aVote) const;
@@ -237,6 +237,7 @@
   [[nodiscard]] const raft_peer_id& Leader() const { return mLeader; }
   [[nodiscard]] const raft_peer_id& Self() const { return mConfig.mSelf; }
   [[nodiscard]] const std::vector<raft_peer>& Peers() const { return mPeers; }
+  [[nodiscard]] bool IsVoter(const raft_peer_id& aId) const;
   /** The members according to the latest committed list. */
   [[nodiscard]] std::vector<raft_peer> CommittedPeers() const;
   [[nodiscard]] const raft_hard_state& HardState() const { return mHardState; }
@@ -246,6 +247,9 @@
     return mSnapshot.mIndex + mLog.Count();
   }
   [[nodiscard]] const raft_snapshot& Snapshot() const { return mSnapshot; }
+  /** This member has had no contact to a leader, or to a majority as leader,
+   * for longer than an election normally takes. */
+  [[nodiscard]] bool IsCutOff(steady_time aNow) const;
   /** This host and those that replied within the last election time-out. */
   [[nodiscard]] std::set<host_id> ActiveHosts(steady_time aNow) const;
   [[nodiscard]] std::uint64_t HeartbeatRound() const { return mRound; }
--- a/drivers/control_service.cpp
+++ b/drivers/control_service.cpp
@@ -41,6 +41,7 @@
   head.set_index(aMessage.mIndex);
   head.set_confirmed_mark(aMessage.mConfirmedMark);
   head.set_has_majority(aMessage.mHasMajority);
+  head.set_cut_off(aMessage.mIsCutOff);
   for (const control_host& host : aMessage.mControlHosts) {
     head.add_control_hosts(host.mHost.mValue);
     head.add_control_domains(host.mFailureDomain.mValue);
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -27,6 +27,15 @@
 /** Time-outs in a row after which the limits are not doubled any more. */
 constexpr int kMaxDoublings = 3;
 
+/** What a control host has said on a stream. */
+struct stream_progress
+{
+  /** A mark was confirmed. */
+  bool mIsConfirmed = false;
+  /** The host is cut off from the group, and has not confirmed a mark since. */
+  bool mIsCutOff = false;
+};
+
 }
 
 struct watch_client::state
@@ -41,11 +50,19 @@
   /** Streams in a row that timed out. While control hosts are overloaded, each
    * daemon that gives up early and returns at once adds to their load. */
   int mTimeouts = 0;
+  /** Streams in a row whose control host was cut off from the group. */
+  int mCutOffs = 0;
+
+  /** Doubles a time for each failure in a row, a few times. */
+  static milliseconds Double(milliseconds aTime, int aFailures)
+  {
+    return aTime * (1 << std::min(aFailures, kMaxDoublings));
+  }
 
   /** Doubles a time for each stream in a row that timed out. */
   [[nodiscard]] milliseconds Extend(milliseconds aTime) const
   {
-    return aTime * (1 << std::min(mTimeouts, kMaxDoublings));
+    return Double(aTime, mTimeouts);
   }
 
   bool IsStopping()
@@ -86,6 +103,52 @@
     return mChoice.Preferred(std::chrono::steady_clock::now());
   }
 
+  /** Whether to leave a stream that goes on, and why. */
+  std::optional<stream_end> EndAfter(const host_id& aHost,
+                                     const stream_progress& aProgress,
+                                     steady_time aNow)
+  {
+    std::lock_guard guard(mLock);
+    if (aProgress.mIsCutOff) {
+      mChoice.OnCutOff(aHost, aNow);
+      // While all hosts are cut off, daemons that go from one to the next would
+      // only delay the election.
+      return mChoice.HasUntried(aNow) ? std::optional(stream_end::CutOff)
+                                      : std::nullopt;
+    }
+    // A stream that isn't confirmed yet is given its time.
+    if (!aProgress.mIsConfirmed) {
+      return std::nullopt;
+    }
+    mChoice.OnSuccess(aHost);
+    mTimeouts = 0;
+    mCutOffs = 0;
+    return mChoice.Preferred(aNow) != aHost ? std::optional(stream_end::Moved)
+                                            : std::nullopt;
+  }
+
+  /** Pause before the next stream; needs the lock. */
+  milliseconds PauseAfter(const host_id& aHost, stream_end aEnd)
+  {
+    std::uniform_int_distribution<milliseconds::rep> delay(
+      kMinReconnectDelay.count(), kMaxReconnectDelay.count());
+    milliseconds pause(delay(mRandom));
+    switch (aEnd) {
+      case stream_end::TimedOut:
+        ++mTimeouts;
+        [[fallthrough]];
+      case stream_end::Failed:
+        mChoice.OnFailure(aHost, std::chrono::steady_clock::now());
+        return std::min(Extend(pause), kMaxExtendedDelay);
+      case stream_end::CutOff:
+        return std::min(Double(pause, mCutOffs++), kMaxExtendedDelay);
+      case stream_end::Moved:
+      case stream_end::Stopped:
+        break;
+    }
+    return milliseconds(0);
+  }
+
   void SetControlHosts(const std::vector<control_host>& aHosts)
   {
     {
@@ -122,6 +185,7 @@
   bool mIsDone = false;
   bool mHasMajority = false;
   bool mIsConfirmed = false;
+  bool mIsCutOff = false;
   /** Time of the last message, or of the opening until a mark is confirmed. */
   steady_time mLastMessageAt;
   steady_time mDoneAt;
@@ -188,17 +252,25 @@
     mChanged.notify_all();
   }
 
-  /** Waits until `aTime`; why the stream is over, if it is. */
+  /** Waits until `aTime`, or until the control host says that it is cut off;
+   * why the stream is over, if it is. */
   std::optional<stream_end> WaitUntil(steady_time aTime,
                                       const watch_client_config& aConfig)
   {
     std::unique_lock guard(mLock);
-    mChanged.wait_until(guard, aTime, [&] { return mIsDone; });
+    bool wasCutOff = mIsCutOff;
+    mChanged.wait_until(
+      guard, aTime, [&] { return mIsDone || mIsCutOff != wasCutOff; });
     if (mIsDone) {
       return EndOf(aConfig);
     }
-    bool isInTime = aTime - mLastMessageAt < TimeLimit(aConfig);
-    return isInTime ? std::nullopt : std::optional(stream_end::TimedOut);
+    if (mIsCutOff != wasCutOff) {
+      return std::nullopt;
+    }
+    if (aTime - mLastMessageAt < TimeLimit(aConfig)) {
+      return std::nullopt;
+    }
+    return mIsCutOff ? stream_end::CutOff : stream_end::TimedOut;
   }
 
   /** Why a stream that is done ended: a host that refuses connections does so
@@ -213,17 +285,17 @@
   /** Maximum time without a message that counts; needs the lock. */
   [[nodiscard]] milliseconds TimeLimit(const watch_client_config& aConfig) const
   {
-    if (mIsConfirmed) {
+    if (mIsConfirmed && !mIsCutOff) {
       return aConfig.mSilenceTimeout;
     }
-    return mHasMajority ? aConfig.mStateTimeout : aConfig.mOpenTimeout;
+    return mHasMajority || mIsCutOff ? aConfig.mStateTimeout
+                                     : aConfig.mOpenTimeout;
   }
 
-  /** True once a mark was confirmed. */
-  bool IsConfirmed()
+  stream_progress Progress()
   {
     std::lock_guard guard(mLock);
-    return mIsConfirmed;
+    return { mIsConfirmed, mIsCutOff };
   }
 
   void CancelAndWait()
@@ -268,7 +340,11 @@
       std::lock_guard guard(mLock);
       mHasMajority = mHasMajority || mDown.has_majority();
       mIsConfirmed = mIsConfirmed || update.mConfirmedMark != 0;
-      mLastMessageAt = mIsConfirmed ? aNow : mLastMessageAt;
+      if (mDown.cut_off() || update.mConfirmedMark != 0) {
+        mIsCutOff = mDown.cut_off();
+        mChanged.notify_all();
+      }
+      mLastMessageAt = mIsConfirmed || mIsCutOff ? aNow : mLastMessageAt;
       auto mark = mMarks.find(update.mConfirmedMark);
       if (mark != mMarks.end()) {
         confirmed = mark->second;
@@ -341,8 +417,6 @@
 void
 watch_client::Run(const std::shared_ptr<state>& aState)
 {
-  std::uniform_int_distribution<milliseconds::rep> delay(
-    kMinReconnectDelay.count(), kMaxReconnectDelay.count());
   while (aState->WaitForHosts()) {
     host_id host = aState->PreferredHost();
     stream_end end = RunStream(aState, host);
@@ -350,16 +424,9 @@
       .Add("control", host.mValue)
       .Add("end", NameOf(end));
     std::unique_lock guard(aState->mLock);
-    bool hasTimedOut = end == stream_end::TimedOut;
-    if (end != stream_end::Failed && !hasTimedOut) {
-      continue;
-    }
-    aState->mTimeouts += hasTimedOut ? 1 : 0;
-    aState->mChoice.OnFailure(host, std::chrono::steady_clock::now());
-    milliseconds pause = std::min(
-      aState->Extend(milliseconds(delay(aState->mRandom))), kMaxExtendedDelay);
-    aState->mChanged.wait_for(
-      guard, pause, [&] { return aState->mIsStopping; });
+    aState->mChanged.wait_for(guard, aState->PauseAfter(host, end), [&] {
+      return aState->mIsStopping;
+    });
   }
 }
 
@@ -378,24 +445,17 @@
     now);
   stream.SendMark(now, true);
   stream_end end = stream_end::Stopped;
-  bool isConfirmed = false;
   while (!aState->IsStopping()) {
     now += config.mMarkInterval;
     if (auto over = stream.WaitUntil(now, config)) {
       end = *over;
       break;
     }
-    if (!std::exchange(isConfirmed, stream.IsConfirmed()) && isConfirmed) {
-      std::lock_guard guard(aState->mLock);
-      aState->mChoice.OnSuccess(aHost);
-      aState->mTimeouts = 0;
-    }
-    // A stream that isn't confirmed yet is given its time.
-    if (isConfirmed && aState->PreferredHost() != aHost) {
-      end = stream_end::Moved;
+    now = std::chrono::steady_clock::now();
+    if (auto over = aState->EndAfter(aHost, stream.Progress(), now)) {
+      end = *over;
       break;
     }
-    now = std::chrono::steady_clock::now();
     stream.SendMark(now, false);
   }
   stream.CancelAndWait();
--- a/drivers/watch_client.h
+++ b/drivers/watch_client.h
@@ -55,15 +55,18 @@
 {
   Failed,
   TimedOut,
+  /** The control host is cut off from the group. */
+  CutOff,
   /** Another control host is preferred now. */
   Moved,
   Stopped,
 };
 
 template<>
-inline constexpr name_table<stream_end, 4> kNames<stream_end>{ {
+inline constexpr name_table<stream_end, 5> kNames<stream_end>{ {
   { stream_end::Failed, "failed" },
   { stream_end::TimedOut, "timed_out" },
+  { stream_end::CutOff, "cut_off" },
   { stream_end::Moved, "moved" },
   { stream_end::Stopped, "stopped" },
 } };
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -224,6 +224,9 @@
     mHub->ResetStreams(aIndex);
   };
   hooks.mOnRoleChanged = [this] { mStopWaiter.Notify(); };
+  hooks.mOnContactChanged = [this](group_contact aContact) {
+    mHub->SetCutOff(aContact != group_contact::InTouch);
+  };
   return hooks;
 }
 
--- a/tests/controllers/watch_hub_test.cpp
+++ b/tests/controllers/watch_hub_test.cpp
@@ -121,6 +121,23 @@
   LONGS_EQUAL(1, first->mConfirmedMark);
 }
 
+TEST(watch_hub, StreamTellsOnceOfEachLossOfTheGroup)
+{
+  stream_id open = OpenWithFullState();
+  mHub.SetCutOff(true);
+  stream_id opened = Open();
+  for (stream_id stream : { open, opened }) {
+    auto told = mHub.Next(stream);
+    CHECK(told && told->mIsCutOff);
+    LONGS_EQUAL(0, told->mConfirmedMark);
+    CHECK(!mHub.Next(stream));
+  }
+  mHub.SetCutOff(false);
+  CHECK(!mHub.Next(open));
+  mHub.SetCutOff(true);
+  CHECK(mHub.Next(open)->mIsCutOff);
+}
+
 TEST(watch_hub, StreamTellsOfTheMajorityBeforeItSendsTheState)
 {
   mHub.ResetStreams(10);
--- a/tests/decisions/control_host_choice_test.cpp
+++ b/tests/decisions/control_host_choice_test.cpp
@@ -150,6 +150,55 @@
   }
 }
 
+TEST(control_host_choice, AHostThatIsCutOffIsLeftForAnotherFailureDomain)
+{
+  std::vector<control_host> listed = Listed(ControlHosts(9));
+  for (std::size_t index = 0; index < listed.size(); ++index) {
+    listed[index].mFailureDomain.mValue = "d" + std::to_string(index % 3);
+  }
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    auto choice = control_host_choice::Create(
+      ControlHosts(3), failure_domain_id{ "d0" }, seed);
+    choice.SetHosts(listed);
+    auto domainOf = [&](const host_id& aHost) {
+      auto found = std::find_if(
+        listed.begin(), listed.end(), [&](const control_host& aListed) {
+          return aListed.mHost == aHost;
+        });
+      return found->mFailureDomain.mValue;
+    };
+    host_id first = choice.Preferred(kNow);
+    STRCMP_EQUAL("d0", domainOf(first).c_str());
+    choice.OnCutOff(first, kNow);
+    host_id second = choice.Preferred(kNow);
+    CHECK(domainOf(second) != "d0");
+    choice.OnCutOff(second, kNow);
+    host_id third = choice.Preferred(kNow);
+    CHECK(domainOf(third) != "d0" && domainOf(third) != domainOf(second));
+    CHECK(choice.Preferred(kNow + milliseconds(10'000)) == first);
+  }
+}
+
+TEST(control_host_choice, NoHostIsUntriedOnceAllAreCutOff)
+{
+  auto hosts = ControlHosts(3);
+  auto choice = control_host_choice::Create(hosts, {}, 7);
+  for (const host_id& host : hosts) {
+    CHECK(choice.HasUntried(kNow));
+    choice.OnCutOff(host, kNow);
+  }
+  CHECK(!choice.HasUntried(kNow));
+  // Hosts that are still cut off when they are asked again are left alone for
+  // longer.
+  steady_time later = kNow + milliseconds(2000);
+  CHECK(choice.HasUntried(later));
+  for (const host_id& host : hosts) {
+    choice.OnCutOff(host, later);
+  }
+  CHECK(!choice.HasUntried(later + milliseconds(2000)));
+  CHECK(choice.HasUntried(later + milliseconds(4000)));
+}
+
 TEST(control_host_choice, TheHostAvoidedForTheShortestTimeIsUsedWhenAllFailed)
 {
   auto hosts = ControlHosts(2);
--- a/tests/decisions/raft_node_test.cpp
+++ b/tests/decisions/raft_node_test.cpp
@@ -198,6 +198,12 @@
 
   void Heal() { mBlockedLinks.clear(); }
 
+  /** True if this member knows that it is cut off from the group. */
+  bool IsCutOff(std::size_t aPosition)
+  {
+    return mMembers[aPosition].mNode->IsCutOff(mNow);
+  }
+
   std::size_t LeaderPosition()
   {
     std::size_t best = mMembers.size();
@@ -736,6 +742,38 @@
   CHECK(group.LeaderPosition() != leader);
 }
 
+TEST(raft_node, AMemberThatIsCutOffKnowsItAfterTwoElectionTimeouts)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    simulated_group group(seed, 5);
+    group.mLosesMessages = false;
+    group.RunFor(milliseconds(3000));
+    std::size_t leader = group.LeaderPosition();
+    std::size_t follower = (leader + 1) % group.Count();
+    group.Isolate(leader);
+    group.Isolate(follower);
+    group.RunFor(milliseconds(1500));
+    CHECK(!group.IsCutOff(leader));
+    CHECK(!group.IsCutOff(follower));
+    group.RunFor(milliseconds(600));
+    CHECK(group.IsCutOff(leader));
+    CHECK(group.IsCutOff(follower));
+    // The others elect a leader, and stay in touch with it.
+    group.RunFor(milliseconds(1500));
+    for (int step = 0; step < 50; ++step) {
+      group.RunFor(milliseconds(100));
+      for (std::size_t other = 0; other < group.Count(); ++other) {
+        bool isIsolated = other == leader || other == follower;
+        CHECK(isIsolated == group.IsCutOff(other));
+      }
+    }
+    group.Heal();
+    group.RunFor(milliseconds(2000));
+    CHECK(!group.IsCutOff(leader));
+    CHECK(!group.IsCutOff(follower));
+  }
+}
+
 TEST(raft_node, AReplySentBeforeTheReadDoesNotConfirmIt)
 {
   simulated_group group(23);
--- a/tests/integration/control_connections_test.cpp
+++ b/tests/integration/control_connections_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
 #include <list>
 #include <thread>
 
@@ -84,3 +85,44 @@
   system.Start("e1");
   CHECK(WaitFor([&] { return ListsItself(system, "e1"); }));
 }
+
+// Guards against configurations that come late: an entry host waited at control
+// hosts that knew that they were cut off from the group.
+TEST(control_connections, AnEntryHostAmongCutOffControlHostsReachesTheOthers)
+{
+  // The time in which the users want a change to be in force.
+  constexpr milliseconds kApplyTimeout{ 3000 };
+  system_options options;
+  options.mControlHosts = 9;
+  options.mEntryHosts = 1;
+  options.mUsesControlProxy = true;
+  test_system system(options);
+  system.StartAll();
+  // All control hosts of the entry host's failure domain, to which it goes
+  // first.
+  const std::vector<std::string> cutOff{ "c1", "c4", "c7" };
+  auto isCutOff = [&](const std::string& aHost) {
+    return std::find(cutOff.begin(), cutOff.end(), aHost) != cutOff.end();
+  };
+  // The entry host moves to its own failure domain once it knows of it.
+  std::this_thread::sleep_for(milliseconds(3000));
+  for (const std::string& from : system.ControlHosts()) {
+    for (const std::string& to : system.ControlHosts()) {
+      if (isCutOff(from) != isCutOff(to)) {
+        system.SetLinkBehaviour(from + "-" + to,
+                                R"({"silence_open":true,"cut":true})");
+      }
+    }
+  }
+  // The others have elected a leader by then.
+  std::this_thread::sleep_for(milliseconds(3000));
+  CHECK(WaitFor([&] {
+    return Call("PUT",
+                system.OperatorsAddress("c2"),
+                "/v1/teams/after",
+                R"({"template":"basic"})")
+             .mStatus == 200;
+  }));
+  CHECK(WaitFor([&] { return system.Query("e1", "after").mStatus == 200; },
+                kApplyTimeout));
+}
