Refuse changes and reads at once on a control host that is cut off

What callers saw: an operator that asked a control host in the minority of a split core waited for its whole time limit at each, 0.6 to 1 s, and was then told that no leader had answered in time.

Cause: the host passed the change around among the hosts that it could reach, or waited for a read to be confirmed, though no leader had reached it for seconds.

Change: a voter that is cut off refuses both at once with 503, so that the caller moves on.

--- a/drivers/control_client.cpp
+++ b/drivers/control_client.cpp
@@ -281,6 +281,13 @@
         control_client_error::NoLeader,
         "No control host evaluated the change before the deadline.");
     }
+    if (mState->mHooks.mIsCutOff && mState->mHooks.mIsCutOff()) {
+      log_event("proposal_refused", log_event::severity::Warning)
+        .Add("cause", NameOf(control_client_error::CutOff))
+        .Add("left_ms", left.count());
+      co_return Fail(control_client_error::CutOff,
+                     "No leader reaches this control host.");
+    }
     host_id target = mState->Target(tries);
     propose_result proposed;
     if (!target.IsEmpty()) {
--- a/drivers/control_client.h
+++ b/drivers/control_client.h
@@ -19,14 +19,17 @@
 enum class control_client_error
 {
   NoLeader,
+  /** No leader reaches this control host. */
+  CutOff,
   Refused,
   Stopped,
 };
 
 template<>
-inline constexpr name_table<control_client_error, 3>
+inline constexpr name_table<control_client_error, 4>
   kNames<control_client_error>{ {
     { control_client_error::NoLeader, "no_leader" },
+    { control_client_error::CutOff, "cut_off" },
     { control_client_error::Refused, "refused" },
     { control_client_error::Stopped, "stopped" },
   } };
@@ -36,6 +39,9 @@
   /** The leader's latest heartbeat round that this control host knows of; unset
    * on other hosts. */
   std::function<leader_round()> mLatestRound;
+  /** This control host knows that no leader reaches it; unset on other hosts.
+   */
+  std::function<bool()> mIsCutOff;
 };
 
 /** Calls to the control hosts from any process of the system. */
@@ -62,7 +68,7 @@
    * Sends a command to the leader and retries across changes of leader. A
    * command may be sent more than once: it must have a Change-Id or be
    * idempotent. Errors: `NoLeader` if no leader applied the command before the
-   * deadline.
+   * deadline, `CutOff` at once while none reaches this host.
    */
   boost::asio::awaitable<
     result<std::vector<change_outcome>, control_client_error>>
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -133,10 +133,11 @@
   // A host reaches itself without being told of any other.
   auto hosts = ControlHosts(aSettings);
   hosts.emplace(host_id{ aSettings.mHostId }, aSettings.mControlAddress);
-  // Set once the role, whose group the hook asks, has been created.
-  auto latestRound = std::make_shared<std::function<leader_round()>>();
+  // Set once the role, whose group the hooks ask, has been created.
+  auto owner = std::make_shared<control_role*>(nullptr);
   control_client_hooks clientHooks;
-  clientHooks.mLatestRound = [latestRound] { return (*latestRound)(); };
+  clientHooks.mLatestRound = [owner] { return (*owner)->LatestRound(); };
+  clientHooks.mIsCutOff = [owner] { return (*owner)->IsCutOff(); };
   std::unique_ptr<control_role> role(new control_role(
     aContext,
     aSettings,
@@ -144,7 +145,7 @@
     std::move(refusals.value()),
     control_client::Create(
       aContext.get_executor(), std::move(hosts), std::move(clientHooks))));
-  *latestRound = [made = role.get()] { return made->LatestRound(); };
+  *owner = role.get();
   auto group = role->SetUpGroup();
   if (!group) {
     return group.error();
@@ -529,6 +530,12 @@
   return { status.mTerm, status.mRound };
 }
 
+bool
+control_role::IsCutOff() const
+{
+  return mGroup->Contact() == group_contact::CutOff;
+}
+
 std::optional<steady_time>
 control_role::EarliestArrival()
 {
@@ -543,6 +550,9 @@
 asio::awaitable<bool>
 control_role::ConfirmRead(steady_time aDeadline)
 {
+  if (IsCutOff()) {
+    co_return false;
+  }
   auto executor = co_await asio::this_coro::executor;
   auto confirmed = std::make_shared<asio::steady_timer>(executor, aDeadline);
   auto isDone = std::make_shared<bool>(false);
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -67,6 +67,8 @@
   platform::control_api_hooks PlatformHooks();
   /** The leader's latest heartbeat round, as this host knows it. */
   [[nodiscard]] leader_round LatestRound() const;
+  /** No leader reaches this host, so that it can't pass anything on. */
+  [[nodiscard]] bool IsCutOff() const;
   /** The earliest time, by the steady clock, at which a request may have
    * arrived that is read now; nothing if that may be before a stall. */
   std::optional<steady_time> EarliestArrival();
