Bound the time that a change waits for one control host

What callers saw: a change that reached a control host just after the leader had frozen got 503 after 10 s, though the group had another leader after one or two.

Cause: the call to the leader got all of the time that the caller had left.

Change: a call to one host may last a second; then the change goes to the next host, which names the leader. A command may be sent more than once, as before.

Evidence: control_side/AChangeSentToAFrozenLeaderReachesTheNextOne got 503 before.

--- a/drivers/control_client.cpp
+++ b/drivers/control_client.cpp
@@ -28,6 +28,9 @@
 
 constexpr milliseconds kStatusTimeout{ 1000 };
 constexpr milliseconds kRetryDelay{ 50 };
+/** Time limit for one host to answer a proposal. One that does not may have
+ * frozen or be cut off, and the group may have another leader by then. */
+constexpr milliseconds kAttemptTimeout{ 1000 };
 /** Time from the beginning of a heartbeat round until a command that names it
  * can be sent: the interval of the rounds and the way here. */
 constexpr milliseconds kRoundAge{ 300 };
@@ -291,7 +294,8 @@
     host_id target = mState->Target(tries);
     propose_result proposed;
     if (!target.IsEmpty()) {
-      proposed = co_await ProposeOnce(target, aCommand, left);
+      proposed =
+        co_await ProposeOnce(target, aCommand, std::min(left, kAttemptTimeout));
     }
     if (proposed.mStatus == propose_status::Applied) {
       mState->SetLeader(target);
--- a/tests/integration/control_side_test.cpp
+++ b/tests/integration/control_side_test.cpp
@@ -386,6 +386,26 @@
   LONGS_EQUAL(200, put("after").mStatus);
 }
 
+// Guards against changes that wait for a leader that is gone until their time
+// is over, while the group has another one.
+TEST(control_side, AChangeSentToAFrozenLeaderReachesTheNextOne)
+{
+  test_system system({});
+  system.StartAll();
+  std::string frozen = system.Leader();
+  std::string other = frozen == "c1" ? "c2" : "c1";
+  auto put = [&](const std::string& aName) {
+    return Call("PUT",
+                system.OperatorsAddress(other),
+                "/v1/templates/" + aName,
+                R"({"services":"a"})")
+      .mStatus;
+  };
+  LONGS_EQUAL(200, put("before"));
+  system.Signal(frozen, SIGSTOP);
+  LONGS_EQUAL(200, put("meanwhile"));
+}
+
 namespace {
 
 /** Sends an order and closes the connection after a second without having read
