Answer 503 for an unknown path that a later configuration may know

What callers saw: 404 for a route that was in force elsewhere, at an entry host that had not heard a control host that was in touch for seconds. A 404 is final for most callers.

Cause: the host judged by a configuration that it could not confirm.

Change: without a valid lease an unknown path is refused with 503 and a time to come back, as before the first configuration. Requests on routes that the host knows are served as before.

--- a/filters/route.cpp
+++ b/filters/route.cpp
@@ -76,6 +76,15 @@
   aRequest.mConfiguration = aRequest.mRoutes->Number();
   const resolved_route* routed =
     aRequest.mRoutes->Find(aRequest.mAuthority, aRequest.mPath);
+  if (routed == nullptr && !aHooks.mAreRoutesConfirmed(aHooks.mNow())) {
+    aRequest.Refuse(refusal_reason::NotConfirmed,
+                    "No route of configuration " +
+                      std::to_string(aRequest.mConfiguration) +
+                      " matches the host and path, and this host can't confirm "
+                      "that it is the latest one.",
+                    kRetryAfter);
+    return;
+  }
   if (routed == nullptr) {
     aRequest.Refuse(refusal_reason::UnknownTeam,
                     "No route of configuration " +
--- a/filters/route.h
+++ b/filters/route.h
@@ -9,6 +9,10 @@
 {
   /** The routes in force, or nothing before the first configuration. */
   std::function<std::shared_ptr<const route_table>()> mRoutes;
+  std::function<steady_time()> mNow;
+  /** The routes were confirmed so recently that no other configuration is due
+   * to be in force. */
+  std::function<bool(steady_time)> mAreRoutesConfirmed;
   /** The service for the next request of a route without shards. */
   std::function<service_id(const route_record&)> mNextService;
   /** Part of the latency objective reserved for the transfer to the caller. */
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -221,6 +221,10 @@
 {
   route_hooks routes;
   routes.mRoutes = [this] { return mCatalog.Routes(); };
+  routes.mNow = SteadyNow;
+  routes.mAreRoutesConfirmed = [this](steady_time aNow) {
+    return mLease.IsValid(aNow);
+  };
   routes.mNextService = [this](const route_record& aRoute) {
     return mCatalog.NextService(aRoute);
   };
