Start with settings that hold a number that does not fit

What operators saw: with a bound of 6.5 in place of 6, every process ends with code 2 at each start, on all hosts at once: a crash loop, and no service.

Cause: each value that a setting does not take ended the start, also where the nearest allowed value or the default would do. Restarts read the same file.

Change: `serve` rounds a number down, brings it into its range, or keeps the default; it leaves out malformed seeds, and an unknown failure domain is called so. Each replacement is logged as an error (`setting_replaced`). What nothing can replace, as an address, still ends the start, and `check` still refuses all of it.

--- a/main/main.cpp
+++ b/main/main.cpp
@@ -75,15 +75,18 @@
   if (!variables.contains("settings")) {
     return FailUsage(aCommand + " requires --settings FILE.");
   }
-  auto loaded = LoadSettings(variables["settings"].as<std::string>());
-  if (!loaded) {
-    return FailUsage(loaded.error().mDetail);
-  }
+  auto path = variables["settings"].as<std::string>();
   if (aCommand == "check") {
+    auto checked = LoadSettings(path);
+    if (!checked) {
+      return FailUsage(checked.error().mDetail);
+    }
     std::cout << "The settings are valid.\n";
     return kSuccess;
   }
-  return Serve(variables["settings"].as<std::string>(), loaded.value());
+  auto loaded = LoadRepairedSettings(path);
+  return loaded ? Serve(path, loaded.value())
+                : FailUsage(loaded.error().mDetail);
 }
 
 int
--- a/main/role_support.cpp
+++ b/main/role_support.cpp
@@ -1,5 +1,7 @@
 #include "main/role_support.h"
 
+#include "core/log_event.h"
+
 #include "core/address.h"
 #include "drivers/suspended_time.h"
 
@@ -56,6 +58,17 @@
   return hosts;
 }
 
+void
+LogRepairs(const std::vector<setting_repair>& aRepairs)
+{
+  for (const setting_repair& repair : aRepairs) {
+    log_event("setting_replaced", log_event::severity::Error)
+      .Add("setting", repair.mKey)
+      .Add("value", repair.mText)
+      .Add("used", repair.mUsed);
+  }
+}
+
 result<std::unique_ptr<http_server>, role_error>
 StartHttpServer(boost::asio::io_context& aContext,
                 http_server_config aConfig,
--- a/main/role_support.h
+++ b/main/role_support.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace hibiscusspool {
 
@@ -32,6 +33,10 @@
 std::map<host_id, std::string>
 ControlHosts(const settings& aSettings);
 
+/** Logs which settings were replaced since their values can't be used. */
+void
+LogRepairs(const std::vector<setting_repair>& aRepairs);
+
 /** Creates a listening HTTP server; an error names the address. */
 result<std::unique_ptr<http_server>, role_error>
 StartHttpServer(boost::asio::io_context& aContext,
--- a/main/seed_watcher.cpp
+++ b/main/seed_watcher.cpp
@@ -38,7 +38,7 @@
 void
 seed_watcher::Reload()
 {
-  auto loaded = LoadSettings(mPath);
+  auto loaded = LoadRepairedSettings(mPath);
   if (!loaded) {
     log_event("reload_failed", log_event::severity::Error)
       .Add("error", NameOf(loaded.error().mCode))
@@ -48,7 +48,8 @@
   log_event("reloaded")
     .Add("path", mPath)
     .Add("in_force", "seeds now, other settings after the next start");
-  Adopt(loaded.value());
+  LogRepairs(loaded.value().mRepairs);
+  Adopt(loaded.value().mSettings);
 }
 
 boost::asio::awaitable<void>
@@ -58,9 +59,9 @@
     co_return;
   }
   // A file that can't be read now is read again next time.
-  auto loaded = LoadSettings(mPath);
+  auto loaded = LoadRepairedSettings(mPath);
   if (loaded) {
-    Adopt(loaded.value());
+    Adopt(loaded.value().mSettings);
   }
 }
 
--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -5,6 +5,7 @@
 #include "core/log_writer.h"
 #include "core/periodic.h"
 #include "drivers/grpc_settings.h"
+#include "main/role_support.h"
 #include "main/roles.h"
 #include "main/seed_watcher.h"
 
@@ -146,23 +147,25 @@
 }
 
 int
-Serve(const std::string& aPath, const settings& aSettings)
+Serve(const std::string& aPath, const repaired_settings& aLoaded)
 {
+  const settings& used = aLoaded.mSettings;
   // A write to a closed connection must fail for that connection only, and one
   // beyond the limit on the size of files for that file only.
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGXFSZ, SIG_IGN);
   StartLogWriter();
   LogGrpcMessages();
+  LogRepairs(aLoaded.mRepairs);
   shutdown_event shutdown;
   roles running;
   asio::io_context context;
   auto work = asio::make_work_guard(context);
   asio::signal_set signals(context, SIGINT, SIGTERM, SIGHUP);
-  seed_watcher seeds(aPath, aSettings, running);
+  seed_watcher seeds(aPath, used, running);
   AwaitSignals(signals, seeds, shutdown);
 
-  bool isStarted = StartRoles(context, aSettings, shutdown, running);
+  bool isStarted = StartRoles(context, used, shutdown, running);
   std::vector<std::thread> threads;
   threads.reserve(kBackgroundThreads);
   for (int number = 0; number < kBackgroundThreads; ++number) {
@@ -174,9 +177,9 @@
       return seeds.Follow();
     });
     log_event("serving")
-      .Add("host", aSettings.mHostId)
-      .Add("entry", aSettings.mEntryCallersAddress)
-      .Add("control", aSettings.mControlAddress);
+      .Add("host", used.mHostId)
+      .Add("entry", used.mEntryCallersAddress)
+      .Add("control", used.mControlAddress);
   }
 
   bool isClean = isStarted || shutdown.IsStopping();
--- a/main/serve.h
+++ b/main/serve.h
@@ -6,6 +6,6 @@
 
 /** Runs the configured roles until a stop signal; returns the exit code. */
 int
-Serve(const std::string& aPath, const settings& aSettings);
+Serve(const std::string& aPath, const repaired_settings& aLoaded);
 
 }
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -88,6 +88,13 @@
 std::vector<setting_row>
 HostRows()
 {
+  setting_row domain = Text("host",
+                            "failure_domain",
+                            setting_type::Name,
+                            &settings::mHostFailureDomain,
+                            true,
+                            "Failure domain of this host.");
+  domain.mFallback = "unknown";
   return {
     Text("host",
          "id",
@@ -95,12 +102,7 @@
          &settings::mHostId,
          true,
          "Name of this host; must be unique."),
-    Text("host",
-         "failure_domain",
-         setting_type::Name,
-         &settings::mHostFailureDomain,
-         true,
-         "Failure domain of this host."),
+    std::move(domain),
   };
 }
 
--- a/settings/settings.cpp
+++ b/settings/settings.cpp
@@ -5,9 +5,12 @@
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <iomanip>
+#include <optional>
 #include <set>
 #include <sstream>
 
@@ -181,6 +184,88 @@
   }
 };
 
+/** The whole text as a finite number. */
+std::optional<double>
+ParseNumber(const std::string& aText)
+{
+  double number = 0;
+  const char* end = aText.data() + aText.size();
+  auto [stop, error] = std::from_chars(aText.data(), end, number);
+  bool isNumber = error == std::errc{} && stop == end && std::isfinite(number);
+  return isNumber ? std::optional(number) : std::nullopt;
+}
+
+/** Replaces a value that can't be used; returns what is used instead, or
+ * nothing if only a valid value will do. */
+struct value_repairer
+{
+  settings& mSettings;
+  const setting_row& mRow;
+  const std::string& mText;
+
+  std::optional<std::string> operator()(std::string settings::*aMember) const
+  {
+    if (mRow.mFallback.empty()) {
+      return std::nullopt;
+    }
+    mSettings.*aMember = mRow.mFallback;
+    return mRow.mFallback;
+  }
+
+  std::optional<std::string> operator()(
+    host_address_map settings::* /*aMember*/) const
+  {
+    return std::nullopt;
+  }
+
+  std::optional<std::string> operator()(endpoint_list settings::*aMember) const
+  {
+    endpoint_list endpoints;
+    std::string used;
+    std::istringstream parts(mText);
+    for (std::string part; std::getline(parts, part, ',');) {
+      std::erase(part, ' ');
+      if (ParseAddress(part)) {
+        used += (used.empty() ? "" : ",") + part;
+        endpoints.push_back(part);
+      }
+    }
+    mSettings.*aMember = std::move(endpoints);
+    return used;
+  }
+
+  /** The nearest allowed number. */
+  [[nodiscard]] std::optional<double> Nearest() const
+  {
+    auto number = ParseNumber(mText);
+    if (!number) {
+      return std::nullopt;
+    }
+    return std::clamp(*number,
+                      static_cast<double>(mRow.mMinValue),
+                      static_cast<double>(mRow.mMaxValue));
+  }
+
+  std::optional<std::string> operator()(double settings::*aMember) const
+  {
+    mSettings.*aMember = Nearest().value_or(mSettings.*aMember);
+    return std::to_string(mSettings.*aMember);
+  }
+
+  std::optional<std::string> operator()(std::int64_t settings::*aMember) const
+  {
+    if (auto nearest = Nearest()) {
+      mSettings.*aMember = static_cast<std::int64_t>(*nearest);
+    }
+    return std::to_string(mSettings.*aMember);
+  }
+
+  std::optional<std::string> operator()(bool settings::*aMember) const
+  {
+    return mSettings.*aMember ? "yes" : "no";
+  }
+};
+
 result<void, settings_error>
 CheckSectionsAndKeys(const tree& aTree)
 {
@@ -258,10 +343,10 @@
   return boost::outcome_v2::success();
 }
 
-}
-
+/** Parses the text of an INI file. Values that can't be used are errors, or are
+ * replaced and added to `aRepairs` if that is given. */
 result<settings, settings_error>
-ParseSettings(const std::string& aText)
+Parse(const std::string& aText, std::vector<setting_repair>* aRepairs)
 {
   tree parsed;
   std::istringstream text(aText);
@@ -298,9 +383,17 @@
       continue;
     }
     auto set = std::visit(value_setter{ loaded, row, valueText }, row.mMember);
-    if (!set) {
+    if (set) {
+      continue;
+    }
+    std::optional<std::string> used;
+    if (aRepairs != nullptr) {
+      used = std::visit(value_repairer{ loaded, row, valueText }, row.mMember);
+    }
+    if (!used) {
       return set.error();
     }
+    aRepairs->push_back({ QualifiedKey(row), valueText, std::move(*used) });
   }
   auto consistent = CheckConsistency(loaded);
   if (!consistent) {
@@ -309,8 +402,9 @@
   return loaded;
 }
 
+/** Parses the text of a file; errors name the file. */
 result<settings, settings_error>
-LoadSettings(const std::string& aPath)
+Load(const std::string& aPath, std::vector<setting_repair>* aRepairs)
 {
   std::ifstream file(aPath);
   if (!file) {
@@ -319,15 +413,13 @@
   }
   std::ostringstream text;
   text << file.rdbuf();
-  auto loaded = ParseSettings(text.str());
+  auto loaded = Parse(text.str(), aRepairs);
   if (!loaded) {
     return Fail(loaded.error().mCode, aPath + ": " + loaded.error().mDetail);
   }
   return loaded;
 }
 
-namespace {
-
 std::string
 DefaultText(const setting_row& aRow)
 {
@@ -349,6 +441,42 @@
 
 }
 
+result<settings, settings_error>
+ParseSettings(const std::string& aText)
+{
+  return Parse(aText, nullptr);
+}
+
+result<settings, settings_error>
+LoadSettings(const std::string& aPath)
+{
+  return Load(aPath, nullptr);
+}
+
+result<repaired_settings, settings_error>
+RepairSettings(const std::string& aText)
+{
+  repaired_settings repaired;
+  auto parsed = Parse(aText, &repaired.mRepairs);
+  if (!parsed) {
+    return parsed.error();
+  }
+  repaired.mSettings = std::move(parsed.value());
+  return repaired;
+}
+
+result<repaired_settings, settings_error>
+LoadRepairedSettings(const std::string& aPath)
+{
+  repaired_settings repaired;
+  auto loaded = Load(aPath, &repaired.mRepairs);
+  if (!loaded) {
+    return loaded.error();
+  }
+  repaired.mSettings = std::move(loaded.value());
+  return repaired;
+}
+
 std::string
 SettingsHelp()
 {
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -172,6 +172,8 @@
   /** The key must be present in its section. */
   bool mIsRequired = false;
   std::string mHelp;
+  /** Replaces a text that can't be used; empty if nothing can. */
+  std::string mFallback{};
 };
 
 /** The single table of settings behind validation, help and documentation. */
@@ -189,6 +191,33 @@
 result<settings, settings_error>
 ParseSettings(const std::string& aText);
 
+/** A value that was out of range or could not be read, and what replaced it. */
+struct setting_repair
+{
+  std::string mKey;
+  std::string mText;
+  std::string mUsed;
+};
+
+struct repaired_settings
+{
+  settings mSettings;
+  std::vector<setting_repair> mRepairs;
+};
+
+/**
+ * Loads an INI file for a process that has to start: a number that does not fit
+ * is rounded down or set to the nearest allowed one, other values that can't be
+ * read are left at their defaults, and malformed seeds are left out. Errors as
+ * for `LoadSettings` where nothing can replace a value, as an address.
+ */
+result<repaired_settings, settings_error>
+LoadRepairedSettings(const std::string& aPath);
+
+/** The same for the text of an INI file. */
+result<repaired_settings, settings_error>
+RepairSettings(const std::string& aText);
+
 /** The table as plain text for a terminal. */
 std::string
 SettingsHelp();
--- a/tests/filters/route_test.cpp
+++ b/tests/filters/route_test.cpp
@@ -55,7 +55,7 @@
     request.mForwarded = std::make_shared<const forwarded_request>();
     filter route = MakeRoute(std::move(hooks));
     asio::io_context context;
-    asio::co_spawn(context, route.mRun(request), asio::detached);
+    asio::co_spawn(context, route.mHook(request), asio::detached);
     context.run();
     return request.mRefusal;
   }
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -64,6 +64,41 @@
              "callers_address");
 }
 
+// Guards against processes that end at each start because of a bound that is
+// not a whole number or out of range.
+TEST(settings, ValuesThatDoNotFitAreReplacedForAStart)
+{
+  const std::string onPlatform =
+    "[platform]\ncontrol_port=7\nseeds=127.0.0.1:9,x,127.0.0.1:10\n";
+  auto loaded =
+    RepairSettings(kHostSection + kEntrySection +
+                   "leaving_grace_ms=2500.9\nextra_window_s=6.0\n"
+                   "extra_ratio=0.25\nlease_ms=9000000000000000000000\n"
+                   "threads=-3\ncanary=perhaps\nhedge_percent=none\n" +
+                   onPlatform + "grace_s=6.5\n");
+  CHECK(loaded.has_value());
+  const settings& used = loaded.value().mSettings;
+  LONGS_EQUAL(2500, used.mEntryLeavingGraceMs);
+  LONGS_EQUAL(6, used.mEntryExtraWindowS);
+  DOUBLES_EQUAL(0.25, used.mEntryExtraRatio, 0);
+  LONGS_EQUAL(8000, used.mEntryLeaseMs);
+  LONGS_EQUAL(1, used.mEntryThreads);
+  LONGS_EQUAL(6, used.mPlatformGraceS);
+  LONGS_EQUAL(settings{}.mEntryHedgeBudgetPercent,
+              used.mEntryHedgeBudgetPercent);
+  CHECK(used.mEntryCanary);
+  LONGS_EQUAL(2, used.mPlatformSeeds.size());
+  LONGS_EQUAL(8, loaded.value().mRepairs.size());
+  auto withoutDomain =
+    RepairSettings("[host]\nid=e1\nfailure_domain=\n" + kEntrySection);
+  STRCMP_EQUAL("unknown",
+               withoutDomain.value().mSettings.mHostFailureDomain.c_str());
+  // What nothing can replace is still an error.
+  auto withoutAddress = RepairSettings(
+    kHostSection + "[entry]\ncallers_address=x\nannounce_address=y\n");
+  CHECK(!withoutAddress.has_value());
+}
+
 TEST(settings, ChecksSettingsAgainstEachOther)
 {
   CheckFails(kHostSection + kEntrySection + "lease_ms=1000\nmark_ms=900\n",
