Wait at a start for an address that is still in use

What operators saw: a host whose port another process held for a moment ended with code 1 at each start until it was free.

Cause: `cannot_listen` was taken for final. It is checked now before the roles are created, so that nothing is half started meanwhile.

Evidence: start_conditions/AHostWaitsForAnAddressThatIsStillInUse failed before.

--- a/drivers/tcp_listener.cpp
+++ b/drivers/tcp_listener.cpp
@@ -24,6 +24,33 @@
 constexpr milliseconds kAcceptRetryDelay{ 50 };
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
+result<void, tcp_listener_error>
+Listen(tcp::acceptor& aAcceptor, const std::string& aAddress)
+{
+  auto address = ParseAddress(aAddress);
+  if (!address) {
+    return Fail(tcp_listener_error::CannotListen,
+                "The listener's address is not an ip:port: " + aAddress);
+  }
+  tcp::endpoint endpoint(asio::ip::make_address(address->mIp), address->mPort);
+  boost::system::error_code error;
+  aAcceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    aAcceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    aAcceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    aAcceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail(tcp_listener_error::CannotListen,
+                aAddress + ": " + error.message());
+  }
+  return boost::outcome_v2::success();
+}
+
 }
 
 struct tcp_listener::state
@@ -75,31 +102,22 @@
                      const std::string& aAddress,
                      tcp_listener_hooks aHooks)
 {
-  auto address = ParseAddress(aAddress);
-  if (!address) {
-    return Fail(tcp_listener_error::CannotListen,
-                "The listener's address is not an ip:port: " + aAddress);
-  }
   auto made = std::make_shared<state>(aContext, aAddress, std::move(aHooks));
-  tcp::endpoint endpoint(asio::ip::make_address(address->mIp), address->mPort);
-  boost::system::error_code error;
-  made->mAcceptor.open(endpoint.protocol(), error);
-  if (!error) {
-    made->mAcceptor.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    made->mAcceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    made->mAcceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Fail(tcp_listener_error::CannotListen,
-                aAddress + ": " + error.message());
+  auto listening = Listen(made->mAcceptor, aAddress);
+  if (!listening) {
+    return listening.error();
   }
   return tcp_listener(std::move(made));
 }
 
+result<void, tcp_listener_error>
+tcp_listener::CheckAddress(asio::io_context& aContext,
+                           const std::string& aAddress)
+{
+  tcp::acceptor acceptor(aContext);
+  return Listen(acceptor, aAddress);
+}
+
 void
 tcp_listener::Start()
 {
--- a/drivers/tcp_listener.h
+++ b/drivers/tcp_listener.h
@@ -48,6 +48,11 @@
   static boost::asio::awaitable<void> Run(std::shared_ptr<state> aState);
 
 public:
+  /** Errors: `CannotListen` if an address can't be bound now. */
+  static result<void, tcp_listener_error> CheckAddress(
+    boost::asio::io_context& aContext,
+    const std::string& aAddress);
+
   /** Listens on an `ip:port`; connections are accepted once started. */
   static result<tcp_listener, tcp_listener_error> Create(
     boost::asio::io_context& aContext,
--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -5,6 +5,7 @@
 #include "core/log_writer.h"
 #include "core/periodic.h"
 #include "drivers/grpc_settings.h"
+#include "drivers/tcp_listener.h"
 #include "main/role_support.h"
 #include "main/roles.h"
 #include "main/seed_watcher.h"
@@ -30,8 +31,9 @@
 /** Threads for all work other than callers' requests. */
 constexpr int kBackgroundThreads = 2;
 
-/** Time between attempts to open a data folder that the disk refuses. */
-constexpr milliseconds kDiskRetryInterval{ 500 };
+/** Time between attempts to open a data folder that the disk refuses, and to
+ * bind an address that is in use. */
+constexpr milliseconds kStartRetryInterval{ 500 };
 
 /** Interval between looks at the seeds while a host is out of touch. */
 constexpr milliseconds kSeedInterval{ 1000 };
@@ -83,6 +85,46 @@
   });
 }
 
+/** All addresses on which the configured roles listen. */
+std::vector<std::string>
+ListenAddresses(const settings& aSettings)
+{
+  std::vector<std::string> addresses{
+    aSettings.mControlAddress,           aSettings.mControlOperatorsAddress,
+    aSettings.mEntryCallersAddress,      aSettings.mEntryAnnounceAddress,
+    aSettings.mPlatformCallersAddress,   aSettings.mPlatformReadinessAddress,
+    aSettings.mPlatformDirectoryAddress, aSettings.mPlatformControlAddress,
+    SubqueryAddress(aSettings),
+  };
+  std::erase(addresses, std::string());
+  return addresses;
+}
+
+/** Waits until all addresses can be bound, since an earlier process may still
+ * hold them; returns false if stopped meanwhile. */
+bool
+WaitForAddresses(asio::io_context& aContext,
+                 const settings& aSettings,
+                 shutdown_event& aShutdown)
+{
+  for (const std::string& address : ListenAddresses(aSettings)) {
+    std::string lastCause;
+    while (!aShutdown.IsStopping()) {
+      auto checked = tcp_listener::CheckAddress(aContext, address);
+      if (checked) {
+        break;
+      }
+      if (checked.error().mDetail != lastCause) {
+        lastCause = checked.error().mDetail;
+        log_event("start_waits_for_address", log_event::severity::Error)
+          .Add("cause", lastCause);
+      }
+      aContext.run_for(kStartRetryInterval);
+    }
+  }
+  return !aShutdown.IsStopping();
+}
+
 using control_result = result<std::unique_ptr<control_role>, role_error>;
 
 /** Creates the control role. While the disk is full or fails, tries again until
@@ -105,7 +147,7 @@
       log_event("start_waits_for_disk", log_event::severity::Error)
         .Add("cause", lastCause);
     }
-    aContext.run_for(kDiskRetryInterval);
+    aContext.run_for(kStartRetryInterval);
     if (aShutdown.IsStopping()) {
       return control;
     }
@@ -124,6 +166,9 @@
       .Add("cause", aError.mDetail);
     return false;
   };
+  if (!WaitForAddresses(aContext, aSettings, aShutdown)) {
+    return false;
+  }
   if (aSettings.IsControl()) {
     auto control = CreateControl(aContext, aSettings, aShutdown);
     if (!control && aShutdown.IsStopping()) {
--- a/tests/integration/start_conditions_test.cpp
+++ b/tests/integration/start_conditions_test.cpp
@@ -1,7 +1,12 @@
+#include "core/address.h"
 #include "tests/integration/seeded_system.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
 #include <csignal>
 #include <fstream>
+#include <optional>
 #include <thread>
 
 #include <fcntl.h>
@@ -94,6 +99,27 @@
   close(unread);
 }
 
+TEST(start_conditions, AHostWaitsForAnAddressThatIsStillInUse)
+{
+  system_options options;
+  options.mControlHosts = 1;
+  test_system system(options);
+  boost::asio::io_context context;
+  auto address = hibiscusspool::ParseAddress(system.ControlAddress("c1"));
+  std::optional<boost::asio::ip::tcp::acceptor> earlier;
+  earlier.emplace(
+    context,
+    boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(address->mIp),
+                                   address->mPort));
+  system.Start("c1");
+  std::this_thread::sleep_for(milliseconds(1000));
+  earlier.reset();
+  CHECK(WaitFor([&] {
+    return system.Put("/v1/templates/one", R"({"services":"a"})").mStatus ==
+           200;
+  }));
+}
+
 TEST(start_conditions, AControlHostWaitsForADataFolderThatIsStillInUse)
 {
   system_options options;
