--- a/main/role_support.cpp
+++ b/main/role_support.cpp
@@ -1,8 +1,7 @@
 #include "main/role_support.h"
 
-#include "core/log_event.h"
-
 #include "core/address.h"
+#include "core/log_event.h"
 #include "drivers/suspended_time.h"
 
 #include <random>
--- a/tests/integration/start_conditions_test.cpp
+++ b/tests/integration/start_conditions_test.cpp
@@ -99,6 +99,25 @@
   close(unread);
 }
 
+TEST(start_conditions, AHostStartsWithANumberThatIsNotWhole)
+{
+  system_options options;
+  options.mControlHosts = 1;
+  options.mEntryHosts = 1;
+  options.mExtraControlSettings = "snapshot_every=512.5\n";
+  options.mExtraEntrySettings = "leaving_grace_ms=2500.5\n";
+  test_system system(options);
+  system.Start("c1");
+  CHECK(WaitFor([&] {
+    return system.Put("/v1/templates/one", R"({"services":"a"})").mStatus ==
+           200;
+  }));
+  system.Start("e1");
+  CHECK(WaitFor([&] {
+    return Call("GET", system.CallersAddress("e1"), "/healthz").mStatus == 200;
+  }));
+}
+
 TEST(start_conditions, AHostWaitsForAnAddressThatIsStillInUse)
 {
   system_options options;
