--- a/main/main.cpp
+++ b/main/main.cpp
@@ -9,6 +9,7 @@
 
 #include <glog/logging.h>
 
+#include <csignal>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -106,7 +107,12 @@
     std::cout << "hibiscusspool 0.1.0\n";
     return kSuccess;
   }
-  if (command == "serve" || command == "check") {
+  if (command == "serve") {
+    return RunWithSettings(command, rest);
+  }
+  // Only a server follows changes of its settings.
+  std::signal(SIGHUP, SIG_DFL);
+  if (command == "check") {
     return RunWithSettings(command, rest);
   }
   if (command == "admin") {
--- a/tests/integration/start_conditions_test.cpp
+++ b/tests/integration/start_conditions_test.cpp
@@ -118,6 +118,26 @@
   }));
 }
 
+// Guards against hosts that end when their settings change while they start:
+// from its first code on, and not only once it serves, a host survives SIGHUP.
+TEST(start_conditions, AHostThatIsLoadingIgnoresNewsOfItsSettings)
+{
+  system_options options;
+  options.mControlHosts = 1;
+  test_system system(options);
+  constexpr std::uint64_t kHangup = 1U << (SIGHUP - 1U);
+  bool isIgnored = false;
+  for (int start = 0; start < 10 && !isIgnored; ++start) {
+    system.Start("c1");
+    auto end = std::chrono::steady_clock::now() + milliseconds(1000);
+    while (!isIgnored && std::chrono::steady_clock::now() < end) {
+      isIgnored = (system.IgnoredSignals("c1") & kHangup) != 0;
+    }
+    system.StopProcess("c1", SIGKILL);
+  }
+  CHECK(isIgnored);
+}
+
 TEST(start_conditions, AHostWaitsForAnAddressThatIsStillInUse)
 {
   system_options options;
--- a/tests/integration/test_system.cpp
+++ b/tests/integration/test_system.cpp
@@ -365,6 +365,20 @@
   return hasEnded;
 }
 
+std::uint64_t
+test_system::IgnoredSignals(const std::string& aName) const
+{
+  std::ifstream status("/proc/" + std::to_string(mProcesses.at(aName)) +
+                       "/status");
+  const std::string key = "SigIgn:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(key)) {
+      return std::stoull(line.substr(key.size()), nullptr, 16);
+    }
+  }
+  return 0;
+}
+
 void
 test_system::DeleteDataFolder(const std::string& aHost) const
 {
--- a/tests/integration/test_system.h
+++ b/tests/integration/test_system.h
@@ -85,6 +85,8 @@
   int StopProcess(const std::string& aName, int aSignal);
   /** Sends a signal; false, and a kill, if the process does not end in time. */
   bool EndsAfter(const std::string& aName, int aSignal, milliseconds aTimeout);
+  /** The signals that a process ignores, as a mask. */
+  [[nodiscard]] std::uint64_t IgnoredSignals(const std::string& aName) const;
   /** Deletes the data folder of a control host. */
   void DeleteDataFolder(const std::string& aHost) const;
   [[nodiscard]] bool IsRunning(const std::string& aName) const
