Remove files that a replacement left behind

A loss of power or a refused write in the middle of a replacement left the new file under its temporary name.

raft_storage/AStartRemovesTheNewFilesOfReplacementsThatWereCutOff failed before.

--- a/drivers/data_folder.cpp
+++ b/drivers/data_folder.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/** Ends the name of a new file until it replaces the old one. */
+const std::string kUnfinishedSuffix = ".new";
+
 failure<file_error>
 FailWithErrno(file_error aCode, const std::filesystem::path& aPath)
 {
@@ -158,7 +161,7 @@
 result<void, file_error>
 data_folder::Replace(const std::string& aName, const std::string& aBytes) const
 {
-  std::string temporary = aName + ".new";
+  std::string temporary = aName + kUnfinishedSuffix;
   std::filesystem::path path = mPath / temporary;
   int file = open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
   if (file < 0) {
@@ -168,6 +171,8 @@
   auto written = Append(file, temporary, 0, aBytes);
   close(file);
   if (!written) {
+    // It may hold space that the next attempt needs.
+    Remove(temporary);
     return written.error();
   }
   if (rename(path.c_str(), (mPath / aName).c_str()) != 0) {
@@ -191,6 +196,25 @@
   Report({ file_operation_kind::Removed, aName, {}, 0, {} });
 }
 
+void
+data_folder::RemoveUnfinished() const
+{
+  std::error_code problem;
+  std::vector<std::string> unfinished;
+  for (std::filesystem::directory_iterator entry(mPath, problem), end;
+       !problem && entry != end;
+       entry.increment(problem)) {
+    std::string name = entry->path().filename().string();
+    if (name.ends_with(kUnfinishedSuffix)) {
+      unfinished.push_back(std::move(name));
+    }
+  }
+  for (const std::string& name : unfinished) {
+    log_event("unfinished_file_removed").Add("file", (mPath / name).string());
+    Remove(name);
+  }
+}
+
 result<void, file_error>
 data_folder::Sync() const
 {
--- a/drivers/data_folder.h
+++ b/drivers/data_folder.h
@@ -114,6 +114,8 @@
     const std::string& aBytes) const;
   /** Removes a file; logs a warning if that fails. */
   void Remove(const std::string& aName) const;
+  /** Removes the new files of replacements that were cut off. */
+  void RemoveUnfinished() const;
   /** Makes creations, renames and removals durable. */
   [[nodiscard]] result<void, file_error> Sync() const;
 };
--- a/drivers/raft_storage.cpp
+++ b/drivers/raft_storage.cpp
@@ -106,8 +106,12 @@
   }
   raft_storage storage(std::move(folder.value()));
   storage.mDiskId.mValue = aNewDiskId;
-  for (auto step : { &raft_storage::Lock,
-                     &raft_storage::LoadDiskId,
+  auto locked = storage.Lock();
+  if (!locked) {
+    return locked.error();
+  }
+  storage.mFolder.RemoveUnfinished();
+  for (auto step : { &raft_storage::LoadDiskId,
                      &raft_storage::LoadSnapshot,
                      &raft_storage::LoadSegments,
                      &raft_storage::StartSegment }) {
--- a/tests/drivers/raft_storage_test.cpp
+++ b/tests/drivers/raft_storage_test.cpp
@@ -114,6 +114,17 @@
   LONGS_EQUAL(6, kept.mEntries.size());
 }
 
+// Guards against disks that fill up with files that nobody needs.
+TEST(raft_storage, AStartRemovesTheNewFilesOfReplacementsThatWereCutOff)
+{
+  std::ofstream(mFolder / "snapshot-7.new") << "partial";
+  std::ofstream(mFolder / "disk-id.new") << "partial";
+  auto storage = raft_storage::Create(mFolder, "first");
+  CHECK(storage.has_value());
+  CHECK(!std::filesystem::exists(mFolder / "snapshot-7.new"));
+  CHECK(!std::filesystem::exists(mFolder / "disk-id.new"));
+}
+
 TEST(raft_storage, WritesOnWhenANewSegmentCanNotBeStarted)
 {
   raft_snapshot snapshot;
