Sync the folder above the log at each start

An attempt to start whose sync was refused had created the folder, and the next attempt did not sync it, since it was no longer missing. A loss of power could then take the whole log away, with what had been acknowledged.

raft_storage/EachStartSyncsTheFolderThatHoldsIt failed before.

--- a/drivers/data_folder.cpp
+++ b/drivers/data_folder.cpp
@@ -38,14 +38,20 @@
     return Fail(file_error::CannotWrite,
                 aPath.string() + ": " + problem.message());
   }
-  // A loss of power could take a new folder away, with all its files.
+  // A loss of power could take a new folder away, with all its files. An
+  // earlier attempt may have created this one and failed to sync it.
+  if (missing.empty()) {
+    missing.push_back(std::filesystem::absolute(aPath, problem));
+  }
   for (const std::filesystem::path& path : missing) {
     auto synced = SyncFolder(path.parent_path());
     if (!synced) {
       return synced.error();
     }
   }
-  return data_folder(aPath, std::move(aObserver));
+  data_folder folder(aPath, std::move(aObserver));
+  folder.Report({ file_operation_kind::FolderSynced, "..", {}, 0, {} });
+  return folder;
 }
 
 void
--- a/drivers/data_folder.h
+++ b/drivers/data_folder.h
@@ -40,7 +40,8 @@
 struct file_operation
 {
   file_operation_kind mKind = file_operation_kind::Written;
-  /** The file's name in the folder; for a renamed file, the old one. */
+  /** The file's name in the folder; for a renamed file, the old one. For a
+   * synced folder, ".." if it is the one that holds this folder. */
   std::string mName;
   std::string mNewName;
   /** Where the bytes were written, or the new size of a resized file. */
--- a/tests/drivers/crash_disk.cpp
+++ b/tests/drivers/crash_disk.cpp
@@ -128,6 +128,9 @@
       mNames.erase(name);
       return;
     case file_operation_kind::FolderSynced:
+      if (!aOperation.mName.empty()) {
+        return;
+      }
       mSyncedNames = mNames;
       mPendingNames.clear();
       return;
--- a/tests/drivers/raft_storage_test.cpp
+++ b/tests/drivers/raft_storage_test.cpp
@@ -114,6 +114,23 @@
   LONGS_EQUAL(6, kept.mEntries.size());
 }
 
+// Guards against folders that a loss of power takes away: an attempt to sync
+// the one above may have been refused after this one was created.
+TEST(raft_storage, EachStartSyncsTheFolderThatHoldsIt)
+{
+  for (int start = 0; start < 2; ++start) {
+    bool isSynced = false;
+    auto storage = raft_storage::Create(
+      mFolder / "log", "first", [&](const file_operation& aOperation) {
+        isSynced =
+          isSynced || (aOperation.mKind == file_operation_kind::FolderSynced &&
+                       aOperation.mName == "..");
+      });
+    CHECK(storage.has_value());
+    CHECK(isSynced);
+  }
+}
+
 // Guards against disks that fill up with files that nobody needs.
 TEST(raft_storage, AStartRemovesTheNewFilesOfReplacementsThatWereCutOff)
 {
