Take a folder without a disk id and with an empty log for a new one

If the sync of the new disk id is refused and power is lost during the next attempt, the first segment may be kept and the id lost. The host then ended with code 1 at each start ("disk-id is missing"), though nothing had been written yet.

raft_storage/AnEmptyLogWithoutADiskIdIsThatOfANewDisk failed before.

--- a/drivers/raft_storage.cpp
+++ b/drivers/raft_storage.cpp
@@ -158,12 +158,12 @@
     }
     return boost::outcome_v2::success();
   }
-  auto segments = mFolder.Numbers(kSegmentPrefix);
-  if (!segments) {
-    return ToStorageError(segments.error());
+  auto holdsLog = HoldsLog();
+  if (!holdsLog) {
+    return holdsLog.error();
   }
   // A folder with a log but without an id was tampered with.
-  if (!segments.value().empty()) {
+  if (holdsLog.value()) {
     return Fail(storage_error::Corrupt, path + " is missing.");
   }
   auto written = mFolder.Replace(kDiskIdName, mDiskId.mValue);
@@ -173,6 +173,29 @@
   return boost::outcome_v2::success();
 }
 
+result<bool, storage_error>
+raft_storage::HoldsLog() const
+{
+  auto segments = mFolder.Numbers(kSegmentPrefix);
+  if (!segments) {
+    return ToStorageError(segments.error());
+  }
+  for (std::uint64_t number : segments.value()) {
+    auto size = mFolder.Size(SegmentName(number));
+    if (!size) {
+      return ToStorageError(size.error());
+    }
+    if (size.value() > 0) {
+      return true;
+    }
+  }
+  auto snapshots = mFolder.Numbers(kSnapshotPrefix);
+  if (!snapshots) {
+    return ToStorageError(snapshots.error());
+  }
+  return !snapshots.value().empty();
+}
+
 result<void, storage_error>
 raft_storage::LoadSnapshot()
 {
--- a/drivers/raft_storage.h
+++ b/drivers/raft_storage.h
@@ -58,6 +58,8 @@
 
   result<void, storage_error> Lock();
   result<void, storage_error> LoadDiskId();
+  /** True if any segment holds a batch, or there is a snapshot. */
+  [[nodiscard]] result<bool, storage_error> HoldsLog() const;
   result<void, storage_error> LoadSnapshot();
   result<void, storage_error> LoadSegments();
   /** The segments from the newest one that begins with the log after a
--- a/tests/drivers/raft_storage_test.cpp
+++ b/tests/drivers/raft_storage_test.cpp
@@ -114,6 +114,16 @@
   LONGS_EQUAL(6, kept.mEntries.size());
 }
 
+// Guards against starts that fail for good: a loss of power during the first
+// start may keep the first segment and take the disk's id away.
+TEST(raft_storage, AnEmptyLogWithoutADiskIdIsThatOfANewDisk)
+{
+  std::ofstream(mFolder / "log-1").flush();
+  auto storage = raft_storage::Create(mFolder, "first");
+  CHECK(storage.has_value());
+  STRCMP_EQUAL("first", storage.value().DiskId().mValue.c_str());
+}
+
 // Guards against folders that a loss of power takes away: an attempt to sync
 // the one above may have been refused after this one was created.
 TEST(raft_storage, EachStartSyncsTheFolderThatHoldsIt)
