Name the exception that ends a process

An exception on the group's thread or in a callback of gRPC ended a process without a line of its own, since the writer of the log may be what has failed. Now its cause is the last line on standard error.

--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,4 +1,5 @@
 #include "core/log_writer.h"
+#include "core/termination.h"
 #include "main/serve.h"
 #include "settings/settings.h"
 #include "tools/admin.h"
@@ -137,6 +138,7 @@
   // Each line carries its own time and level as key=value pairs.
   FLAGS_log_prefix = false;
   google::InitGoogleLogging(aArguments[0]);
+  ReportTerminations();
   try {
     return Run({ aArguments + 1, aArguments + aCount });
   } catch (const options::error& problem) {
