--- a/drivers/data_folder.cpp
+++ b/drivers/data_folder.cpp
@@ -215,6 +215,12 @@
       unfinished.push_back(std::move(name));
     }
   }
+  if (problem) {
+    // They are removed at a later start.
+    log_event("old_files_kept", log_event::severity::Warning)
+      .Add("prefix", "*" + kUnfinishedSuffix)
+      .Add("cause", problem.message());
+  }
   for (const std::string& name : unfinished) {
     log_event("unfinished_file_removed").Add("file", (mPath / name).string());
     Remove(name);
