Share the text of an exception between its two reports

The report of a background task's failure and that of a termination each turned an exception into text.

--- a/core/background_task.cpp
+++ b/core/background_task.cpp
@@ -1,5 +1,6 @@
 #include "core/background_task.h"
 
+#include "core/exception_cause.h"
 #include "core/log_event.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,18 +15,6 @@
 
 std::atomic<std::uint64_t> sFailureCount{ 0 };
 
-std::string
-CauseOf(const std::exception_ptr& aException)
-{
-  try {
-    std::rethrow_exception(aException);
-  } catch (const std::exception& problem) {
-    return problem.what();
-  } catch (...) {
-    return "an exception of an unknown type";
-  }
-}
-
 }
 
 void
