Log the members of the control group and how many of them answer

Cause: no line said that a control host became a learner or a voter or was removed, how many voters there are, or how many of them answer, so that the record of the lost group could not tell its hypotheses apart. Change: member_changed, one line for each change of the committed list, on each control host; group_strength, when the leader's count of voters, of those that answer, or of learners changes, a warning once none can be spared.

--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -3,6 +3,7 @@
 #include "core/log_event.h"
 #include "decisions/raft_message_queue.h"
 
+#include <algorithm>
 #include <memory>
 
 namespace hibiscusspool {
@@ -661,6 +662,11 @@
 control_group::UpdateStatus()
 {
   steady_time now = mHooks.mSteadyNow();
+  std::vector<raft_peer> peers = mNode.CommittedPeers();
+  bool isLeading = mNode.Role() == raft_role::Leader;
+  raft_strength strength = isLeading ? mNode.Strength(now) : raft_strength{};
+  LogMembers(peers);
+  LogStrength(strength);
   std::lock_guard guard(mStateLock);
   mStatus.mRole = mNode.Role();
   mStatus.mTerm = mNode.Term();
@@ -669,13 +675,57 @@
   mStatus.mSelf = mNode.Self();
   mStatus.mCommit = mNode.CommitIndex();
   mStatus.mApplied = mState.Index();
-  mStatus.mPeers = mNode.CommittedPeers();
+  mStatus.mPeers = std::move(peers);
+  mStatus.mStrength = strength;
   mStatus.mClaims = mState.ClaimCount();
   mStatus.mServers = mState.ServerCount();
   mStatus.mIsEmpty = mNode.LastIndex() == 0 && mNode.Term() == 0;
   mStatus.mActiveHosts = mNode.ActiveHosts(now);
 }
 
+void
+control_group::LogMembers(const std::vector<raft_peer>& aPeers)
+{
+  if (aPeers == mLoggedPeers) {
+    return;
+  }
+  auto voters = std::count_if(aPeers.begin(),
+                              aPeers.end(),
+                              [](const auto& aPeer) { return aPeer.mIsVoter; });
+  for (const member_change& change : CompareMembers(mLoggedPeers, aPeers)) {
+    log_event("member_changed")
+      .Add("member", change.mMember.mHost.mValue)
+      .Add("disk", change.mMember.mDisk.mValue)
+      .Add("change", NameOf(change.mKind))
+      .Add("voters", voters)
+      .Add("members", aPeers.size())
+      .Add("term", mNode.Term())
+      .Add("commit", mNode.CommitIndex());
+  }
+  mLoggedPeers = aPeers;
+}
+
+void
+control_group::LogStrength(const raft_strength& aStrength)
+{
+  if (aStrength == mLoggedStrength) {
+    return;
+  }
+  mLoggedStrength = aStrength;
+  if (mNode.Role() != raft_role::Leader) {
+    return;
+  }
+  bool isAtRisk = aStrength.mVoters > 1 && aStrength.Spare() == 0;
+  log_event("group_strength",
+            isAtRisk ? log_event::severity::Warning : log_event::severity::Info)
+    .Add("voters", aStrength.mVoters)
+    .Add("reachable", aStrength.mReachableVoters)
+    .Add("quorum", aStrength.mQuorum)
+    .Add("spare", aStrength.Spare())
+    .Add("learners", aStrength.mLearners)
+    .Add("term", mNode.Term());
+}
+
 group_contact
 control_group::ContactOf(steady_time aNow) const
 {
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -128,6 +128,8 @@
   log_index mCommit = 0;
   log_index mApplied = 0;
   std::vector<raft_peer> mPeers;
+  /** The members as this leader sees them; zeros while it does not lead. */
+  raft_strength mStrength;
   std::size_t mClaims = 0;
   std::size_t mServers = 0;
   /** The member has no log and has never voted. */
@@ -230,6 +232,9 @@
   raft_peer_id mReadLeader;
   bool mIsLeader = false;
   group_contact mContact = group_contact::InTouch;
+  /** The latest members and strength in the log. */
+  std::vector<raft_peer> mLoggedPeers;
+  raft_strength mLoggedStrength;
   steady_time mNextTransferAt;
   /** The node has compacted its log, but the snapshot is not on disk yet. */
   bool mHasUnstoredSnapshot = false;
@@ -278,6 +283,9 @@
   /** Replaces the applied entries by a snapshot, in memory and on disk. */
   void Compact(steady_time aNow);
   void UpdateStatus();
+  /** Logs what has changed since the last call. */
+  void LogMembers(const std::vector<raft_peer>& aPeers);
+  void LogStrength(const raft_strength& aStrength);
   [[nodiscard]] group_contact ContactOf(steady_time aNow) const;
   /** Reports the contact if it has changed. */
   void SetContact(group_contact aContact);
--- a/decisions/raft_members.cpp
+++ b/decisions/raft_members.cpp
@@ -49,6 +49,31 @@
   return active;
 }
 
+bool
+raft_node::IsReachable(const raft_peer_id& aPeer, steady_time aNow) const
+{
+  if (aPeer == mConfig.mSelf) {
+    return true;
+  }
+  auto found = mProgress.find(aPeer);
+  return found != mProgress.end() &&
+         aNow - found->second.mLastContact < mConfig.mElectionTimeout;
+}
+
+raft_strength
+raft_node::Strength(steady_time aNow) const
+{
+  raft_strength strength;
+  strength.mQuorum = Quorum();
+  for (const raft_peer& peer : mPeers) {
+    strength.mVoters += peer.mIsVoter ? 1 : 0;
+    strength.mLearners += peer.mIsVoter ? 0 : 1;
+    bool isReachable = IsReachable(peer.mId, aNow);
+    strength.mReachableVoters += peer.mIsVoter && isReachable ? 1 : 0;
+  }
+  return strength;
+}
+
 bool
 raft_node::CanChangePeers() const
 {
--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -290,14 +290,7 @@
   mHeartbeatDue =
     aNow + (isNew ? mConfig.mHeartbeatInterval / kNewLeaderHeartbeatFactor
                   : mConfig.mHeartbeatInterval);
-  std::size_t activeVoters = 0;
-  for (const raft_peer& peer : mPeers) {
-    bool isSelf = peer.mId == mConfig.mSelf;
-    bool isActive = isSelf || aNow - mProgress[peer.mId].mLastContact <
-                                mConfig.mElectionTimeout;
-    activeVoters += peer.mIsVoter && isActive ? 1 : 0;
-  }
-  if (activeVoters < Quorum()) {
+  if (Strength(aNow).mReachableVoters < Quorum()) {
     BecomeFollower(mHardState.mTerm, {}, aNow);
     mLeaderContactAt = aNow - mConfig.mElectionTimeout;
     return;
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -2,6 +2,7 @@
 
 #include "core/failure.h"
 #include "decisions/entry_log.h"
+#include "decisions/raft_membership.h"
 #include "decisions/raft_types.h"
 
 #include <map>
@@ -165,6 +166,10 @@
   void AppendToLog(raft_entry aEntry);
   void UpdatePeers();
   void SendAppend(const raft_peer_id& aPeer, steady_time aNow);
+  /** True for this member, and for a peer that replied within the last election
+   * time-out. */
+  [[nodiscard]] bool IsReachable(const raft_peer_id& aPeer,
+                                 steady_time aNow) const;
   /** Initial progress of a peer that has not replied yet. */
   [[nodiscard]] progress MakeProgress(steady_time aNow) const;
   [[nodiscard]] static bool IsInFlight(const progress& aState,
@@ -252,6 +257,8 @@
   [[nodiscard]] bool IsCutOff(steady_time aNow) const;
   /** This host and those that replied within the last election time-out. */
   [[nodiscard]] std::set<host_id> ActiveHosts(steady_time aNow) const;
+  /** The members as this leader sees them; not for other roles. */
+  [[nodiscard]] raft_strength Strength(steady_time aNow) const;
   [[nodiscard]] std::uint64_t HeartbeatRound() const { return mRound; }
   /** The latest heartbeat round of this leader, or of the leader that this
    * member follows. */
