Test that replaced control hosts leave a group that decides (red)

What callers saw: no change is confirmed and none read back once control hosts have been lost one after the other, each with a successor.

--- /dev/null
+++ b/tests/decisions/raft_replacement_test.cpp
@@ -0,0 +1,326 @@
+#include "tests/decisions/simulated_group.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace hibiscusspool;
+using namespace test;
+
+constexpr milliseconds kElection{ 900 };
+/** Time from a loss to the start of the successor. */
+constexpr milliseconds kSuccessorDelay{ 1000 };
+/** Time from a start or a return until the group must bear the next loss. */
+constexpr milliseconds kCatchUp{ 4000 };
+/** The same where one message in twenty is lost, and some are sent again only
+ * after a second. */
+constexpr milliseconds kLossyCatchUp{ 8000 };
+constexpr std::uint64_t kMaxOutageMs = 6000;
+constexpr std::uint64_t kSeries = 300;
+constexpr int kEventsForEachSeries = 10;
+constexpr std::size_t kMaxHosts = 12;
+
+/**
+ * A group whose hosts are lost, replaced, cut off, frozen and restarted, never
+ * more at a time than it tolerates.
+ */
+class replaced_group
+{
+  simulated_group mGroup;
+  std::size_t mInitial;
+  std::size_t mTolerated;
+  int mNextHost = 0;
+  std::string mLast = "formation";
+
+  [[nodiscard]] std::vector<std::size_t> Running() const
+  {
+    std::vector<std::size_t> running;
+    for (std::size_t position = 0; position < mGroup.Count(); ++position) {
+      if (mGroup.IsRunning(position)) {
+        running.push_back(position);
+      }
+    }
+    return running;
+  }
+
+  /** The hosts that the operator's list names now. */
+  void UpdateSeeds()
+  {
+    mGroup.mSeeds.clear();
+    for (std::size_t position : Running()) {
+      if (mGroup.mSeeds.size() < 3) {
+        mGroup.mSeeds.insert(mGroup.Member(position).mId.mHost);
+      }
+    }
+  }
+
+  std::size_t StartNewHost(const std::string& aName)
+  {
+    std::size_t position = mGroup.AddHost(aName);
+    mGroup.Start(position);
+    return position;
+  }
+
+  std::string NewName() { return "n" + std::to_string(mNextHost++); }
+
+  /** The oldest host, the leader or any. */
+  std::size_t PickVictim()
+  {
+    std::vector<std::size_t> running = Running();
+    switch (mGroup.Pick(3)) {
+      case 0:
+        return running.front();
+      case 1:
+        return mGroup.LeaderPosition() < mGroup.Count()
+                 ? mGroup.LeaderPosition()
+                 : running.back();
+      default:
+        return running[mGroup.Pick(running.size())];
+    }
+  }
+
+  std::vector<std::size_t> PickVictims()
+  {
+    std::set<std::size_t> victims;
+    std::size_t count = 1 + mGroup.Pick(mTolerated);
+    while (victims.size() < count) {
+      victims.insert(PickVictim());
+    }
+    return { victims.begin(), victims.end() };
+  }
+
+  milliseconds Outage() { return milliseconds(1 + mGroup.Pick(kMaxOutageMs)); }
+
+  void Replace(bool aTakesOverAddress)
+  {
+    std::vector<std::size_t> victims = PickVictims();
+    UpdateSeeds();
+    for (std::size_t victim : victims) {
+      mGroup.Crash(victim);
+    }
+    mGroup.RunFor(kSuccessorDelay);
+    for (std::size_t victim : victims) {
+      StartNewHost(aTakesOverAddress ? mGroup.Member(victim).mId.mHost.mValue
+                                     : NewName());
+    }
+  }
+
+  void LoseDisk()
+  {
+    std::size_t victim = PickVictim();
+    UpdateSeeds();
+    mGroup.LoseDisk(victim);
+    mGroup.RunFor(kSuccessorDelay);
+    mGroup.Start(victim);
+  }
+
+  void Restart(const std::vector<std::size_t>& aHosts, milliseconds aOutage)
+  {
+    for (std::size_t host : aHosts) {
+      mGroup.Crash(host);
+    }
+    mGroup.RunFor(aOutage);
+    for (std::size_t host : aHosts) {
+      mGroup.Start(host);
+    }
+  }
+
+  void Freeze()
+  {
+    std::vector<std::size_t> victims = PickVictims();
+    for (std::size_t victim : victims) {
+      mGroup.Freeze(victim);
+    }
+    mGroup.RunFor(Outage());
+    for (std::size_t victim : victims) {
+      mGroup.Thaw(victim);
+    }
+  }
+
+  void Cut()
+  {
+    for (std::size_t victim : PickVictims()) {
+      mGroup.Isolate(victim);
+    }
+    mGroup.RunFor(Outage());
+    mGroup.Heal();
+  }
+
+  void Split()
+  {
+    std::vector<std::size_t> running = Running();
+    std::set<std::size_t> half;
+    while (half.size() < running.size() / 2) {
+      half.insert(running[mGroup.Pick(running.size())]);
+    }
+    for (std::size_t one : running) {
+      for (std::size_t other : running) {
+        if (half.contains(one) != half.contains(other)) {
+          mGroup.BlockOneWay(one, other);
+        }
+      }
+    }
+    mGroup.RunFor(Outage());
+    mGroup.Heal();
+  }
+
+public:
+  replaced_group(std::uint64_t aSeed, int aInitial, std::size_t aTolerated)
+    : mGroup(aSeed, aInitial, kElection, false)
+    , mInitial(static_cast<std::size_t>(aInitial))
+    , mTolerated(aTolerated)
+  {
+    mGroup.mLosesMessages = aSeed % 2 == 0;
+    mGroup.RunFor(kCatchUp);
+  }
+
+  void CatchUp()
+  {
+    mGroup.RunFor(mGroup.mLosesMessages ? kLossyCatchUp : kCatchUp);
+  }
+
+  /** Draws one disruption and runs it to its end. */
+  void Disrupt()
+  {
+    switch (mGroup.Pick(12)) {
+      case 0:
+      case 1:
+      case 2:
+        mLast = "hosts replaced";
+        Replace(false);
+        return;
+      case 3:
+        mLast = "successor lost before it caught up";
+        Replace(false);
+        mGroup.RunFor(milliseconds(mGroup.Pick(2000)));
+        mGroup.Crash(mGroup.Count() - 1);
+        mGroup.RunFor(kSuccessorDelay);
+        StartNewHost(NewName());
+        return;
+      case 4:
+        mLast = "address taken over";
+        Replace(true);
+        return;
+      case 5: {
+        mLast = "planned replacement";
+        UpdateSeeds();
+        std::size_t leaving = PickVictim();
+        StartNewHost(NewName());
+        mGroup.RunFor(kCatchUp);
+        mGroup.Transfer(leaving);
+        mGroup.RunFor(milliseconds(500));
+        mGroup.Crash(leaving);
+        return;
+      }
+      case 6:
+        mLast = "spare added";
+        if (Running().size() < kMaxHosts) {
+          UpdateSeeds();
+          StartNewHost(NewName());
+        }
+        return;
+      case 7:
+        mLast = "disk lost";
+        LoseDisk();
+        return;
+      case 8:
+        mLast = "restart";
+        if (mGroup.Pick(3) == 0) {
+          Restart(Running(), milliseconds(mGroup.Pick(1000)));
+        } else {
+          Restart(PickVictims(), Outage());
+        }
+        return;
+      case 9:
+        mLast = "freeze";
+        Freeze();
+        return;
+      case 10:
+        mLast = "cut";
+        Cut();
+        return;
+      default:
+        mLast = "split";
+        Split();
+        return;
+    }
+  }
+
+  /** Why the group does not bear as many losses as at first, or empty. */
+  std::string Weakness()
+  {
+    if (!mGroup.Violation().empty()) {
+      return mGroup.Violation();
+    }
+    std::size_t leader = mGroup.LeaderPosition();
+    if (leader == mGroup.Count()) {
+      return "After " + mLast + ": no leader.";
+    }
+    raft_strength strength =
+      mGroup.Member(leader).mNode->Strength(mGroup.Now());
+    std::size_t committed = mGroup.CommittedCount();
+    mGroup.Propose(leader);
+    mGroup.RunFor(milliseconds(500));
+    if (mGroup.CommittedCount() == committed) {
+      return "After " + mLast + ": nothing is committed.";
+    }
+    if (strength.Spare() < (mInitial - 1) / 2) {
+      return "After " + mLast + ": " +
+             std::to_string(strength.mReachableVoters) + " of " +
+             std::to_string(strength.mVoters) + " voters run, of " +
+             std::to_string(mInitial) + " at first.";
+    }
+    return {};
+  }
+};
+
+}
+
+TEST_GROUP(raft_replacement){};
+
+TEST(raft_replacement, AnySeriesOfToleratedLossesLeavesAWholeGroup)
+{
+  const char* count = std::getenv("RAFT_SERIES");
+  std::uint64_t series =
+    count == nullptr ? kSeries : std::strtoull(count, nullptr, 10);
+  for (std::uint64_t seed = 1; seed <= series; ++seed) {
+    bool isLarge = seed % 3 == 0;
+    replaced_group group(seed, isLarge ? 9 : 5, isLarge ? 2 : 1);
+    for (int event = 1; event <= kEventsForEachSeries; ++event) {
+      group.Disrupt();
+      group.CatchUp();
+      std::string weakness = group.Weakness();
+      if (!weakness.empty()) {
+        FAIL(("Seed " + std::to_string(seed) + ", event " +
+              std::to_string(event) + ": " + weakness)
+               .c_str());
+      }
+    }
+  }
+}
+
+TEST(raft_replacement, HostsLostForGoodOneByOneLeaveAGroupThatDecides)
+{
+  for (int initial : { 5, 9 }) {
+    simulated_group group(
+      static_cast<std::uint64_t>(initial), initial, kElection, false);
+    group.mLosesMessages = false;
+    group.RunFor(milliseconds(3000));
+    for (std::size_t oldest = 0; oldest < 12; ++oldest) {
+      std::size_t committed = CommitSome(group, 3);
+      group.mSeeds = { group.Member(oldest + 1).mId.mHost };
+      group.Crash(oldest);
+      group.RunFor(kSuccessorDelay);
+      group.Start(group.AddHost("n" + std::to_string(oldest)));
+      group.RunFor(kCatchUp);
+      std::string lost =
+        std::to_string(oldest + 1) + " of " + std::to_string(initial) + " lost";
+      CHECK_TEXT(group.LeaderPosition() < group.Count(), lost.c_str());
+      CHECK_TEXT(CommitSome(group, 1) > committed, lost.c_str());
+    }
+    STRCMP_EQUAL("", group.Violation().c_str());
+  }
+}
