Let a member that was removed while it was away join again

What callers saw: nothing by itself; a control host that had been cut off stayed out of the group for good, and one voter fewer was left for the next loss. Cause: a host asks to join only while its own log doesn't name it, and the log of a removed voter still does. Its pre-votes are refused, and nobody tells it. Change: a member that no leader reaches for two election time-outs asks to join, also the members that its log names; a leader ignores that of a member.

--- a/decisions/raft_members.cpp
+++ b/decisions/raft_members.cpp
@@ -13,6 +13,14 @@
 
 }
 
+bool
+raft_node::IsMember(const raft_peer_id& aId) const
+{
+  return std::any_of(mPeers.begin(), mPeers.end(), [&](const raft_peer& aPeer) {
+    return aPeer.mId == aId;
+  });
+}
+
 bool
 raft_node::IsVoter(const raft_peer_id& aId) const
 {
@@ -119,10 +127,12 @@
 raft_node::RequestJoin(steady_time aNow)
 {
   mJoinDue = aNow + kJoinInterval;
-  for (const host_id& host : mConfig.mKnownHosts) {
-    if (host == mConfig.mSelf.mHost) {
-      continue;
-    }
+  std::set<host_id> hosts = mConfig.mKnownHosts;
+  for (const raft_peer& peer : mPeers) {
+    hosts.insert(peer.mId.mHost);
+  }
+  hosts.erase(mConfig.mSelf.mHost);
+  for (const host_id& host : hosts) {
     raft_message join;
     join.mKind = raft_message_kind::Join;
     join.mTo = { host, {} };
@@ -142,12 +152,10 @@
   if (!CanChangePeers() || !isAllowed) {
     return;
   }
-  std::vector<raft_peer> peers = mPeers;
-  for (const raft_peer& peer : peers) {
-    if (peer.mId == aMessage.mFrom) {
-      return;
-    }
+  if (IsMember(aMessage.mFrom)) {
+    return;
   }
+  std::vector<raft_peer> peers = mPeers;
   // Replaces a learner that returned with another disk: it never had a vote.
   std::erase_if(peers, [&](const raft_peer& aPeer) {
     return !aPeer.mIsVoter && aPeer.mId.mHost == aMessage.mFrom.mHost;
--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -303,15 +303,12 @@
 void
 raft_node::TickNonLeader(steady_time aNow)
 {
-  bool isMember =
-    std::any_of(mPeers.begin(), mPeers.end(), [&](const raft_peer& aPeer) {
-      return aPeer.mId == mConfig.mSelf;
-    });
-  if (!isMember && aNow >= mJoinDue) {
-    RequestJoin(aNow);
-  }
-  if (isMember) {
+  // A member that no leader reaches may have been removed while it was away.
+  bool isServed = IsMember(mConfig.mSelf) && !IsCutOff(aNow);
+  if (isServed) {
     mJoinDue = aNow + kJoinInterval;
+  } else if (aNow >= mJoinDue) {
+    RequestJoin(aNow);
   }
   if (aNow < mElectionDue) {
     return;
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -98,7 +98,8 @@
    * election time-out.
    */
   static constexpr int kNewLeaderHeartbeatFactor = 5;
-  /** Interval between the join requests of a host that is not a member yet. */
+  /** Interval between the join requests of a host that is no member, or may not
+   * be one any more. */
   static constexpr milliseconds kJoinInterval{ 1000 };
 
   raft_config mConfig;
@@ -242,6 +243,7 @@
   [[nodiscard]] const raft_peer_id& Leader() const { return mLeader; }
   [[nodiscard]] const raft_peer_id& Self() const { return mConfig.mSelf; }
   [[nodiscard]] const std::vector<raft_peer>& Peers() const { return mPeers; }
+  [[nodiscard]] bool IsMember(const raft_peer_id& aId) const;
   [[nodiscard]] bool IsVoter(const raft_peer_id& aId) const;
   /** The members according to the latest committed list. */
   [[nodiscard]] std::vector<raft_peer> CommittedPeers() const;
--- a/tests/decisions/raft_replacement_test.cpp
+++ b/tests/decisions/raft_replacement_test.cpp
@@ -324,3 +324,20 @@
     STRCMP_EQUAL("", group.Violation().c_str());
   }
 }
+
+TEST(raft_replacement, AMemberThatWasRemovedWhileItWasAwayJoinsAgain)
+{
+  simulated_group group(3, 4, kElection, false);
+  group.mLosesMessages = false;
+  group.RunFor(milliseconds(3000));
+  std::size_t away = (group.LeaderPosition() + 1) % group.Count();
+  group.Isolate(away);
+  group.RunFor(milliseconds(15'000));
+  const raft_peer_id& id = group.Member(away).mId;
+  CHECK(!group.Member(group.LeaderPosition()).mNode->IsMember(id));
+  group.Heal();
+  group.RunFor(kCatchUp);
+  CHECK(group.Member(group.LeaderPosition()).mNode->IsMember(id));
+  CHECK(!group.IsCutOff(away));
+  STRCMP_EQUAL("", group.Violation().c_str());
+}
