Keep join requests that arrive during another change of members

What callers saw: a successor became a member seconds late, while the group bore one loss fewer. Cause: the leader dropped a join request while a change was uncommitted or its term had no committed entry. Hosts that start together ask in step, so that one of them was dropped at each interval. Change: the leader keeps up to 16 requests and adds those hosts as learners in one entry when it can; learners don't change the quorum. Result: raft_replacement/AJoinRequestThatComesDuringAnotherChangeIsKept failed before.

--- a/decisions/raft_election.cpp
+++ b/decisions/raft_election.cpp
@@ -61,6 +61,7 @@
   mLeader = aLeader;
   mGrantedVotes.clear();
   mPendingReads.clear();
+  mJoining.clear();
   SetElectionDue(mConfig.mElectionTimeout, aNow);
 }
 
--- a/decisions/raft_members.cpp
+++ b/decisions/raft_members.cpp
@@ -1,6 +1,7 @@
 #include "decisions/raft_node.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hibiscusspool {
 
@@ -149,18 +150,27 @@
     ForwardJoin(aMessage);
     return;
   }
-  if (!CanChangePeers() || !isAllowed) {
-    return;
+  bool isNew = isAllowed && !IsMember(aMessage.mFrom);
+  if (isNew && mJoining.size() < kMaxJoining) {
+    mJoining.insert(aMessage.mFrom);
+    AddLearners(aNow);
   }
-  if (IsMember(aMessage.mFrom)) {
+}
+
+void
+raft_node::AddLearners(steady_time aNow)
+{
+  if (mJoining.empty() || !CanChangePeers()) {
     return;
   }
   std::vector<raft_peer> peers = mPeers;
-  // Replaces a learner that returned with another disk: it never had a vote.
-  std::erase_if(peers, [&](const raft_peer& aPeer) {
-    return !aPeer.mIsVoter && aPeer.mId.mHost == aMessage.mFrom.mHost;
-  });
-  peers.push_back({ aMessage.mFrom, false });
+  for (const raft_peer_id& joining : std::exchange(mJoining, {})) {
+    // Replaces a learner that returned with another disk: it never had a vote.
+    std::erase_if(peers, [&](const raft_peer& aPeer) {
+      return !aPeer.mIsVoter && aPeer.mId.mHost == joining.mHost;
+    });
+    peers.push_back({ joining, false });
+  }
   ChangePeers(std::move(peers), aNow);
 }
 
@@ -198,6 +208,7 @@
 void
 raft_node::ManagePeers(steady_time aNow)
 {
+  AddLearners(aNow);
   if (!CanChangePeers()) {
     return;
   }
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -101,6 +101,8 @@
   /** Interval between the join requests of a host that is no member, or may not
    * be one any more. */
   static constexpr milliseconds kJoinInterval{ 1000 };
+  /** Maximum number of join requests that wait. */
+  static constexpr std::size_t kMaxJoining = 16;
 
   raft_config mConfig;
   std::mt19937_64 mRandom;
@@ -127,6 +129,8 @@
   std::uint64_t mHeardRound = 0;
   std::set<raft_peer_id> mGrantedVotes;
   std::map<raft_peer_id, progress> mProgress;
+  /** Hosts that asked this leader to join and are not members yet. */
+  std::set<raft_peer_id> mJoining;
   std::uint64_t mRound = 0;
   std::vector<pending_read> mPendingReads;
   bool mBroadcastsCommit = false;
@@ -189,6 +193,8 @@
   void ChangePeers(std::vector<raft_peer> aPeers, steady_time aNow);
   void RequestJoin(steady_time aNow);
   void ForwardJoin(const raft_message& aMessage);
+  /** Adds the hosts that have asked to join as learners. */
+  void AddLearners(steady_time aNow);
   bool PromoteLearner(steady_time aNow);
   bool RemoveReplacedVoter(steady_time aNow);
   bool RemoveSilentVoter(steady_time aNow);
--- a/tests/decisions/raft_replacement_test.cpp
+++ b/tests/decisions/raft_replacement_test.cpp
@@ -341,3 +341,24 @@
   CHECK(!group.IsCutOff(away));
   STRCMP_EQUAL("", group.Violation().c_str());
 }
+
+TEST(raft_replacement, AJoinRequestThatComesDuringAnotherChangeIsKept)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    simulated_group group(seed, 5, kElection, false);
+    group.mLosesMessages = false;
+    group.RunFor(milliseconds(3000));
+    group.mSeeds = { group.Member(group.LeaderPosition()).mId.mHost };
+    std::vector<std::size_t> added;
+    for (const char* name : { "n0", "n1", "n2" }) {
+      added.push_back(group.AddHost(name));
+      group.Start(added.back());
+    }
+    // Before any of them asks again.
+    group.RunFor(milliseconds(900));
+    for (std::size_t position : added) {
+      CHECK(group.Member(group.LeaderPosition())
+              .mNode->IsMember(group.Member(position).mId));
+    }
+  }
+}
