Don't take a late copy of a reply for a sign of life

Cause: any reply of a peer renewed its contact, also one that had been delayed, so that a leader counted a voter that was gone. Change: only the first reply and one to a later heartbeat round count.

--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -73,6 +73,8 @@
     log_index mNext = 1;
     steady_time mLastContact;
     steady_time mSnapshotSentAt;
+    bool mHasReplied = false;
+    /** The latest heartbeat round that it has replied to. */
     std::uint64_t mRound = 0;
     /** The peer lacks entries, which are sent one message at a time. */
     bool mIsProbing = false;
--- a/decisions/raft_replication.cpp
+++ b/decisions/raft_replication.cpp
@@ -203,8 +203,12 @@
     return;
   }
   progress& state = found->second;
-  state.mLastContact = aNow;
-  state.mRound = std::max(state.mRound, aMessage.mNumber);
+  // A late copy of an earlier reply doesn't show that the peer still runs.
+  if (!state.mHasReplied || aMessage.mNumber > state.mRound) {
+    state.mHasReplied = true;
+    state.mLastContact = aNow;
+    state.mRound = aMessage.mNumber;
+  }
   ConfirmReads();
   if (aMessage.mIsRefused) {
     OnAppendRefused(aMessage, state, aNow);
--- a/tests/decisions/raft_replacement_test.cpp
+++ b/tests/decisions/raft_replacement_test.cpp
@@ -362,3 +362,24 @@
     }
   }
 }
+
+TEST(raft_replacement, ALateCopyOfAReplyDoesNotShowThatAPeerRuns)
+{
+  simulated_group group(5, 5, kElection, false);
+  group.mLosesMessages = false;
+  group.RunFor(milliseconds(3000));
+  std::size_t leader = group.LeaderPosition();
+  std::size_t lost = (leader + 1) % group.Count();
+  raft_message late;
+  late.mKind = raft_message_kind::AppendReply;
+  late.mFrom = group.Member(lost).mId;
+  late.mTo = group.Member(leader).mId;
+  late.mTerm = group.Member(leader).mNode->Term();
+  late.mNumber = group.Member(leader).mNode->HeartbeatRound() - 1;
+  group.Crash(lost);
+  group.RunFor(milliseconds(800));
+  group.Deliver(late);
+  group.RunFor(milliseconds(200));
+  LONGS_EQUAL(
+    4, group.Member(leader).mNode->Strength(group.Now()).mReachableVoters);
+}
