Replace silent voters as soon as a learner can take their place

What callers saw: after control hosts had been lost one after the other, each with a successor, no change was confirmed and none read back, for good. Cause: the group counted hosts that were gone as members, and waited to let go of them until it could no longer decide to. A successor was promoted beside the lost voter, which was removed only while the number of voters was even, after 10 s that each election began anew; two losses close together gave seven voters with two gone, an odd number, and none was removed any more. With nine voters none was ever removed or promoted. Learners that were gone stayed for ever. Change: the next step is a function of its own (NextMembers). A voter that is silent for two election time-outs is removed as soon as a caught-up learner is there, and the learner then takes its place: in that order no step raises the quorum or needs the newcomer. The number of voters stays odd; a learner that is left over stands by. A learner that is gone for 10 s is removed. Ruled out: exchanging both in one entry (majorities of an odd list before and after it need not meet) and joint lists (a second list of members in each quorum, for steps that single changes make as safely).

--- a/decisions/raft_members.cpp
+++ b/decisions/raft_members.cpp
@@ -9,8 +9,9 @@
 
 /** A learner that lags by at most this many entries has caught up. */
 constexpr log_index kMaxLearnerLag = 64;
-/** More voters would only slow down commits. */
-constexpr std::size_t kMaxVoters = 9;
+/** A voter without a reply for this many election time-outs may give its place
+ * to a learner. */
+constexpr int kSilentElectionTimeouts = 2;
 
 }
 
@@ -201,6 +202,8 @@
       mProgress[peer.mId] = MakeProgress(aNow);
     }
   }
+  std::erase_if(mProgress,
+                [&](const auto& aState) { return !IsMember(aState.first); });
   Broadcast(aNow);
   AdvanceCommit();
 }
@@ -212,91 +215,26 @@
   if (!CanChangePeers()) {
     return;
   }
-  if (!PromoteLearner(aNow) && !RemoveReplacedVoter(aNow)) {
-    RemoveSilentVoter(aNow);
-  }
-}
-
-bool
-raft_node::PromoteLearner(steady_time aNow)
-{
-  std::vector<raft_peer> peers = mPeers;
-  for (raft_peer& peer : peers) {
-    const progress& state = mProgress[peer.mId];
-    bool isCaughtUp = state.mMatch > 0 &&
-                      state.mMatch + kMaxLearnerLag >= LastIndex() &&
-                      aNow - state.mLastContact < mConfig.mElectionTimeout;
-    if (peer.mIsVoter || !isCaughtUp) {
-      continue;
-    }
-    raft_peer promoted = peer;
-    promoted.mIsVoter = true;
-    // The same entry removes the voter on the host's previous disk, which is
-    // lost: it would raise the quorum but could never vote. This is safe since
-    // the entry that added the learner was committed without that voter.
-    auto replaced =
-      std::find_if(peers.begin(), peers.end(), [&](const raft_peer& aPeer) {
-        return aPeer.mIsVoter && aPeer.mId.mHost == promoted.mId.mHost &&
-               aPeer.mId != mConfig.mSelf;
-      });
-    if (replaced == peers.end() && VoterCount() >= kMaxVoters) {
+  std::vector<member_view> members;
+  for (const raft_peer& peer : mPeers) {
+    member_view& member = members.emplace_back();
+    member.mPeer = peer;
+    if (peer.mId == mConfig.mSelf) {
       continue;
     }
-    peer = promoted;
-    if (replaced != peers.end()) {
-      peers.erase(replaced);
-    }
-    ChangePeers(std::move(peers), aNow);
-    return true;
-  }
-  return false;
-}
-
-bool
-raft_node::RemoveReplacedVoter(steady_time aNow)
-{
-  // Of two voters on one host, the later one has the disk that is in use,
-  // since a replacement comes after the voter that it replaces.
-  std::vector<raft_peer> peers = mPeers;
-  for (std::size_t index = 0; index < peers.size(); ++index) {
-    auto later = std::find_if(
-      peers.begin() + static_cast<std::ptrdiff_t>(index) + 1,
-      peers.end(),
-      [&](const raft_peer& aPeer) {
-        return aPeer.mIsVoter && aPeer.mId.mHost == peers[index].mId.mHost;
-      });
-    bool isSelf = peers[index].mId == mConfig.mSelf;
-    if (later != peers.end() && !isSelf) {
-      peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
-      ChangePeers(std::move(peers), aNow);
-      return true;
-    }
-  }
-  return false;
-}
-
-bool
-raft_node::RemoveSilentVoter(steady_time aNow)
-{
-  std::vector<raft_peer> peers = mPeers;
-  std::size_t voters = VoterCount();
-  // An even number of voters tolerates no more failures than one voter fewer,
-  // so removing a silent one loses nothing.
-  if (!mConfig.mAllowsAnyHost || voters % 2 != 0 || voters < 4) {
-    return false;
-  }
-  auto silent =
-    std::find_if(peers.begin(), peers.end(), [&](const raft_peer& aPeer) {
-      return aPeer.mIsVoter && aPeer.mId != mConfig.mSelf &&
-             aNow - mProgress[aPeer.mId].mLastContact >
-               mConfig.mReplaceVoterAfter;
-    });
-  if (silent == peers.end()) {
-    return false;
+    const progress& state = mProgress[peer.mId];
+    member.mSilence =
+      std::chrono::duration_cast<milliseconds>(aNow - state.mLastContact);
+    member.mIsCaughtUp =
+      state.mMatch > 0 && state.mMatch + kMaxLearnerLag >= LastIndex();
+  }
+  member_limits limits;
+  limits.mReachable = mConfig.mElectionTimeout;
+  limits.mSilent = kSilentElectionTimeouts * mConfig.mElectionTimeout;
+  auto next = NextMembers(members, mConfig.mSelf, limits);
+  if (next) {
+    ChangePeers(std::move(*next), aNow);
   }
-  peers.erase(silent);
-  ChangePeers(std::move(peers), aNow);
-  return true;
 }
 
 std::vector<raft_peer>
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -19,11 +19,6 @@
   /** Any host may join; `mKnownHosts` are only the hosts to contact first, to
    * which those that address an earlier disk of this host are added. */
   bool mAllowsAnyHost = false;
-  /**
-   * With `mAllowsAnyHost`, a voter that is silent for this long may be removed
-   * in favour of a new host.
-   */
-  milliseconds mReplaceVoterAfter{ 10'000 };
   milliseconds mHeartbeatInterval{ 100 };
   /** An election starts after one to two time-outs without a leader. */
   milliseconds mElectionTimeout{ 1000 };
@@ -191,15 +186,13 @@
   void ConfirmReads();
   void TickLeader(steady_time aNow);
   void TickNonLeader(steady_time aNow);
+  /** Changes the members where `NextMembers` says so. */
   void ManagePeers(steady_time aNow);
   void ChangePeers(std::vector<raft_peer> aPeers, steady_time aNow);
   void RequestJoin(steady_time aNow);
   void ForwardJoin(const raft_message& aMessage);
   /** Adds the hosts that have asked to join as learners. */
   void AddLearners(steady_time aNow);
-  bool PromoteLearner(steady_time aNow);
-  bool RemoveReplacedVoter(steady_time aNow);
-  bool RemoveSilentVoter(steady_time aNow);
   void ReplyToStale(const raft_message& aMessage);
 
   void OnPreVote(const raft_message& aMessage, steady_time aNow);
--- a/tests/decisions/raft_replacement_test.cpp
+++ b/tests/decisions/raft_replacement_test.cpp
@@ -383,3 +383,20 @@
   LONGS_EQUAL(
     4, group.Member(leader).mNode->Strength(group.Now()).mReachableVoters);
 }
+
+TEST(raft_replacement, ALearnerThatIsGoneIsRemoved)
+{
+  simulated_group group(7, 5, kElection, false);
+  group.mLosesMessages = false;
+  group.RunFor(milliseconds(3000));
+  group.mSeeds = { group.Member(group.LeaderPosition()).mId.mHost };
+  std::size_t learner = group.AddHost("n0");
+  group.Start(learner);
+  const raft_node& leader = *group.Member(group.LeaderPosition()).mNode;
+  while (!leader.IsMember(group.Member(learner).mId)) {
+    group.RunStep();
+  }
+  group.Crash(learner);
+  group.RunFor(milliseconds(15'000));
+  LONGS_EQUAL(5, group.Member(group.LeaderPosition()).mNode->Peers().size());
+}
