Let a control host go on alone when its group is lost for good

What operators saw: a group whose majority was lost for good, disks and all, had no way back: no command changes its members, and the log can't be edited. It gets another disk id, so that members of the old list that come back don't reach it. The others start with empty folders and join.

--- a/drivers/raft_storage.cpp
+++ b/drivers/raft_storage.cpp
@@ -166,10 +166,17 @@
   if (holdsLog.value()) {
     return Fail(storage_error::Corrupt, path + " is missing.");
   }
-  auto written = mFolder.Replace(kDiskIdName, mDiskId.mValue);
+  return ReplaceDiskId(mDiskId);
+}
+
+result<void, storage_error>
+raft_storage::ReplaceDiskId(const disk_id& aId)
+{
+  auto written = mFolder.Replace(kDiskIdName, aId.mValue);
   if (!written) {
     return ToStorageError(written.error());
   }
+  mDiskId = aId;
   return boost::outcome_v2::success();
 }
 
--- a/drivers/raft_storage.h
+++ b/drivers/raft_storage.h
@@ -120,6 +120,8 @@
     const raft_snapshot& aSnapshot,
     const raft_hard_state& aHardState,
     const std::deque<raft_entry>& aTail);
+  /** Gives the folder another disk id, so that it is another member. */
+  result<void, storage_error> ReplaceDiskId(const disk_id& aId);
 };
 
 }
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log_event.h"
 #include "core/periodic.h"
+#include "core/random_id.h"
 #include "drivers/access_token.h"
 #include "drivers/operator_api.h"
 #include "main/role_support.h"
@@ -15,9 +16,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <iomanip>
 #include <random>
-#include <sstream>
 
 namespace hibiscusspool {
 
@@ -45,17 +44,6 @@
 /** Time limit for a change that this host proposes itself. */
 constexpr milliseconds kSystemChangeTimeout{ 2000 };
 
-std::string
-RandomHex(std::size_t aWords)
-{
-  std::random_device device;
-  std::ostringstream text;
-  for (std::size_t word = 0; word < aWords; ++word) {
-    text << std::hex << std::setw(8) << std::setfill('0') << device();
-  }
-  return text.str();
-}
-
 role_error
 ToRoleError(storage_error aError)
 {
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -4,6 +4,7 @@
 #include "settings/settings.h"
 #include "tools/admin.h"
 #include "tools/load.h"
+#include "tools/recover.h"
 #include "tools/report.h"
 
 #include <boost/program_options.hpp>
@@ -33,6 +34,7 @@
   "  admin …                 show and change the system state\n"
   "  report KIND             print a burn, tail, coverage or refusals report\n"
   "  load …                  run an open-loop load test, or compare two runs\n"
+  "  recover …               let a control host go on without its lost group\n"
   "  --help                  show this help\n"
   "  --version               show the version\n"
   "\n"
@@ -125,6 +127,9 @@
   if (command == "load") {
     return RunLoad(rest);
   }
+  if (command == "recover") {
+    return RunRecover(rest);
+  }
   return FailUsage("unknown command \"" + command +
                    "\"; see --help for the commands.");
 }
