Test replaced control hosts in more sizes, histories and settings

Cause: the drawn series knew five and nine hosts, one or two losses at once and one disruption after the other; none transferred or compacted meanwhile. Change: series for three, four and six hosts and for a zone of three of nine; histories that do anything to any host at any time and must keep what was decided; gone hosts that ask to join; a removed member whose members are all gone; configured hosts; a late transfer to a removed member. The operator's list in a series names one host more than can be lost at once: with three lost, all of its three hosts could be.

--- a/tests/decisions/raft_replacement_test.cpp
+++ b/tests/decisions/raft_replacement_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/decisions/simulated_group.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 
 #include <CppUTest/TestHarness.h>
@@ -50,8 +51,10 @@
   void UpdateSeeds()
   {
     mGroup.mSeeds.clear();
+    // Some seed runs whichever hosts are lost.
+    std::size_t count = std::max<std::size_t>(3, mTolerated + 1);
     for (std::size_t position : Running()) {
-      if (mGroup.mSeeds.size() < 3) {
+      if (mGroup.mSeeds.size() < count) {
         mGroup.mSeeds.insert(mGroup.Member(position).mId.mHost);
       }
     }
@@ -277,29 +280,274 @@
   }
 };
 
+/** Runs one drawn series; the first weakness, or empty. */
+std::string
+RunSeries(std::uint64_t aSeed, int aInitial, std::size_t aTolerated)
+{
+  replaced_group group(aSeed, aInitial, aTolerated);
+  for (int event = 1; event <= kEventsForEachSeries; ++event) {
+    group.Disrupt();
+    group.CatchUp();
+    std::string weakness = group.Weakness();
+    if (!weakness.empty()) {
+      return std::to_string(aInitial) + " hosts, seed " +
+             std::to_string(aSeed) + ", event " + std::to_string(event) + ": " +
+             weakness;
+    }
+  }
+  return {};
+}
+
+std::uint64_t
+SeriesCount(std::uint64_t aDefault)
+{
+  const char* count = std::getenv("RAFT_SERIES");
+  return count == nullptr ? aDefault : std::strtoull(count, nullptr, 10);
+}
+
+/** Does anything to any host, with no regard to what the group tolerates. */
+void
+DisruptAnyHost(simulated_group& aGroup)
+{
+  std::size_t host = aGroup.Pick(aGroup.Count());
+  switch (aGroup.Pick(13)) {
+    case 0:
+      aGroup.Crash(host);
+      return;
+    case 1:
+    case 2:
+      if (!aGroup.IsRunning(host)) {
+        aGroup.Start(host);
+      }
+      return;
+    case 3:
+      aGroup.Freeze(host);
+      return;
+    case 4:
+    case 5:
+      aGroup.Thaw(host);
+      return;
+    case 6:
+      aGroup.Isolate(host);
+      return;
+    case 7:
+      aGroup.BlockOneWay(host, aGroup.Pick(aGroup.Count()));
+      return;
+    case 8:
+    case 9:
+      aGroup.Heal();
+      return;
+    case 10:
+      aGroup.Transfer(host);
+      return;
+    case 11:
+      aGroup.Compact(host);
+      return;
+    default:
+      aGroup.Read(host);
+      return;
+  }
+}
+
+raft_message
+JoinRequest(const std::string& aHost, const host_id& aTo)
+{
+  raft_message join;
+  join.mKind = raft_message_kind::Join;
+  join.mFrom = { { aHost }, { "x" } };
+  join.mTo = { aTo, {} };
+  return join;
+}
+
 }
 
 TEST_GROUP(raft_replacement){};
 
 TEST(raft_replacement, AnySeriesOfToleratedLossesLeavesAWholeGroup)
 {
-  const char* count = std::getenv("RAFT_SERIES");
-  std::uint64_t series =
-    count == nullptr ? kSeries : std::strtoull(count, nullptr, 10);
-  for (std::uint64_t seed = 1; seed <= series; ++seed) {
+  for (std::uint64_t seed = 1; seed <= SeriesCount(kSeries); ++seed) {
     bool isLarge = seed % 3 == 0;
-    replaced_group group(seed, isLarge ? 9 : 5, isLarge ? 2 : 1);
-    for (int event = 1; event <= kEventsForEachSeries; ++event) {
-      group.Disrupt();
-      group.CatchUp();
-      std::string weakness = group.Weakness();
-      if (!weakness.empty()) {
-        FAIL(("Seed " + std::to_string(seed) + ", event " +
-              std::to_string(event) + ": " + weakness)
-               .c_str());
+    std::string weakness = RunSeries(seed, isLarge ? 9 : 5, isLarge ? 2 : 1);
+    STRCMP_EQUAL("", weakness.c_str());
+  }
+}
+
+TEST(raft_replacement, ASeriesOfLossesLeavesAWholeGroupOfAnotherSize)
+{
+  for (std::uint64_t seed = 1; seed <= SeriesCount(30); ++seed) {
+    for (int initial : { 3, 4, 6, 9 }) {
+      std::string weakness = RunSeries(seed, initial, initial == 9 ? 3 : 1);
+      STRCMP_EQUAL("", weakness.c_str());
+    }
+  }
+}
+
+TEST(raft_replacement, AnyHistoryKeepsWhatWasDecidedAndEndsWithALeader)
+{
+  for (std::uint64_t seed = 1; seed <= SeriesCount(40); ++seed) {
+    int initial = std::array{ 5, 9, 4, 3 }[seed % 4];
+    simulated_group group(seed, initial, kElection, seed % 5 == 0);
+    group.mSeeds = { { "h0" }, { "h1" }, { "h2" } };
+    group.RunFor(milliseconds(3000));
+    int added = 0;
+    for (int event = 0; event < 200; ++event) {
+      if (event % 30 == 29) {
+        group.Start(group.AddHost("n" + std::to_string(added++)));
+      }
+      DisruptAnyHost(group);
+      group.Propose(group.LeaderPosition() % group.Count());
+      group.RunFor(milliseconds(50 + group.Pick(600)));
+    }
+    group.Heal();
+    for (std::size_t host = 0; host < group.Count(); ++host) {
+      group.Thaw(host);
+      if (!group.IsRunning(host)) {
+        group.Start(host);
       }
     }
+    group.RunFor(milliseconds(15'000));
+    std::string text = "Seed " + std::to_string(seed);
+    STRCMP_EQUAL_TEXT("", group.Violation().c_str(), text.c_str());
+    CHECK_TEXT(group.LeaderPosition() < group.Count(), text.c_str());
+  }
+}
+
+TEST(raft_replacement, ThreeOfNineHostsMayBeLostAtOnceWithTheLeader)
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    simulated_group group(seed, 9, kElection, false);
+    group.mLosesMessages = false;
+    group.RunFor(kCatchUp);
+    for (int round = 0; round < 5; ++round) {
+      std::set<std::size_t> lost{ group.LeaderPosition() };
+      while (lost.size() < 3) {
+        std::size_t host = group.Pick(group.Count());
+        if (group.IsRunning(host)) {
+          lost.insert(host);
+        }
+      }
+      group.mSeeds.clear();
+      for (std::size_t host = 0; host < group.Count(); ++host) {
+        if (group.IsRunning(host) && !lost.contains(host)) {
+          group.mSeeds.insert(group.Member(host).mId.mHost);
+        }
+      }
+      for (std::size_t host : lost) {
+        group.Crash(host);
+      }
+      group.RunFor(kSuccessorDelay);
+      for (std::size_t host : lost) {
+        group.Start(group.AddHost("n" + std::to_string(round) + "-" +
+                                  std::to_string(host)));
+      }
+      group.RunFor(kCatchUp);
+      CHECK(group.LeaderPosition() < group.Count());
+      raft_strength strength =
+        group.Member(group.LeaderPosition()).mNode->Strength(group.Now());
+      LONGS_EQUAL(4, strength.Spare());
+    }
+    STRCMP_EQUAL("", group.Violation().c_str());
+  }
+}
+
+TEST(raft_replacement, HostsThatAskToJoinAndAreGoneKeepNoSuccessorOut)
+{
+  simulated_group group(4, 5, kElection, false);
+  group.mLosesMessages = false;
+  group.RunFor(milliseconds(3000));
+  std::size_t leader = group.LeaderPosition();
+  const host_id& address = group.Member(leader).mId.mHost;
+  group.mSeeds = { address };
+  for (int number = 0; number < 40; ++number) {
+    group.Deliver(JoinRequest("g" + std::to_string(number), address));
+  }
+  group.Crash((leader + 1) % group.Count());
+  group.RunFor(kSuccessorDelay);
+  std::size_t successor = group.AddHost("n0");
+  group.Start(successor);
+  group.RunFor(kCatchUp);
+  const raft_node& node = *group.Member(leader).mNode;
+  CHECK(node.IsVoter(group.Member(successor).mId));
+  LONGS_EQUAL(2, node.Strength(group.Now()).Spare());
+  group.RunFor(milliseconds(30'000));
+  LONGS_EQUAL(5, node.Peers().size());
+}
+
+TEST(raft_replacement, AMemberWhoseKnownMembersAreGoneJoinsThroughNewSettings)
+{
+  simulated_group group(6, 4, kElection, false);
+  group.mLosesMessages = false;
+  group.RunFor(milliseconds(3000));
+  std::size_t away = (group.LeaderPosition() + 1) % group.Count();
+  group.Isolate(away);
+  group.RunFor(kCatchUp);
+  for (std::size_t host = 0; host < 4; ++host) {
+    if (host == away) {
+      continue;
+    }
+    group.mSeeds = { group.Member(group.LeaderPosition()).mId.mHost };
+    std::size_t successor = group.AddHost("n" + std::to_string(host));
+    group.Start(successor);
+    group.RunFor(kCatchUp);
+    group.Crash(host);
+    group.RunFor(kCatchUp);
   }
+  group.Heal();
+  group.RunFor(kCatchUp);
+  const raft_peer_id& id = group.Member(away).mId;
+  CHECK(!group.Member(group.LeaderPosition()).mNode->IsMember(id));
+  group.Member(away).mNode->SetKnownHosts(
+    { group.Member(group.LeaderPosition()).mId.mHost });
+  group.RunFor(kCatchUp);
+  CHECK(group.Member(group.LeaderPosition()).mNode->IsMember(id));
+  CHECK(!group.IsCutOff(away));
+  STRCMP_EQUAL("", group.Violation().c_str());
+}
+
+TEST(raft_replacement, OfConfiguredHostsOnlyTheListedOnesJoin)
+{
+  simulated_group group(8, 4, kElection);
+  group.mLosesMessages = false;
+  group.RunFor(milliseconds(3000));
+  std::size_t leader = group.LeaderPosition();
+  std::size_t away = (leader + 1) % group.Count();
+  const raft_node& node = *group.Member(leader).mNode;
+  group.Crash(away);
+  group.RunFor(kCatchUp);
+  CHECK(!node.IsMember(group.Member(away).mId));
+  std::size_t unlisted = group.AddHost("n0");
+  group.Start(unlisted);
+  group.Start(away);
+  group.RunFor(kCatchUp);
+  CHECK(node.IsMember(group.Member(away).mId));
+  CHECK(!node.IsMember(group.Member(unlisted).mId));
+}
+
+TEST(raft_replacement, ALateTransferToARemovedMemberLosesNothing)
+{
+  simulated_group group(9, 4, kElection, false);
+  group.mLosesMessages = false;
+  group.RunFor(milliseconds(3000));
+  std::size_t leader = group.LeaderPosition();
+  std::size_t away = (leader + 1) % group.Count();
+  group.Isolate(away);
+  group.RunFor(kCatchUp);
+  CHECK(!group.Member(leader).mNode->IsMember(group.Member(away).mId));
+  std::size_t committed = CommitSome(group, 3);
+  raft_message late;
+  late.mKind = raft_message_kind::TimeoutNow;
+  late.mFrom = group.Member(leader).mId;
+  late.mTo = group.Member(away).mId;
+  late.mTerm = group.Member(away).mNode->Term();
+  group.Deliver(late, true);
+  group.Heal();
+  group.RunFor(kCatchUp);
+  CHECK(group.LeaderPosition() != away);
+  CHECK(group.LeaderPosition() < group.Count());
+  CHECK(CommitSome(group, 1) > committed);
+  CHECK(group.Member(group.LeaderPosition())
+          .mNode->IsMember(group.Member(away).mId));
+  STRCMP_EQUAL("", group.Violation().c_str());
 }
 
 TEST(raft_replacement, HostsLostForGoodOneByOneLeaveAGroupThatDecides)
