--- a/decisions/raft_members.cpp
+++ b/decisions/raft_members.cpp
@@ -1,3 +1,4 @@
+#include "decisions/raft_member_plan.h"
 #include "decisions/raft_node.h"
 
 #include <algorithm>
@@ -220,9 +221,11 @@
     member_view& member = members.emplace_back();
     member.mPeer = peer;
     if (peer.mId == mConfig.mSelf) {
+      member.mHasReplied = true;
       continue;
     }
     const progress& state = mProgress[peer.mId];
+    member.mHasReplied = state.mHasReplied;
     member.mSilence =
       std::chrono::duration_cast<milliseconds>(aNow - state.mLastContact);
     member.mIsCaughtUp =
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -57,8 +57,8 @@
 /**
  * One member of a Raft group as a state machine without I/O: it takes events
  * and the current time, and returns actions; sockets, storage and locks are up
- * to the caller. Supports pre-vote, check-quorum, learners, single-member
- * changes, snapshots, read index and leadership transfer.
+ * to the caller. Supports pre-vote, check-quorum, learners, changes of one
+ * voter at a time, snapshots, read index and leadership transfer.
  */
 class raft_node
 {
