Grow the voters only when each one has answered the leader

What callers saw: none yet; found by the review of the fix. Two of five control hosts lost at once with the leader, each with a successor, still ended the group for good. Cause: silence counts from the leader's own election, so that for one election time-out a new leader took voters that are gone for living ones, and grew from five to seven with two of them gone. Change: an odd number grows only once each voter has replied to this leader.

--- a/decisions/raft_member_plan.cpp
+++ b/decisions/raft_member_plan.cpp
@@ -149,9 +149,14 @@
   }
   bool isEven = voters % 2 == 0;
   // One more voter than an odd number raises the quorum by one. It is worth
-  // that only if a second one follows, and no voter is missing.
+  // that only if a second one follows, and all voters are known to run.
+  bool isEachVoterReachable =
+    std::all_of(aMembers.begin(), aMembers.end(), [&](const auto& aMember) {
+      return !aMember.mPeer.mIsVoter || aMember.mPeer.mId == aLeader ||
+             (aMember.mHasReplied && aMember.mSilence < aLimits.mReachable);
+    });
   bool isGrowing = ready.size() >= 2 && voters + 2 <= aLimits.mMaxVoters &&
-                   SilentVoters(aMembers, aLeader, aLimits.mReachable).empty();
+                   isEachVoterReachable;
   if (!isEven && !isGrowing) {
     return std::nullopt;
   }
--- a/tests/decisions/raft_member_plan_test.cpp
+++ b/tests/decisions/raft_member_plan_test.cpp
@@ -139,3 +139,13 @@
   members.push_back({ Peer("v1", "2", false), milliseconds(0), true, true });
   STRCMP_EQUAL("v1/1 voter_removed, v1/2 promoted", NextStep(members).c_str());
 }
+
+TEST(raft_member_plan, VotersGrowOnlyWhenEachOneHasAnsweredThisLeader)
+{
+  auto members = Members(5, 2);
+  members[3].mHasReplied = false;
+  STRCMP_EQUAL("", NextStep(members).c_str());
+  members[3].mHasReplied = true;
+  members[3].mSilence = milliseconds(1500);
+  STRCMP_EQUAL("", NextStep(members).c_str());
+}
--- a/tests/decisions/raft_replacement_test.cpp
+++ b/tests/decisions/raft_replacement_test.cpp
@@ -648,3 +648,44 @@
   group.RunFor(milliseconds(15'000));
   LONGS_EQUAL(5, group.Member(group.LeaderPosition()).mNode->Peers().size());
 }
+
+TEST(raft_replacement, TwoOfFiveHostsMayBeLostAtOnceWithTheLeader)
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    simulated_group group(seed, 5, kElection, false);
+    group.mLosesMessages = false;
+    group.RunFor(kCatchUp);
+    for (int round = 0; round < 5; ++round) {
+      std::size_t leader = group.LeaderPosition();
+      std::string text =
+        "Seed " + std::to_string(seed) + ", round " + std::to_string(round);
+      CHECK_TEXT(leader < group.Count(), text.c_str());
+      raft_strength strength =
+        group.Member(leader).mNode->Strength(group.Now());
+      LONGS_EQUAL_TEXT(2, strength.Spare(), text.c_str());
+      std::set<std::size_t> lost{ leader };
+      while (lost.size() < 2) {
+        std::size_t host = group.Pick(group.Count());
+        if (group.IsRunning(host)) {
+          lost.insert(host);
+        }
+      }
+      group.mSeeds.clear();
+      for (std::size_t host = 0; host < group.Count(); ++host) {
+        if (group.IsRunning(host) && !lost.contains(host)) {
+          group.mSeeds.insert(group.Member(host).mId.mHost);
+        }
+      }
+      for (std::size_t host : lost) {
+        group.Crash(host);
+      }
+      group.RunFor(kSuccessorDelay);
+      for (std::size_t host : lost) {
+        group.Start(group.AddHost("n" + std::to_string(round) + "-" +
+                                  std::to_string(host)));
+      }
+      group.RunFor(kCatchUp);
+    }
+    STRCMP_EQUAL("", group.Violation().c_str());
+  }
+}
