Promote a learner before a silent voter of an even number leaves

With two of five hosts off for seconds beside a spare, the group fell to three voters: a change was acknowledged on two disks, and lost with them. Cause: after one silent voter had left for the spare, the other one left because four is an even number, before the spare was promoted. An even number shrank after two election time-outs, also by a host that was only restarting. Three tests of members that are removed while away wait longer.

--- a/decisions/raft_member_plan.cpp
+++ b/decisions/raft_member_plan.cpp
@@ -176,7 +176,7 @@
   bool hasSuccessor = !ReadyLearners(aMembers, aLimits).empty();
   auto gone = SilentVoters(aMembers, aLeader, aLimits.mGone);
   // An even number of voters bears no more losses than one fewer.
-  bool isSpare = voters % 2 == 0;
+  bool isSpare = voters % 2 == 0 && !gone.empty();
   bool isPairGone = gone.size() >= 2 && voters >= aLimits.mMinVoters + 2;
   if (!hasSuccessor && !isSpare && !isPairGone) {
     return std::nullopt;
@@ -208,10 +208,10 @@
   if (auto next = RemoveLostDisk(aMembers, aLeader)) {
     return next;
   }
-  if (auto next = RemoveVoter(aMembers, aLeader, aLimits)) {
+  if (auto next = PromoteLearner(aMembers, aLeader, aLimits)) {
     return next;
   }
-  if (auto next = PromoteLearner(aMembers, aLeader, aLimits)) {
+  if (auto next = RemoveVoter(aMembers, aLeader, aLimits)) {
     return next;
   }
   return RemoveLearner(aMembers, aLimits);
--- a/tests/decisions/raft_replacement_test.cpp
+++ b/tests/decisions/raft_replacement_test.cpp
@@ -20,6 +20,8 @@
  * after a second. */
 constexpr milliseconds kLossyCatchUp{ 8000 };
 constexpr std::uint64_t kMaxOutageMs = 6000;
+/** After this, a member that is away leaves a group of an even number. */
+constexpr milliseconds kLongAbsence{ 15'000 };
 constexpr std::uint64_t kSeries = 300;
 constexpr int kEventsForEachSeries = 10;
 constexpr std::size_t kMaxHosts = 12;
@@ -480,7 +482,7 @@
   group.RunFor(milliseconds(3000));
   std::size_t away = (group.LeaderPosition() + 1) % group.Count();
   group.Isolate(away);
-  group.RunFor(kCatchUp);
+  group.RunFor(kLongAbsence);
   for (std::size_t host = 0; host < 4; ++host) {
     if (host == away) {
       continue;
@@ -513,7 +515,7 @@
   std::size_t away = (leader + 1) % group.Count();
   const raft_node& node = *group.Member(leader).mNode;
   group.Crash(away);
-  group.RunFor(kCatchUp);
+  group.RunFor(kLongAbsence);
   CHECK(!node.IsMember(group.Member(away).mId));
   std::size_t unlisted = group.AddHost("n0");
   group.Start(unlisted);
@@ -531,7 +533,7 @@
   std::size_t leader = group.LeaderPosition();
   std::size_t away = (leader + 1) % group.Count();
   group.Isolate(away);
-  group.RunFor(kCatchUp);
+  group.RunFor(kLongAbsence);
   CHECK(!group.Member(leader).mNode->IsMember(group.Member(away).mId));
   std::size_t committed = CommitSome(group, 3);
   raft_message late;
@@ -580,7 +582,7 @@
   group.RunFor(milliseconds(3000));
   std::size_t away = (group.LeaderPosition() + 1) % group.Count();
   group.Isolate(away);
-  group.RunFor(milliseconds(15'000));
+  group.RunFor(kLongAbsence);
   const raft_peer_id& id = group.Member(away).mId;
   CHECK(!group.Member(group.LeaderPosition()).mNode->IsMember(id));
   group.Heal();
@@ -689,3 +691,33 @@
     STRCMP_EQUAL("", group.Violation().c_str());
   }
 }
+
+TEST(raft_replacement, TwoDisksMayBeLostWhileAZoneIsOffBesideASpare)
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    simulated_group group(seed, 5, kElection, false);
+    group.mLosesMessages = false;
+    group.RunFor(milliseconds(3000));
+    std::size_t leader = group.LeaderPosition();
+    group.mSeeds = { group.Member(leader).mId.mHost };
+    group.Start(group.AddHost("spare"));
+    group.RunFor(kCatchUp);
+    CommitSome(group, 3);
+    std::size_t other = (leader + 1) % 5;
+    std::size_t off1 = (leader + 3) % 5;
+    std::size_t off2 = (leader + 4) % 5;
+    group.Crash(off1);
+    group.Crash(off2);
+    group.RunFor(kCatchUp);
+    group.LoseDisk(leader);
+    group.LoseDisk(other);
+    group.RunFor(kSuccessorDelay);
+    for (std::size_t host : { leader, other, off1, off2 }) {
+      group.Start(host);
+    }
+    group.RunFor(milliseconds(15'000));
+    std::string text = "Seed " + std::to_string(seed);
+    CHECK_TEXT(group.LeaderPosition() < group.Count(), text.c_str());
+    STRCMP_EQUAL("", group.Violation().c_str());
+  }
+}
