Replace a lost disk of a host in two steps

What callers saw: none yet; found by the review of the fix. A disk that was replaced and comes back, as a folder that was not mounted at one start, could decide beside its successor: two members applied different entries. Cause: one entry exchanged the two disks of a host. That is safe only if the earlier one never runs again. Change: the earlier disk's voter is removed and the new one promoted, in the order that never raises the quorum, without waiting for silence.

--- a/decisions/raft_member_plan.cpp
+++ b/decisions/raft_member_plan.cpp
@@ -93,45 +93,22 @@
   return ids;
 }
 
-/**
- * Gives a host's vote to its new disk and removes the voter on the previous
- * one, which is lost: it would raise the quorum but could never vote. This is
- * safe since the entry that added the learner was committed without that voter.
- */
-next_members
-ReplaceLostDisk(const members& aMembers,
+/** The voter on a disk that its host has replaced, if the new one has a vote or
+ * can get it now; the member with the new disk comes later in the list. */
+std::optional<raft_peer_id>
+VoterOnLostDisk(const members& aMembers,
                 const raft_peer_id& aLeader,
                 const member_limits& aLimits)
-{
-  for (const raft_peer_id& learner : ReadyLearners(aMembers, aLimits)) {
-    for (const member_view& voter : aMembers) {
-      const raft_peer_id& lost = voter.mPeer.mId;
-      bool isReplaced =
-        voter.mPeer.mIsVoter && lost.mHost == learner.mHost && lost != aLeader;
-      if (isReplaced) {
-        std::vector<raft_peer> peers = WithVote(aMembers, learner);
-        std::erase_if(
-          peers, [&](const raft_peer& aPeer) { return aPeer.mId == lost; });
-        return peers;
-      }
-    }
-  }
-  return std::nullopt;
-}
-
-/** Of two voters on one host, the later one has the disk that is in use, since
- * a replacement comes after the voter that it replaces. */
-next_members
-RemoveLostDisk(const members& aMembers, const raft_peer_id& aLeader)
 {
   for (auto voter = aMembers.begin(); voter != aMembers.end(); ++voter) {
-    bool hasLater =
-      std::any_of(voter + 1, aMembers.end(), [&](const auto& aLater) {
-        return aLater.mPeer.mIsVoter &&
-               aLater.mPeer.mId.mHost == voter->mPeer.mId.mHost;
+    const raft_peer_id& id = voter->mPeer.mId;
+    bool isReplaced =
+      std::any_of(voter + 1, aMembers.end(), [&](const member_view& aLater) {
+        return aLater.mPeer.mId.mHost == id.mHost &&
+               (aLater.mPeer.mIsVoter || IsReady(aLater, aLimits));
       });
-    if (hasLater && voter->mPeer.mIsVoter && voter->mPeer.mId != aLeader) {
-      return Without(aMembers, voter->mPeer.mId);
+    if (voter->mPeer.mIsVoter && id != aLeader && isReplaced) {
+      return id;
     }
   }
   return std::nullopt;
@@ -168,6 +145,9 @@
             const raft_peer_id& aLeader,
             const member_limits& aLimits)
 {
+  if (auto lost = VoterOnLostDisk(aMembers, aLeader, aLimits)) {
+    return Without(aMembers, *lost);
+  }
   std::size_t voters = VotersIn(aMembers);
   auto silent = SilentVoters(aMembers, aLeader, aLimits.mSilent);
   if (silent.empty() || voters < 3) {
@@ -202,12 +182,6 @@
             const raft_peer_id& aLeader,
             const member_limits& aLimits)
 {
-  if (auto next = ReplaceLostDisk(aMembers, aLeader, aLimits)) {
-    return next;
-  }
-  if (auto next = RemoveLostDisk(aMembers, aLeader)) {
-    return next;
-  }
   if (auto next = PromoteLearner(aMembers, aLeader, aLimits)) {
     return next;
   }
--- a/tests/decisions/raft_replacement_test.cpp
+++ b/tests/decisions/raft_replacement_test.cpp
@@ -721,3 +721,51 @@
     STRCMP_EQUAL("", group.Violation().c_str());
   }
 }
+
+TEST(raft_replacement, AnEarlierDiskThatIsBackDecidesNothingBesideItsSuccessor)
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    simulated_group group(seed, 5, kElection, false);
+    group.mLosesMessages = false;
+    group.RunFor(milliseconds(3000));
+    CommitSome(group, 3);
+    std::size_t leader = group.LeaderPosition();
+    std::size_t swapped = (leader + 1) % 5;
+    std::size_t kept = (leader + 2) % 5;
+    std::size_t cut1 = (leader + 3) % 5;
+    std::size_t cut2 = (leader + 4) % 5;
+    simulated_member& member = group.Member(swapped);
+    raft_peer_id earlier = member.mId;
+    simulated_storage disk = member.mStorage;
+    group.mSeeds = { group.Member(leader).mId.mHost };
+    group.LoseDisk(swapped);
+    group.Start(swapped);
+    while (!group.Member(cut1).mNode->IsMember(member.mId)) {
+      group.RunStep();
+    }
+    for (std::size_t cut : { cut1, cut2 }) {
+      for (std::size_t with : { leader, kept, swapped }) {
+        group.BlockOneWay(cut, with);
+        group.BlockOneWay(with, cut);
+      }
+    }
+    group.RunFor(milliseconds(500));
+    group.Propose(leader);
+    group.RunFor(milliseconds(200));
+    // The folder that was not mounted is back, on the other side of the split.
+    group.Crash(swapped);
+    member.mId = earlier;
+    member.mStorage = disk;
+    group.Heal();
+    for (std::size_t cut : { cut1, cut2, swapped }) {
+      for (std::size_t with : { leader, kept }) {
+        group.BlockOneWay(cut, with);
+        group.BlockOneWay(with, cut);
+      }
+    }
+    group.Start(swapped);
+    group.RunFor(milliseconds(5000));
+    std::string text = "Seed " + std::to_string(seed);
+    STRCMP_EQUAL_TEXT("", group.Violation().c_str(), text.c_str());
+  }
+}
