Keep a learner that answers when its host's earlier disk asks to join

Cause: a join request removed any learner of the same host; a late one of an earlier disk removed the one that was catching up, which joined again after up to 2.7 s. Change: a learner that has replied within an election time-out stays. Result: raft_replacement/ALateRequestOfAnEarlierDiskRemovesNoLearner failed before.

--- a/decisions/raft_members.cpp
+++ b/decisions/raft_members.cpp
@@ -167,13 +167,20 @@
   }
   std::vector<raft_peer> peers = mPeers;
   for (const raft_peer_id& joining : std::exchange(mJoining, {})) {
-    // Replaces a learner that returned with another disk: it never had a vote.
-    std::erase_if(peers, [&](const raft_peer& aPeer) {
+    auto isEarlier = [&](const raft_peer& aPeer) {
       return !aPeer.mIsVoter && aPeer.mId.mHost == joining.mHost;
-    });
+    };
+    auto earlier = std::find_if(peers.begin(), peers.end(), isEarlier);
+    // A request of a disk that was replaced may come late.
+    if (earlier != peers.end() && IsReachable(earlier->mId, aNow)) {
+      continue;
+    }
+    std::erase_if(peers, isEarlier);
     peers.push_back({ joining, false });
   }
-  ChangePeers(std::move(peers), aNow);
+  if (peers != mPeers) {
+    ChangePeers(std::move(peers), aNow);
+  }
 }
 
 void
--- a/tests/decisions/raft_replacement_test.cpp
+++ b/tests/decisions/raft_replacement_test.cpp
@@ -769,3 +769,20 @@
     STRCMP_EQUAL_TEXT("", group.Violation().c_str(), text.c_str());
   }
 }
+
+TEST(raft_replacement, ALateRequestOfAnEarlierDiskRemovesNoLearner)
+{
+  simulated_group group(11, 5, kElection, false);
+  group.mLosesMessages = false;
+  group.RunFor(milliseconds(3000));
+  std::size_t leader = group.LeaderPosition();
+  const host_id& address = group.Member(leader).mId.mHost;
+  group.mSeeds = { address };
+  std::size_t learner = group.AddHost("n0");
+  group.Start(learner);
+  group.RunFor(milliseconds(3000));
+  const raft_node& node = *group.Member(leader).mNode;
+  CHECK(node.IsMember(group.Member(learner).mId));
+  group.Deliver(JoinRequest("n0", address));
+  CHECK(node.IsMember(group.Member(learner).mId));
+}
