Replace a lost leader without counting its silence anew

Cause: a new leader began to count the silence of its predecessor at its own election, and each step of a replacement waited for a heartbeat.

--- a/decisions/raft_election.cpp
+++ b/decisions/raft_election.cpp
@@ -126,6 +126,11 @@
   for (const raft_peer& peer : mPeers) {
     mProgress[peer.mId] = MakeProgress(aNow);
   }
+  // The previous leader has been silent since before this election.
+  auto previous = mProgress.find(mLastLeader);
+  if (previous != mProgress.end() && !mGrantedVotes.contains(mLastLeader)) {
+    previous->second.mLastContact = mLeaderContactAt;
+  }
   // Committing an empty entry of the new term commits those of earlier terms.
   AppendToLog({});
   Broadcast(aNow);
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -114,6 +114,8 @@
 
   raft_role mRole = raft_role::Follower;
   raft_peer_id mLeader;
+  /** The latest leader whose messages arrived. */
+  raft_peer_id mLastLeader;
   steady_time mElectionDue;
   steady_time mHeartbeatDue;
   /** When the latest heartbeat was sent. */
--- a/decisions/raft_replication.cpp
+++ b/decisions/raft_replication.cpp
@@ -143,6 +143,7 @@
   if (mRole != raft_role::Follower || mLeader != aMessage.mFrom) {
     BecomeFollower(aMessage.mTerm, aMessage.mFrom, aNow);
   }
+  mLastLeader = aMessage.mFrom;
   mLeaderContactAt = aNow;
   mHeardRound = aMessage.mNumber;
   SetElectionDue(mConfig.mElectionTimeout, aNow);
@@ -220,10 +221,15 @@
     state.mIsProbing = false;
     state.mInFlightLast = 0;
   }
+  bool wasChanging = mPeersIndex > mCommit;
   AdvanceCommit();
   if (state.mNext <= LastIndex() && !IsInFlight(state, aNow)) {
     SendAppend(aMessage.mFrom, aNow);
   }
+  if (wasChanging && mPeersIndex <= mCommit) {
+    // The next change need not wait for a heartbeat.
+    ManagePeers(aNow);
+  }
 }
 
 void
