Test replaced control hosts over real processes

Cause: the faults of the incident were shown by simulated groups alone. Change: replaced_hosts plays five control hosts and an entry host as processes: eight losses for good, every second one of the leader, with new seeds for all, and all five replaced without news of seeds. 4 s after a successor's start a change is confirmed within 5 s. seeded_system takes more control hosts, and later ones at addresses of their own.

--- a/tests/integration/seeded_system.cpp
+++ b/tests/integration/seeded_system.cpp
@@ -1,5 +1,6 @@
 #include "tests/integration/seeded_system.h"
 
+#include <csignal>
 #include <fstream>
 
 namespace test {
@@ -9,12 +10,19 @@
 constexpr int kControlPort = 10'900;
 constexpr int kOperatorPort = 10'901;
 /** The entry host's number, which makes its address. */
-constexpr int kEntryHost = 9;
+constexpr int kEntryHost = 30;
+
+std::string
+ControlName(int aNumber)
+{
+  return "c" + std::to_string(aNumber);
+}
 
 }
 
 seeded_system::seeded_system(const system_options& aOptions)
   : mSystem(aOptions)
+  , mFirstControlHosts(aOptions.mControlHosts)
 {
   std::string address = mSystem.ControlAddress("c1");
   mNetwork = address.substr(0, address.find_last_of('.') + 1);
@@ -62,10 +70,30 @@
   return Ip(kEntryHost) + ":10902";
 }
 
+std::vector<int>
+seeded_system::FirstControlHosts() const
+{
+  std::vector<int> numbers;
+  for (int number = 1; number <= mFirstControlHosts; ++number) {
+    numbers.push_back(number);
+  }
+  return numbers;
+}
+
+std::string
+seeded_system::Seeds(const std::vector<int>& aNumbers) const
+{
+  std::string seeds;
+  for (int number : aNumbers) {
+    seeds += (seeds.empty() ? "" : ",") + Control(number);
+  }
+  return seeds;
+}
+
 std::string
 seeded_system::AllSeeds() const
 {
-  return Control(1) + "," + Control(2) + "," + Control(3);
+  return Seeds(FirstControlHosts());
 }
 
 void
@@ -73,15 +101,19 @@
                             const std::string& aSeeds,
                             bool aIsFirstStart)
 {
-  std::string name = "c" + std::to_string(aNumber);
-  std::ofstream file(mSystem.Folder() / (name + ".ini"));
-  file << "[host]\nid=" << Control(aNumber)
-       << "\nfailure_domain=a\n[control]\naddress=" << Control(aNumber)
-       << "\noperators_address=" << Operators(aNumber)
-       << "\ndata_folder=" << (mSystem.Folder() / ("data-" + name)).string()
-       << "\nbootstrap=" << (aIsFirstStart ? "true" : "false")
-       << "\n[platform]\ncontrol_address=" << Platform(aNumber)
-       << "\ncontrol_port=" << kControlPort << "\nseeds=" << aSeeds << "\n";
+  std::string name = ControlName(aNumber);
+  std::string path = mSystem.Folder() / (name + ".ini");
+  {
+    std::ofstream file(path + ".new");
+    file << "[host]\nid=" << Control(aNumber)
+         << "\nfailure_domain=a\n[control]\naddress=" << Control(aNumber)
+         << "\noperators_address=" << Operators(aNumber)
+         << "\ndata_folder=" << (mSystem.Folder() / ("data-" + name)).string()
+         << "\nbootstrap=" << (aIsFirstStart ? "true" : "false")
+         << "\n[platform]\ncontrol_address=" << Platform(aNumber)
+         << "\ncontrol_port=" << kControlPort << "\nseeds=" << aSeeds << "\n";
+  }
+  std::filesystem::rename(path + ".new", path);
 }
 
 void
@@ -103,10 +135,40 @@
 void
 seeded_system::StartControlHosts(const std::string& aSeeds, bool aIsFirstStart)
 {
-  for (int number = 1; number <= 3; ++number) {
-    WriteControl(number, aSeeds, aIsFirstStart);
-    mSystem.Start("c" + std::to_string(number));
+  for (int number : FirstControlHosts()) {
+    StartControlHost(number, aSeeds, aIsFirstStart);
+  }
+}
+
+void
+seeded_system::StartControlHost(int aNumber,
+                                const std::string& aSeeds,
+                                bool aIsFirstStart)
+{
+  WriteControl(aNumber, aSeeds, aIsFirstStart);
+  mSystem.Start(ControlName(aNumber));
+}
+
+void
+seeded_system::LoseControlHost(int aNumber)
+{
+  mSystem.StopProcess(ControlName(aNumber), SIGKILL);
+  mSystem.DeleteDataFolder(ControlName(aNumber));
+}
+
+int
+seeded_system::Leader(const std::vector<int>& aNumbers) const
+{
+  for (int asked : aNumbers) {
+    std::string leader =
+      Call("GET", Operators(asked), "/v1/status").Text("leader");
+    for (int number : aNumbers) {
+      if (leader == Control(number)) {
+        return number;
+      }
+    }
   }
+  return 0;
 }
 
 unsigned
