Propose an orphaned server again until it is recorded

Cause: once membership had proposed a server as gone, it forgot since when the lease holder was missing. A proposal that was lost, as while the group has no leader, was repeated only after another orphan time-out (6 s) instead of at the next check (250 ms), and server_orphaned was logged each time. Change: the time is kept until the record says gone, the lease holder is back or this host no longer leads.

--- a/decisions/membership.cpp
+++ b/decisions/membership.cpp
@@ -135,7 +135,6 @@
       server_record gone = existing;
       gone.mState = server_state::Gone;
       aChanges.emplace_back(std::move(gone));
-      mOrphanedSince.erase(server);
     }
   }
 }
--- a/tests/decisions/records_test.cpp
+++ b/tests/decisions/records_test.cpp
@@ -191,6 +191,24 @@
   CHECK(std::get<server_record>(changes.at(0)).mState == server_state::Gone);
 }
 
+TEST(membership, AnOrphanedServerIsProposedAgainUntilItIsRecorded)
+{
+  server_record server;
+  server.mServer.mValue = "s";
+  server.mLeaseHolder.mValue = "c2";
+  server.mState = server_state::Ready;
+  mServers[server.mServer] = server;
+  CHECK(ProposedChanges({}, kNow, true).empty());
+  LONGS_EQUAL(1, ProposedChanges({}, kNow + milliseconds(6100), true).size());
+  // The proposal was lost.
+  LONGS_EQUAL(1, ProposedChanges({}, kNow + milliseconds(6350), true).size());
+  mServers[server.mServer].mState = server_state::Gone;
+  CHECK(ProposedChanges({}, kNow + milliseconds(6600), true).empty());
+  // A server that is announced again has the whole time again.
+  mServers[server.mServer].mState = server_state::Ready;
+  CHECK(ProposedChanges({}, kNow + milliseconds(6850), true).empty());
+}
+
 TEST(membership, ADaemonWhoseStreamJustClosedIsNotSilentYet)
 {
   entry_host_record host = Connected(kNow).mHost;
