Log proposed changes of membership once, not at each check

Cause: while a control host can't record what it believes of entry hosts, it proposes it again at each check (250 ms), and logged all of it and the failure each time. Change: membership_news decides which transitions are new: each is told once until it is recorded or no longer proposed. membership_unrecorded comes once for each cause, membership_recorded when a proposal is evaluated again. It holds no more than the latest proposal.

--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -492,12 +492,7 @@
                             status.mActiveHosts };
       return mMembership.ProposedChanges(daemons, view, SteadyNow());
     });
-  if (changes.empty()) {
-    co_return;
-  }
-  change_command command;
-  command.mChanges = std::move(changes);
-  for (const record_change& change : command.mChanges) {
+  for (const record_change& change : mMembershipNews.OnProposed(changes)) {
     if (const auto* host = std::get_if<entry_host_record>(&change)) {
       log_event("entry_host_" + std::string(NameOf(host->mState)))
         .Add("host", host->mHost.mValue)
@@ -507,10 +502,21 @@
       log_event("server_orphaned").Add("server", server->mServer.mValue);
     }
   }
+  if (changes.empty()) {
+    co_return;
+  }
+  change_command command;
+  command.mChanges = std::move(changes);
   // Changes that are still due are proposed again next time.
   auto outcomes = co_await Client().Propose(std::move(command),
                                             SteadyNow() + kSystemChangeTimeout);
-  if (!outcomes) {
+  if (outcomes) {
+    if (mMembershipNews.OnEvaluated(outcomes.value())) {
+      log_event("membership_recorded");
+    }
+    co_return;
+  }
+  if (mMembershipNews.OnFailed(outcomes.error().mDetail)) {
     log_event("membership_unrecorded", log_event::severity::Warning)
       .Add("cause", outcomes.error().mDetail);
   }
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -4,6 +4,7 @@
 #include "controllers/stall_controller.h"
 #include "controllers/watch_hub.h"
 #include "decisions/membership.h"
+#include "decisions/membership_news.h"
 #include "drivers/control_client.h"
 #include "drivers/control_service.h"
 #include "drivers/http_server.h"
@@ -47,6 +48,8 @@
   server_lease_manager mServerLeases;
   condition_waiter mStopWaiter;
   membership mMembership;
+  /** What of the proposed changes has not been logged yet. */
+  membership_news mMembershipNews;
   /** Tells how long requests may have waited unread. */
   stall_controller mStalls;
   std::thread mGroupThread;
