Forget control hosts that were named longest ago

Cause: control_client kept every control host that it ever learned, up to 32. Hosts are replaced at new addresses; once 32 were known, no successor and no new leader was learned any more, so that proposals went round hosts that are gone. Channels were kept for ever too. Change: control_host_list orders hosts by when they were last named, asks the latest first and forgets the last one that isn't configured; the client drops the channels of forgotten hosts.

--- a/drivers/control_client.cpp
+++ b/drivers/control_client.cpp
@@ -1,6 +1,7 @@
 #include "drivers/control_client.h"
 
 #include "core/log_event.h"
+#include "decisions/control_host_list.h"
 #include "drivers/grpc_settings.h"
 #include "drivers/host_address.h"
 #include "drivers/suspended_time.h"
@@ -34,8 +35,6 @@
 /** Time from the beginning of a heartbeat round until a command that names it
  * can be sent: the interval of the rounds and the way here. */
 constexpr milliseconds kRoundAge{ 300 };
-/** Maximum number of known control hosts, including those configured. */
-constexpr std::size_t kMaxHosts = 32;
 
 template<typename request, typename reply>
 struct unary_call
@@ -56,8 +55,10 @@
 {
   asio::any_io_executor mExecutor;
   control_client_hooks mHooks;
+  /** Addresses of the hosts that are not named by their address. */
   std::map<host_id, std::string> mAddresses;
   std::mutex mLock;
+  control_host_list mHosts;
   std::map<host_id, std::shared_ptr<grpc::Channel>> mChannels;
   host_id mLeader;
   std::condition_variable mCallEnded;
@@ -108,26 +109,20 @@
   host_id Target(std::size_t aTry)
   {
     std::lock_guard guard(mLock);
-    if (mAddresses.empty()) {
-      return {};
-    }
-    if (mAddresses.contains(mLeader)) {
-      return mLeader;
-    }
-    auto next = mAddresses.begin();
-    std::advance(next, static_cast<std::ptrdiff_t>(aTry % mAddresses.size()));
-    return next->first;
+    return mHosts.Contains(mLeader) ? mLeader : mHosts.At(aTry);
   }
 
-  /** Adds a host that is named by its address; needs the lock. */
+  /** Keeps a host in the list, and no channel to those that this makes it
+   * forget; needs the lock. */
   void Learn(const host_id& aHost)
   {
-    bool isNew = !aHost.IsEmpty() && !mAddresses.contains(aHost) &&
-                 mAddresses.size() < kMaxHosts;
-    if (isNew && AddressOf(mAddresses, aHost)) {
-      mAddresses[aHost] = aHost.mValue;
-      log_event("control_host_learned").Add("host", aHost.mValue);
+    if (!AddressOf(mAddresses, aHost) || !mHosts.Learn(aHost)) {
+      return;
     }
+    log_event("control_host_learned").Add("host", aHost.mValue);
+    std::erase_if(mChannels, [&](const auto& aEntry) {
+      return !mHosts.Contains(aEntry.first);
+    });
   }
 
   void SetLeader(host_id aLeader)
@@ -190,6 +185,11 @@
   auto made = std::make_shared<state>();
   made->mHooks = std::move(aHooks);
   made->mExecutor = std::move(aExecutor);
+  std::set<host_id> configured;
+  for (const auto& [host, address] : aAddresses) {
+    configured.insert(host);
+  }
+  made->mHosts = control_host_list::Create(std::move(configured));
   made->mAddresses = std::move(aAddresses);
   return control_client(std::move(made));
 }
@@ -223,12 +223,8 @@
 std::vector<host_id>
 control_client::Hosts() const
 {
-  std::vector<host_id> hosts;
   std::lock_guard guard(mState->mLock);
-  for (const auto& [host, address] : mState->mAddresses) {
-    hosts.push_back(host);
-  }
-  return hosts;
+  return mState->mHosts.Hosts();
 }
 
 asio::awaitable<propose_result>
