Close the channels to hosts that are no longer members

Cause: raft_transport kept the channel to every host that it ever sent to. gRPC connects a failed channel again without any call, about once a second, so that each lost control host cost its peers an attempt a second for ever. Change: with each check of membership a control host closes idle channels to hosts that are not among the members, unless it is no member itself. Result: raft_transport/AHostThatIsNoMemberAnyMoreGetsNoConnections failed with an empty CloseOthers (4 connections in 4 s after the host had left) and passes (0); AMemberKeepsItsChannel passes.

--- a/drivers/raft_transport.cpp
+++ b/drivers/raft_transport.cpp
@@ -159,6 +159,18 @@
   }
 }
 
+void
+raft_transport::CloseOthers(const std::set<host_id>& aMembers)
+{
+  // The link stays, so that a lost peer is not logged again.
+  mState->mLinks.ForEach([&](const host_id& aHost, peer_link& aLink) {
+    bool isIdle = aLink.mCall == nullptr && aLink.mQueue.IsEmpty();
+    if (isIdle && !aMembers.contains(aHost)) {
+      aLink.mChannel.reset();
+    }
+  });
+}
+
 void
 raft_transport::SendNext(const std::shared_ptr<state>& aState,
                          const host_id& aHost)
--- a/drivers/raft_transport.h
+++ b/drivers/raft_transport.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,9 @@
   /** A message from this host has arrived: a connection attempt that got no
    * response, as from a host that was still off, is started anew. */
   void OnContact(const host_id& aHost, steady_time aNow);
+  /** Closes the channels to all other hosts that nothing waits for: a channel
+   * to a host that is gone would try to connect for ever. */
+  void CloseOthers(const std::set<host_id>& aMembers);
   /** Cancels all calls and waits until they have ended. */
   void Stop();
 };
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -472,11 +472,25 @@
   }
 }
 
+void
+control_role::CloseFormerLinks(const control_group_status& aStatus)
+{
+  std::set<host_id> members;
+  for (const raft_peer& peer : aStatus.mPeers) {
+    members.insert(peer.mId.mHost);
+  }
+  // A host that is no member itself doesn't know who the others are.
+  if (members.contains(aStatus.mSelf.mHost)) {
+    mTransport.CloseOthers(members);
+  }
+}
+
 asio::awaitable<void>
 control_role::UpdateMembership()
 {
   control_group_status status = mGroup->Status();
   mHub->SetControlHosts(VotersOf(status, mHostDomains));
+  CloseFormerLinks(status);
   std::vector<connected_daemon> daemons;
   for (const daemon_status& daemon : mHub->Daemons()) {
     daemons.push_back({ daemon.mHost,
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -87,6 +87,8 @@
   watch_hub_hooks HubHooks();
   boost::asio::awaitable<void> Tick();
   boost::asio::awaitable<void> BootstrapGroup();
+  /** Closes the channels to hosts that are no longer members. */
+  void CloseFormerLinks(const control_group_status& aStatus);
   boost::asio::awaitable<void> UpdateMembership();
   /** Asks members for their failure domains, until they are known. */
   boost::asio::awaitable<void> LearnFailureDomains();
