Keep the current control hosts when an outdated list arrives

Cause: a control host sends its list of voters as soon as a stream opens, also while it is cut off or has just come back. The daemon replaced its own list by it: when it named only hosts that are gone, and the seeds were gone too, the daemon forgot the members that it knew and never reached the group again. Change: until the host has confirmed something on the stream, its list only adds hosts of last resort (up to 32); it replaces the list on confirmation.

--- a/decisions/control_host_choice.cpp
+++ b/decisions/control_host_choice.cpp
@@ -17,6 +17,8 @@
  * off too. */
 constexpr milliseconds kMinCutOffRetryDelay{ 2'000 };
 constexpr milliseconds kMaxCutOffRetryDelay{ 16'000 };
+/** Maximum number of hosts to which those that may be outdated are added. */
+constexpr std::size_t kMaxHosts = 32;
 
 }
 
@@ -54,6 +56,21 @@
   }
 }
 
+void
+control_host_choice::AddHosts(const std::vector<control_host>& aHosts)
+{
+  for (const control_host& host : aHosts) {
+    bool isNew = !mCandidates.contains(host.mHost);
+    if (!isNew || mCandidates.size() >= kMaxHosts) {
+      continue;
+    }
+    Add(host.mHost);
+    candidate& entry = mCandidates[host.mHost];
+    entry.mIsListed = false;
+    entry.mFailureDomain = host.mFailureDomain;
+  }
+}
+
 void
 control_host_choice::SetHosts(const std::vector<control_host>& aHosts)
 {
--- a/decisions/control_host_choice.h
+++ b/decisions/control_host_choice.h
@@ -70,6 +70,8 @@
   /** Adds a host to those of the creation. */
   void AddInitial(const host_id& aHost);
   [[nodiscard]] bool IsEmpty() const { return mCandidates.empty(); }
+  /** Adds hosts that may be outdated; all others stay. */
+  void AddHosts(const std::vector<control_host>& aHosts);
   /** Sets the current hosts; those of the creation stay as a last resort. */
   void SetHosts(const std::vector<control_host>& aHosts);
   /** The host to connect to: the first by rank that is not avoided, else the
--- a/drivers/watch_client.cpp
+++ b/drivers/watch_client.cpp
@@ -10,6 +10,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <random>
+#include <utility>
 
 #include <control.grpc.pb.h>
 #include <grpcpp/grpcpp.h>
@@ -149,10 +150,17 @@
     return milliseconds(0);
   }
 
-  void SetControlHosts(const std::vector<control_host>& aHosts)
+  /** Takes over a control host's list of all. One that has not confirmed
+   * anything yet may have been away, and its list only adds to the others. */
+  void SetControlHosts(const std::vector<control_host>& aHosts,
+                       bool aIsConfirmed)
   {
     {
       std::lock_guard guard(mLock);
+      if (!aIsConfirmed) {
+        mChoice.AddHosts(aHosts);
+        return;
+      }
       mChoice.SetHosts(aHosts);
     }
     std::vector<host_id> names;
@@ -189,13 +197,16 @@
   /** Time of the last message, or of the opening until a mark is confirmed. */
   steady_time mLastMessageAt;
   steady_time mDoneAt;
-  std::function<void(const std::vector<control_host>&)> mOnControlHosts;
+  std::function<void(const std::vector<control_host>&, bool)> mOnControlHosts;
+  /** The latest list until the host has confirmed something; used only by the
+   * reads. */
+  std::vector<control_host> mListedHosts;
 
 public:
   stream_reactor(
     const watch_client_hooks& aHooks,
     std::shared_ptr<grpc::Channel> aChannel,
-    std::function<void(const std::vector<control_host>&)> aOnControlHosts,
+    std::function<void(const std::vector<control_host>&, bool)> aOnControlHosts,
     steady_time aNow)
     : mHooks(aHooks)
     , mStub(wire::Control::NewStub(std::move(aChannel)))
@@ -332,14 +343,13 @@
       update.mControlHosts.push_back(std::move(host));
     }
     mHooks.mApplyUpdate(update, aNow);
-    if (!update.mControlHosts.empty()) {
-      mOnControlHosts(update.mControlHosts);
-    }
     std::optional<sent_mark> confirmed;
+    bool isSure = false;
     {
       std::lock_guard guard(mLock);
       mHasMajority = mHasMajority || mDown.has_majority();
       mIsConfirmed = mIsConfirmed || update.mConfirmedMark != 0;
+      isSure = mHasMajority || mIsConfirmed;
       if (mDown.cut_off() || update.mConfirmedMark != 0) {
         mIsCutOff = mDown.cut_off();
         mChanged.notify_all();
@@ -351,6 +361,15 @@
         mMarks.erase(mMarks.begin(), std::next(mark));
       }
     }
+    if (!update.mControlHosts.empty()) {
+      mListedHosts = std::move(update.mControlHosts);
+      if (!isSure) {
+        mOnControlHosts(mListedHosts, false);
+      }
+    }
+    if (isSure && !mListedHosts.empty()) {
+      mOnControlHosts(std::exchange(mListedHosts, {}), true);
+    }
     if (confirmed) {
       mHooks.mOnMarkConfirmed(*confirmed);
     }
@@ -439,8 +458,8 @@
   stream_reactor stream(
     aState->mHooks,
     OpenChannel(aState->AddressOfHost(aHost), config.mConnectTimeout),
-    [&aState](const std::vector<control_host>& aHosts) {
-      aState->SetControlHosts(aHosts);
+    [&aState](const std::vector<control_host>& aHosts, bool aIsConfirmed) {
+      aState->SetControlHosts(aHosts, aIsConfirmed);
     },
     now);
   stream.SendMark(now, true);
--- a/tests/decisions/control_host_choice_test.cpp
+++ b/tests/decisions/control_host_choice_test.cpp
@@ -244,3 +244,20 @@
     CHECK(third != first && third != second);
   }
 }
+
+TEST(control_host_choice, HostsThatMayBeOutdatedOnlyAddToTheCurrentOnes)
+{
+  auto choice = control_host_choice::Create({}, {}, 7);
+  choice.SetHosts(Listed(ControlHosts(3)));
+  host_id preferred = choice.Preferred(kNow);
+  host_id gone{ "10.1.0.9" };
+  choice.AddHosts({ { gone }, { ControlHosts(1).front() } });
+  CHECK(choice.Preferred(kNow) == preferred);
+  for (int host = 0; host < 3; ++host) {
+    CHECK(choice.Preferred(kNow) != gone);
+    choice.OnFailure(choice.Preferred(kNow), kNow);
+  }
+  CHECK(choice.Preferred(kNow) == gone);
+  choice.SetHosts(Listed(ControlHosts(3)));
+  CHECK(choice.Preferred(kNow) != gone);
+}
