--- a/main/control_role.h
+++ b/main/control_role.h
@@ -4,6 +4,7 @@
 #include "controllers/stall_controller.h"
 #include "controllers/watch_hub.h"
 #include "decisions/membership.h"
+#include "decisions/membership_news.h"
 #include "drivers/control_client.h"
 #include "drivers/control_service.h"
 #include "drivers/http_server.h"
@@ -47,6 +48,8 @@
   server_lease_manager mServerLeases;
   condition_waiter mStopWaiter;
   membership mMembership;
+  /** What of the proposed changes has not been logged yet. */
+  membership_news mMembershipNews;
   /** Tells how long requests may have waited unread. */
   stall_controller mStalls;
   std::thread mGroupThread;
@@ -84,6 +87,8 @@
   watch_hub_hooks HubHooks();
   boost::asio::awaitable<void> Tick();
   boost::asio::awaitable<void> BootstrapGroup();
+  /** Closes the channels to hosts that are no longer members. */
+  void CloseFormerLinks(const control_group_status& aStatus);
   boost::asio::awaitable<void> UpdateMembership();
   /** Asks members for their failure domains, until they are known. */
   boost::asio::awaitable<void> LearnFailureDomains();
