Show the control group on a metrics page of its hosts

An operator saw only in the log that the control group could bear no further loss, and nothing could raise an alarm on it. Control hosts now serve /metrics on the operators' listener, without a token: whether they lead and are in touch, and on the leader the voters, those that answer, those that can still be lost, and the learners. Hosts that don't lead leave the latter out, so that no alarm takes them for zeros; so does a leader whose disk is stalled, since its view is frozen.

--- a/drivers/caller_api.cpp
+++ b/drivers/caller_api.cpp
@@ -1,6 +1,7 @@
 #include "drivers/caller_api.h"
 
 #include "drivers/error_response.h"
+#include "drivers/metrics_text.h"
 #include "messages/caller_json.h"
 
 #include <charconv>
@@ -168,8 +169,8 @@
       isReady ? R"({"status":"ready"})" : R"({"status":"not_ready"})";
     return response;
   }
-  if (aRequest.mPath == "/metrics" && isGetOrHead) {
-    response.mContentType = "text/plain; version=0.0.4";
+  if (aRequest.mPath == kMetricsPath && isGetOrHead) {
+    response.mContentType = kMetricsContentType;
     response.mBody = aHooks.mMetrics();
     return response;
   }
--- a/drivers/metrics_page.cpp
+++ b/drivers/metrics_page.cpp
@@ -1,6 +1,6 @@
 #include "drivers/metrics_page.h"
 
-#include <sstream>
+#include "drivers/metrics_text.h"
 
 namespace hibiscusspool {
 
@@ -11,16 +11,6 @@
                                                  0.5,   1,      2.5,   10 };
 constexpr double kMsPerSecond = 1000;
 
-void
-WriteHeader(std::ostringstream& aPage,
-            std::string_view aName,
-            std::string_view aType,
-            std::string_view aHelp)
-{
-  aPage << "# HELP hibiscusspool_" << aName << ' ' << aHelp
-        << "\n# TYPE hibiscusspool_" << aName << ' ' << aType << '\n';
-}
-
 void
 AddLatency(std::ostringstream& aPage,
            const std::string& aTeam,
@@ -78,14 +68,20 @@
              << "\",kind=\"retry\"} " << aStats.mRetries << '\n';
     AddLatency(latencies, team, aStats.mLatency);
   });
-  WriteHeader(
-    aPage, "refusals_total", "counter", "Refused requests by reason.");
+  WriteMetricHeader(aPage,
+                    metric_type::Counter,
+                    "refusals_total",
+                    "Refused requests by reason.");
   aPage << refusals.str();
-  WriteHeader(
-    aPage, "attempts_total", "counter", "Attempts at backend servers.");
+  WriteMetricHeader(aPage,
+                    metric_type::Counter,
+                    "attempts_total",
+                    "Attempts at backend servers.");
   aPage << attempts.str();
-  WriteHeader(
-    aPage, "request_seconds", "histogram", "Time to answer a request.");
+  WriteMetricHeader(aPage,
+                    metric_type::Histogram,
+                    "request_seconds",
+                    "Time to answer a request.");
   aPage << latencies.str();
 }
 
@@ -114,7 +110,7 @@
   auto add = [&](std::string_view aName,
                  std::string_view aHelp,
                  std::uint64_t service_sum::*aMember) {
-    WriteHeader(aPage, aName, "gauge", aHelp);
+    WriteMetricHeader(aPage, metric_type::Gauge, aName, aHelp);
     for (const auto& [service, sum] : services) {
       aPage << "hibiscusspool_" << aName << "{service=\"" << service << "\"} "
             << sum.*aMember << '\n';
@@ -140,31 +136,35 @@
 MakeMetricsPage(const metrics_source& aSource)
 {
   std::ostringstream page;
-  WriteHeader(page,
+  WriteMetric(page,
+              metric_type::Gauge,
               "confirmed_age_seconds",
-              "gauge",
-              "Time since the newest confirmed mark was sent.");
-  page << "hibiscusspool_confirmed_age_seconds "
-       << static_cast<double>(aSource.mConfirmedAge.count()) / kMsPerSecond
-       << '\n';
-  WriteHeader(
-    page, "catalog_index", "gauge", "Log index that this host holds.");
-  page << "hibiscusspool_catalog_index " << aSource.mIndex << '\n';
-  WriteHeader(
-    page, "requests_running", "gauge", "Requests that are under way.");
-  page << "hibiscusspool_requests_running " << aSource.mRunningRequests << '\n';
-  WriteHeader(page, "host_limit", "gauge", "Requests that may be under way.");
-  page << "hibiscusspool_host_limit " << aSource.mHostLimit << '\n';
-  WriteHeader(
-    page, "refusals_numbered_total", "counter", "Refusals of this run.");
-  page << "hibiscusspool_refusals_numbered_total " << aSource.mRefusalCount
-       << '\n';
-  WriteHeader(page,
-              "task_failures_total",
-              "counter",
-              "Background tasks that an exception has ended.");
-  page << "hibiscusspool_task_failures_total " << aSource.mTaskFailures << '\n';
-  WriteHeader(page, "answers_total", "counter", "Answered requests.");
+              "Time since the newest confirmed mark was sent.",
+              static_cast<double>(aSource.mConfirmedAge.count()) /
+                kMsPerSecond);
+  WriteMetric(page,
+              metric_type::Gauge,
+              "catalog_index",
+              "Log index that this host holds.",
+              aSource.mIndex);
+  WriteMetric(page,
+              metric_type::Gauge,
+              "requests_running",
+              "Requests that are under way.",
+              aSource.mRunningRequests);
+  WriteMetric(page,
+              metric_type::Gauge,
+              "host_limit",
+              "Requests that may be under way.",
+              aSource.mHostLimit);
+  WriteMetric(page,
+              metric_type::Counter,
+              "refusals_numbered_total",
+              "Refusals of this run.",
+              aSource.mRefusalCount);
+  WriteTaskFailures(page, aSource.mTaskFailures);
+  WriteMetricHeader(
+    page, metric_type::Counter, "answers_total", "Answered requests.");
   AddTeams(page, aSource.mTeamStats);
   AddBackends(page, aSource.mBackends);
   return page.str();
--- a/drivers/operator_api.cpp
+++ b/drivers/operator_api.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log_event.h"
 #include "drivers/error_response.h"
+#include "drivers/metrics_text.h"
 #include "messages/operator_json.h"
 
 #include <charconv>
@@ -313,13 +314,19 @@
   if (aRequest.mPath == "/healthz") {
     co_return JsonResponse(200, json::object{ { "status", "alive" } });
   }
+  bool isGet = aRequest.mMethod == "GET";
+  if (isGet && aRequest.mPath == kMetricsPath) {
+    http_response response;
+    response.mContentType = kMetricsContentType;
+    response.mBody = aHooks.mMetrics();
+    co_return response;
+  }
   if (!aToken.Authorizes(aRequest.Header("authorization").value_or(""))) {
     log_event("access_refused", log_event::severity::Warning)
       .Add("path", aRequest.mPath);
     co_return ErrorResponse(
       401, "no_access", "A valid bearer token is required.");
   }
-  bool isGet = aRequest.mMethod == "GET";
   if (isGet && aRequest.mPath == "/v1/status") {
     co_return JsonResponse(200, EncodeStatus(co_await aHooks.mStatus()));
   }
--- a/drivers/operator_api.h
+++ b/drivers/operator_api.h
@@ -21,6 +21,8 @@
     mStatus;
   std::function<boost::asio::awaitable<std::vector<refusal_batch>>(wall_ms)>
     mRefusals;
+  /** The page of `kMetricsPath`, which needs no token. */
+  std::function<std::string()> mMetrics;
   /** The earliest time at which a request may have arrived that is read now;
    * nothing if it may have waited while this process stood still. */
   std::function<std::optional<steady_time>()> mEarliestArrival;
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -1,8 +1,10 @@
 #include "main/control_role.h"
 
+#include "core/background_task.h"
 #include "core/log_event.h"
 #include "core/periodic.h"
 #include "drivers/access_token.h"
+#include "drivers/control_metrics_page.h"
 #include "drivers/operator_api.h"
 #include "main/role_support.h"
 #include "messages/control_codec.h"
@@ -371,6 +373,10 @@
   hooks.mRefusals = [this](wall_ms aFrom) {
     return mClient.ReadRefusals(aFrom);
   };
+  hooks.mMetrics = [this] {
+    return MakeControlMetricsPage(
+      { mGroup->Status(), mHub->Daemons().size(), TaskFailureCount() });
+  };
   hooks.mEarliestArrival = [this] { return EarliestArrival(); };
   hooks.mNewChangeId = [this] {
     return change_id{ mSettings.mHostId + "-" + RandomHex(2) + "-" +
