Report the strength of the control group in the status

GET /v1/status listed the members, but not how many of them answer their leader. The leader's reply between control hosts has them now as an optional message, so that a reply of an earlier build is told from a group without voters; the status shows them as strength, or null.

The whole unit and integration binaries were not built.

--- a/drivers/control_service.cpp
+++ b/drivers/control_service.cpp
@@ -315,6 +315,13 @@
       member.set_disk(peer.mId.mDisk.mValue);
       member.set_voter(peer.mIsVoter);
     }
+    if (status.mRole == raft_role::Leader) {
+      wire::GroupStrength& strength = *aReply->mutable_strength();
+      strength.set_voters(status.mStrength.mVoters);
+      strength.set_reachable_voters(status.mStrength.mReachableVoters);
+      strength.set_spare_voters(status.mStrength.Spare());
+      strength.set_learners(status.mStrength.mLearners);
+    }
     WriteDaemons(*aReply);
     auto* reactor = aContext->DefaultReactor();
     reactor->Finish(grpc::Status::OK);
--- a/messages/operator_json.cpp
+++ b/messages/operator_json.cpp
@@ -267,6 +267,15 @@
     }
   }
   status["members"] = std::move(members);
+  status["strength"] = nullptr;
+  if (leaderReply != nullptr && leaderReply->has_strength()) {
+    const wire::GroupStrength& strength = leaderReply->strength();
+    status["strength"] =
+      json::object{ { "voters", strength.voters() },
+                    { "reachable_voters", strength.reachable_voters() },
+                    { "spare_voters", strength.spare_voters() },
+                    { "learners", strength.learners() } };
+  }
   status["control_hosts"] = std::move(hosts);
   status["daemons"] = std::move(daemons);
   return status;
