Print the strength of the control group in admin status

The command printed the members alone. It prints the voters, those that answer the leader, spare ones and learners under Strength, or unknown where no leader tells. Played by hand with three processes: 3 3 1 0; with one of three running: unknown.

--- a/tools/admin.cpp
+++ b/tools/admin.cpp
@@ -77,6 +77,18 @@
   return table.Text();
 }
 
+/** The voters as their leader sees them; a control host of an earlier build
+ * does not tell. */
+std::string
+FormatStrength(const json::object& aStatus)
+{
+  const json::value* strength = aStatus.if_contains("strength");
+  if (strength == nullptr || !strength->is_object()) {
+    return "unknown\n";
+  }
+  return FormatList(json::array{ *strength });
+}
+
 std::string
 FormatStatus(const json::object& aStatus)
 {
@@ -85,8 +97,9 @@
                 FormatCell(aStatus.at("index")),
                 FormatCell(aStatus.at("servers")),
                 FormatCell(aStatus.at("claims")) });
-  return summary.Text() + "\nMembers\n" +
-         FormatList(aStatus.at("members").as_array()) + "\nControl hosts\n" +
+  return summary.Text() + "\nStrength\n" + FormatStrength(aStatus) +
+         "\nMembers\n" + FormatList(aStatus.at("members").as_array()) +
+         "\nControl hosts\n" +
          FormatList(aStatus.at("control_hosts").as_array()) + "\nDaemons\n" +
          FormatList(aStatus.at("daemons").as_array());
 }
