Test that a lost control host shows in metrics and status

The unit tests cover the texts alone. Three real processes: one follower is killed, the leader's page and status show no spare voter, and one again when it is back.

--- a/tests/integration/control_side_test.cpp
+++ b/tests/integration/control_side_test.cpp
@@ -225,6 +225,40 @@
   }));
 }
 
+TEST(control_side, ALostControlHostLeavesNoSpareVoterUntilItIsBack)
+{
+  system_options options;
+  options.mEntryHosts = 1;
+  test_system system(options);
+  system.StartAll();
+  std::string leader = system.Leader();
+  std::string lost = leader == "c1" ? "c2" : "c1";
+  auto shows = [&](const std::string& aHost, const std::string& aMetric) {
+    auto page = Call("GET", system.OperatorsAddress(aHost), "/metrics");
+    return page.mStatus == 200 &&
+           page.mBody.find("\nhibiscusspool_control_" + aMetric + "\n") !=
+             std::string::npos;
+  };
+  auto strength = [&](const std::string& aField) {
+    return Call("GET", system.OperatorsAddress(leader), "/v1/status")
+      .Number("strength." + aField);
+  };
+  CHECK(WaitFor([&] { return shows(leader, "spare_voters 1"); }));
+  CHECK(shows(leader, "leading 1"));
+  CHECK(shows(lost, "leading 0"));
+  CHECK(shows(lost, "in_touch 1"));
+  CHECK_FALSE(shows(lost, "spare_voters 1"));
+  system.StopProcess(lost, SIGKILL);
+  CHECK(WaitFor([&] { return shows(leader, "spare_voters 0"); }));
+  CHECK(shows(leader, "voters 3"));
+  CHECK(shows(leader, "reachable_voters 2"));
+  DOUBLES_EQUAL(3, strength("voters"), 0);
+  DOUBLES_EQUAL(2, strength("reachable_voters"), 0);
+  DOUBLES_EQUAL(0, strength("spare_voters"), 0);
+  system.Start(lost);
+  CHECK(WaitFor([&] { return shows(leader, "spare_voters 1"); }));
+}
+
 TEST(control_side, RestartsWithAThousandChangesInTheLog)
 {
   system_options options;
