--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -510,12 +510,13 @@
       log_event("server_orphaned").Add("server", server->mServer.mValue);
     }
   }
-  if (changes.empty()) {
+  // While no leader reaches this host, a proposal would only be refused.
+  // Changes that are still due are proposed again next time.
+  if (changes.empty() || IsCutOff()) {
     co_return;
   }
   change_command command;
   command.mChanges = std::move(changes);
-  // Changes that are still due are proposed again next time.
   auto outcomes = co_await Client().Propose(std::move(command),
                                             SteadyNow() + kSystemChangeTimeout);
   if (outcomes) {
