Ask in one place whether a peer is reachable

The time-out of a peer's last reply was compared again in three places beside IsReachable; they call it now. Two tests of hosts that are lost at once with the leader share the loss and the replacement. No change of behaviour; the draws of the tests are the same, and they keep their assertions.

--- a/decisions/raft_election.cpp
+++ b/decisions/raft_election.cpp
@@ -149,9 +149,9 @@
                      mProgress[aPeer.mId].mMatch);
   };
   for (const raft_peer& peer : mPeers) {
-    bool isActive =
-      aNow - mProgress[peer.mId].mLastContact < mConfig.mElectionTimeout;
-    if (!peer.mIsVoter || peer.mId == mConfig.mSelf || !isActive) {
+    bool isCandidate =
+      peer.mIsVoter && peer.mId != mConfig.mSelf && IsReachable(peer.mId, aNow);
+    if (!isCandidate) {
       continue;
     }
     if (best == nullptr || rank(peer) > rank(*best)) {
--- a/decisions/raft_members.cpp
+++ b/decisions/raft_members.cpp
@@ -53,7 +53,7 @@
 {
   std::set<host_id> active{ mConfig.mSelf.mHost };
   for (const auto& [peer, state] : mProgress) {
-    if (aNow - state.mLastContact < mConfig.mElectionTimeout) {
+    if (IsReachable(peer, aNow)) {
       active.insert(peer.mHost);
     }
   }
--- a/decisions/raft_node.cpp
+++ b/decisions/raft_node.cpp
@@ -184,10 +184,8 @@
   }
   return std::all_of(
     mProgress.begin(), mProgress.end(), [&](const auto& aPeer) {
-      const progress& state = aPeer.second;
-      bool isActive = aNow - state.mLastContact < mConfig.mElectionTimeout;
-      return aPeer.first == mConfig.mSelf || !isActive ||
-             state.mMatch >= aIndex;
+      return aPeer.first == mConfig.mSelf || !IsReachable(aPeer.first, aNow) ||
+             aPeer.second.mMatch >= aIndex;
     });
 }
 
--- a/tests/decisions/raft_replacement_test.cpp
+++ b/tests/decisions/raft_replacement_test.cpp
@@ -360,6 +360,33 @@
   }
 }
 
+/** Loses the leader and others at once for good; a successor of each starts. */
+void
+ReplaceWithLeader(simulated_group& aGroup, std::size_t aCount, int aRound)
+{
+  std::set<std::size_t> lost{ aGroup.LeaderPosition() };
+  while (lost.size() < aCount) {
+    std::size_t host = aGroup.Pick(aGroup.Count());
+    if (aGroup.IsRunning(host)) {
+      lost.insert(host);
+    }
+  }
+  aGroup.mSeeds.clear();
+  for (std::size_t host = 0; host < aGroup.Count(); ++host) {
+    if (aGroup.IsRunning(host) && !lost.contains(host)) {
+      aGroup.mSeeds.insert(aGroup.Member(host).mId.mHost);
+    }
+  }
+  for (std::size_t host : lost) {
+    aGroup.Crash(host);
+  }
+  aGroup.RunFor(kSuccessorDelay);
+  for (std::size_t host : lost) {
+    aGroup.Start(aGroup.AddHost("n" + std::to_string(aRound) + "-" +
+                                std::to_string(host)));
+  }
+}
+
 raft_message
 JoinRequest(const std::string& aHost, const host_id& aTo)
 {
@@ -430,27 +457,7 @@
     group.mLosesMessages = false;
     group.RunFor(kCatchUp);
     for (int round = 0; round < 5; ++round) {
-      std::set<std::size_t> lost{ group.LeaderPosition() };
-      while (lost.size() < 3) {
-        std::size_t host = group.Pick(group.Count());
-        if (group.IsRunning(host)) {
-          lost.insert(host);
-        }
-      }
-      group.mSeeds.clear();
-      for (std::size_t host = 0; host < group.Count(); ++host) {
-        if (group.IsRunning(host) && !lost.contains(host)) {
-          group.mSeeds.insert(group.Member(host).mId.mHost);
-        }
-      }
-      for (std::size_t host : lost) {
-        group.Crash(host);
-      }
-      group.RunFor(kSuccessorDelay);
-      for (std::size_t host : lost) {
-        group.Start(group.AddHost("n" + std::to_string(round) + "-" +
-                                  std::to_string(host)));
-      }
+      ReplaceWithLeader(group, 3, round);
       group.RunFor(kCatchUp);
       CHECK(group.LeaderPosition() < group.Count());
       raft_strength strength =
@@ -674,27 +681,7 @@
       raft_strength strength =
         group.Member(leader).mNode->Strength(group.Now());
       LONGS_EQUAL_TEXT(2, strength.Spare(), text.c_str());
-      std::set<std::size_t> lost{ leader };
-      while (lost.size() < 2) {
-        std::size_t host = group.Pick(group.Count());
-        if (group.IsRunning(host)) {
-          lost.insert(host);
-        }
-      }
-      group.mSeeds.clear();
-      for (std::size_t host = 0; host < group.Count(); ++host) {
-        if (group.IsRunning(host) && !lost.contains(host)) {
-          group.mSeeds.insert(group.Member(host).mId.mHost);
-        }
-      }
-      for (std::size_t host : lost) {
-        group.Crash(host);
-      }
-      group.RunFor(kSuccessorDelay);
-      for (std::size_t host : lost) {
-        group.Start(group.AddHost("n" + std::to_string(round) + "-" +
-                                  std::to_string(host)));
-      }
+      ReplaceWithLeader(group, 2, round);
       group.RunFor(kCatchUp);
     }
     STRCMP_EQUAL("", group.Violation().c_str());
