Let a process that ends by itself say why, unbuffered

An operator who sees a control host end with a code had nothing else: a fault or an abort wrote no line, a failed assertion of gRPC was queued as a log event and lost with the queue, and so were the lines of the last 20 ms.

--- a/core/log_writer.cpp
+++ b/core/log_writer.cpp
@@ -1,13 +1,17 @@
 #include "core/log_writer.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <climits>
 #include <condition_variable>
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <string_view>
 #include <thread>
 
+#include <poll.h>
 #include <unistd.h>
 
 namespace hibiscusspool {
@@ -21,6 +25,9 @@
 constexpr std::chrono::milliseconds kCollectTime{ 20 };
 /** Time limit for writing the last lines. */
 constexpr std::chrono::milliseconds kStopTimeout{ 500 };
+/** Time for which a process that ends by a signal waits for the reader of its
+ * lines. */
+constexpr std::chrono::milliseconds kLastLinesTimeout{ 100 };
 
 struct log_writer
 {
@@ -88,6 +95,27 @@
 std::mutex sWriterLock;
 std::unique_ptr<log_writer> sWriter;
 
+/** Writes to standard output without blocking for longer than a time-out;
+ * false if it takes no more. */
+bool
+WriteIfTaken(std::string_view aText)
+{
+  while (!aText.empty()) {
+    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+    if (poll(&output, 1, static_cast<int>(kLastLinesTimeout.count())) != 1) {
+      return false;
+    }
+    // A pipe that can be written to takes this many bytes at once.
+    std::size_t size = std::min<std::size_t>(aText.size(), PIPE_BUF);
+    ssize_t written = write(STDOUT_FILENO, aText.data(), size);
+    if (written <= 0) {
+      return false;
+    }
+    aText.remove_prefix(static_cast<std::size_t>(written));
+  }
+  return true;
+}
+
 }
 
 void
@@ -130,6 +158,24 @@
   static_cast<void>(stopped.release());
 }
 
+void
+WriteQueuedLines()
+{
+  std::unique_lock guard(sWriterLock, std::try_to_lock);
+  if (!guard.owns_lock() || sWriter == nullptr) {
+    return;
+  }
+  std::unique_lock queueGuard(sWriter->mLock, std::try_to_lock);
+  if (!queueGuard.owns_lock()) {
+    return;
+  }
+  for (const std::string& line : sWriter->mQueue) {
+    if (!WriteIfTaken(line) || !WriteIfTaken("\n")) {
+      return;
+    }
+  }
+}
+
 bool
 WriteLogLine(std::string aLine)
 {
--- a/core/log_writer.h
+++ b/core/log_writer.h
@@ -17,6 +17,15 @@
 void
 StopLogWriter();
 
+/**
+ * Writes the queued lines from a process that is about to end, also from a
+ * signal handler: it allocates nothing and waits for no lock. Lines are left
+ * out while another thread holds the queue, and once standard output has taken
+ * nothing for 100 ms.
+ */
+void
+WriteQueuedLines();
+
 /** Queues a line for the writer; false if no writer is running. */
 bool
 WriteLogLine(std::string aLine);
--- a/drivers/grpc_settings.cpp
+++ b/drivers/grpc_settings.cpp
@@ -1,6 +1,7 @@
 #include "drivers/grpc_settings.h"
 
 #include "core/log_event.h"
+#include "core/termination.h"
 
 #include <grpc/support/log.h>
 #include <grpcpp/grpcpp.h>
@@ -16,6 +17,10 @@
 LogGrpcMessage(gpr_log_func_args* aMessage)
 {
   bool isError = aMessage->severity == GPR_LOG_SEVERITY_ERROR;
+  if (isError) {
+    // A failed assertion of the library is such a message before it aborts.
+    NoteLibraryError(aMessage->message);
+  }
   log_event("grpc_message",
             isError ? log_event::severity::Error : log_event::severity::Info)
     .Add("source", aMessage->file)
