Show that a kill before a loss of power makes a log unreadable

The storage tests played losses of power, each after one process life. This one kills the process after each file operation, lets the next process read the log and write on, and opens the states that a loss of power may leave after that. Until the second process has opened the log, only what was acknowledged before has to be there; after that, all that it has read.

--- a/tests/drivers/crash_disk.cpp
+++ b/tests/drivers/crash_disk.cpp
@@ -137,6 +137,24 @@
   }
 }
 
+folder_state
+crash_disk::FilesInPlace() const
+{
+  folder_state state;
+  for (const auto& [name, number] : mNames) {
+    std::string content = mFiles[number].mSynced;
+    for (const change& pending : mFiles[number].mPending) {
+      if (pending.mIsResize) {
+        content.resize(pending.mOffset);
+      } else {
+        WriteAt(content, pending.mOffset, pending.mBytes);
+      }
+    }
+    state[name] = std::move(content);
+  }
+  return state;
+}
+
 std::vector<std::size_t>
 crash_disk::ChoiceCounts() const
 {
--- a/tests/drivers/crash_disk.h
+++ b/tests/drivers/crash_disk.h
@@ -54,6 +54,8 @@
   explicit crash_disk(const folder_state& aFiles);
 
   void Follow(const file_operation& aOperation);
+  /** The files as they are now, synced or not: what a killed process leaves. */
+  [[nodiscard]] folder_state FilesInPlace() const;
   /** All states that a loss of power may leave now, or that many of them,
    * drawn at random. */
   [[nodiscard]] std::vector<folder_state> States(
--- a/tests/drivers/raft_storage_crash_test.cpp
+++ b/tests/drivers/raft_storage_crash_test.cpp
@@ -137,30 +137,42 @@
   using crash_check = std::function<void(
     const crash_disk&, const member_state&, const member_state&)>;
   void Play(const folder_state& aState,
-            member_state aHeld,
+            const member_state& aHeld,
             const std::vector<storage_step>& aSteps,
             const crash_check& aCheck)
   {
-    WriteState(mFolder, aState);
-    crash_disk disk(aState);
-    member_state next = aHeld;
+    PlayOn(crash_disk(aState), aHeld, aHeld, aSteps, aCheck);
+  }
+
+  /** As `Play`, in a new process on a disk as a killed one left it. Of what it
+   * reads, only `aDurable` need be synced until it has opened the storage. */
+  void PlayOn(crash_disk aDisk,
+              const member_state& aDurable,
+              member_state aRead,
+              const std::vector<storage_step>& aSteps,
+              const crash_check& aCheck)
+  {
+    const folder_state state = aDisk.FilesInPlace();
+    WriteState(mFolder, state);
+    member_state held = aDurable;
+    member_state next = aRead;
     std::vector<std::function<void()>> checks;
     auto observe = [&](const file_operation& aOperation) {
-      disk.Follow(aOperation);
+      aDisk.Follow(aOperation);
       checks.push_back(
-        [disk, aHeld, next, &aCheck] { aCheck(disk, aHeld, next); });
+        [aDisk, held, next, &aCheck] { aCheck(aDisk, held, next); });
     };
     {
       auto storage = raft_storage::Create(mFolder, "disk", observe);
       if (!storage) {
-        Fail(storage.error().mDetail, aState);
+        Fail(storage.error().mDetail, state);
       }
+      held = std::move(aRead);
       for (const storage_step& step : aSteps) {
-        next = step.After(aHeld);
+        next = step.After(held);
         CHECK(step.Run(storage.value()).has_value());
-        aHeld = next;
-        checks.push_back(
-          [disk, aHeld, &aCheck] { aCheck(disk, aHeld, aHeld); });
+        held = next;
+        checks.push_back([aDisk, held, &aCheck] { aCheck(aDisk, held, held); });
       }
     }
     for (const auto& check : checks) {
@@ -213,16 +225,47 @@
          });
   }
 
-  void LosePowerAgain(
-    const folder_state& aState, const member_state& aHeld, std::size_t aStates)
+  /** Kills the process after each operation of the steps, lets the next one
+   * write on, and opens states that a loss of power may leave after that. */
+  void KillThenLosePower(const std::vector<storage_step>& aSteps)
+  {
+    constexpr std::size_t kStates = 40;
+    Play({},
+         {},
+         aSteps,
+         [&](const crash_disk& aKilled,
+             const member_state& aHeld,
+             const member_state& aNext) {
+           // What the next process reads, it answers for.
+           member_state found = Open(aKilled.FilesInPlace(), aHeld, aNext);
+           PlayOn(aKilled,
+                  aHeld,
+                  found,
+                  WritesAfter(found),
+                  [&](const crash_disk& aDisk,
+                      const member_state& aOldest,
+                      const member_state& aNewest) {
+                    for (const folder_state& state :
+                         aDisk.States(kStates, mRandom)) {
+                      Open(state, aOldest, aNewest);
+                    }
+                  });
+         });
+  }
+
+  static std::vector<storage_step> WritesAfter(const member_state& aHeld)
   {
     log_index last =
       aHeld.mEntries.empty() ? aHeld.mSnapshot : aHeld.mEntries.rbegin()->first;
-    std::vector<storage_step> steps{ Write(
-      last + 1, last + 2, aHeld.mTerm + 1) };
+    return { Write(last + 1, last + 2, aHeld.mTerm + 1) };
+  }
+
+  void LosePowerAgain(
+    const folder_state& aState, const member_state& aHeld, std::size_t aStates)
+  {
     Play(aState,
          aHeld,
-         steps,
+         WritesAfter(aHeld),
          [&](const crash_disk& aDisk,
              const member_state& aOldest,
              const member_state& aNewest) {
@@ -260,3 +303,12 @@
               Write(5, 5, 3) });
   CHECK(mOpened > 100);
 }
+
+TEST(raft_storage_crash, WhatAKilledProcessHadNotSyncedIsNotLostLaterWithPower)
+{
+  KillThenLosePower({ Write(1, 3, 1),
+                      Write(4, 6, 2),
+                      Snapshot(4, 2, { Entry(5, 2), Entry(6, 2) }),
+                      Write(7, 7, 2) });
+  CHECK(mOpened > 100);
+}
