Sync at its start what a killed process had only written

Cause: a process that is killed between a write and its sync leaves the bytes in the file and not on the disk. The next process read them, answered for them as a member of the group (entries, also its vote), and wrote on in a new segment; nothing synced the old one. A loss of power later took the bytes away: a damaged batch or a gap in a segment that isn't the last is corruption, and what the group had acknowledged on the strength of that copy is gone.

The start now syncs the last segment that holds anything, and the empty ones after it, whose cut may not be synced either, before a new segment is begun. Earlier segments were synced before a later one was begun, by the same rule.

--- a/drivers/data_folder.cpp
+++ b/drivers/data_folder.cpp
@@ -164,6 +164,25 @@
   return boost::outcome_v2::success();
 }
 
+result<void, file_error>
+data_folder::SyncFile(const std::string& aName) const
+{
+  std::filesystem::path path = mPath / aName;
+  int file = open(path.c_str(), O_WRONLY | O_CLOEXEC);
+  if (file < 0) {
+    return FailWithErrno(file_error::CannotWrite, path);
+  }
+  bool isSynced = fdatasync(file) == 0;
+  int cause = errno;
+  close(file);
+  if (!isSynced) {
+    errno = cause;
+    return FailWithErrno(file_error::CannotWrite, path);
+  }
+  Report({ file_operation_kind::Synced, aName, {}, 0, {} });
+  return boost::outcome_v2::success();
+}
+
 result<void, file_error>
 data_folder::Replace(const std::string& aName, const std::string& aBytes) const
 {
--- a/drivers/data_folder.h
+++ b/drivers/data_folder.h
@@ -108,6 +108,9 @@
    * return after a loss of power. */
   [[nodiscard]] result<void, file_error> Resize(const std::string& aName,
                                                 std::uint64_t aSize) const;
+  /** Makes a file's bytes durable, also those that an earlier process wrote. */
+  [[nodiscard]] result<void, file_error> SyncFile(
+    const std::string& aName) const;
   /** Replaces a file by one with these bytes: writes and syncs a new file,
    * renames it, syncs the folder. */
   [[nodiscard]] result<void, file_error> Replace(
--- a/drivers/raft_storage.cpp
+++ b/drivers/raft_storage.cpp
@@ -242,7 +242,9 @@
   std::vector<std::uint64_t> numbers = std::move(found.value());
   mSegmentNumber = numbers.empty() ? 0 : numbers.back();
   // Segments in which nothing was written.
+  std::vector<std::uint64_t> end;
   while (!numbers.empty()) {
+    end.push_back(numbers.back());
     auto size = mFolder.Size(SegmentName(numbers.back()));
     if (!size) {
       return ToStorageError(size.error());
@@ -258,6 +260,10 @@
       return loaded.error();
     }
   }
+  auto synced = SyncEnd(end);
+  if (!synced) {
+    return synced.error();
+  }
   log_index expected = mPersisted.mSnapshot.mIndex + 1;
   for (const raft_entry& entry : mPersisted.mEntries) {
     if (entry.mIndex != expected) {
@@ -270,6 +276,21 @@
   return boost::outcome_v2::success();
 }
 
+result<void, storage_error>
+raft_storage::SyncEnd(const std::vector<std::uint64_t>& aSegments) const
+{
+  // A process that is killed between a write and its sync leaves bytes that the
+  // next one reads and answers for, and that a loss of power may take away.
+  // Earlier segments were synced before a later one was begun.
+  for (std::uint64_t number : aSegments) {
+    auto synced = mFolder.SyncFile(SegmentName(number));
+    if (!synced) {
+      return ToStorageError(synced.error());
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
 result<std::vector<std::uint64_t>, storage_error>
 raft_storage::NeededSegments() const
 {
--- a/drivers/raft_storage.h
+++ b/drivers/raft_storage.h
@@ -62,6 +62,9 @@
   [[nodiscard]] result<bool, storage_error> HoldsLog() const;
   result<void, storage_error> LoadSnapshot();
   result<void, storage_error> LoadSegments();
+  /** Syncs what an earlier process may have written and not synced. */
+  result<void, storage_error> SyncEnd(
+    const std::vector<std::uint64_t>& aSegments) const;
   /** The segments from the newest one that begins with the log after a
    * snapshot. Removed ones before it may have returned after a loss of power.
    */
