Keep a damaged log aside and join the group with a new disk

Cause: a damaged folder was a reason to end, although no restart mends it, and although the host need not know at its start whether the others are a majority.

The folder is now kept beside a new one, and the host asks to join as after a lost disk, under a new disk id. That is safe without knowing more: only a leader, elected by a majority of the other disks, can add the new one, and the old one's vote is never counted again. Without a majority all such hosts stay up and wait; a host with a kept folder never forms a new group, also where its settings still say bootstrap.

--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -48,14 +48,17 @@
   if (aPersisted.mSnapshot.mIndex > 0) {
     auto decoded = aHooks.mDecodeState(aPersisted.mSnapshot.mState);
     if (!decoded) {
-      return Fail(group_error::BadStart,
+      return Fail(group_error::BadLog,
                   "The stored snapshot of the control log can't be decoded.");
     }
     state = std::move(*decoded);
   }
   auto node = raft_node::Create(aConfig.mRaft, std::move(aPersisted), aNow);
   if (!node) {
-    return Fail(group_error::BadStart, node.error().mDetail);
+    return Fail(node.error().mCode == raft_error::BadLog
+                  ? group_error::BadLog
+                  : group_error::BadConfig,
+                node.error().mDetail);
   }
   return std::unique_ptr<control_group>(
     new control_group(std::move(aConfig),
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -142,12 +142,15 @@
 
 enum class group_error
 {
-  BadStart,
+  BadConfig,
+  /** The stored snapshot or log can't be used. */
+  BadLog,
 };
 
 template<>
-inline constexpr name_table<group_error, 1> kNames<group_error>{ {
-  { group_error::BadStart, "bad_start" },
+inline constexpr name_table<group_error, 2> kNames<group_error>{ {
+  { group_error::BadConfig, "bad_config" },
+  { group_error::BadLog, "bad_log" },
 } };
 
 /**
--- a/drivers/control_metrics_page.cpp
+++ b/drivers/control_metrics_page.cpp
@@ -69,6 +69,11 @@
               "control_watch_streams",
               "Streams of daemons that are connected to this host.",
               aSource.mWatchStreams);
+  WriteMetric(page,
+              metric_type::Gauge,
+              "control_damaged_log_kept",
+              "1 while a damaged log is kept beside this host's current one.",
+              aSource.mHasDamagedLog ? 1 : 0);
   WriteTaskFailures(page, aSource.mTaskFailures);
   return page.str();
 }
--- a/drivers/control_metrics_page.h
+++ b/drivers/control_metrics_page.h
@@ -14,6 +14,8 @@
   std::size_t mWatchStreams = 0;
   /** Background tasks and handlers that ended with an exception. */
   std::uint64_t mTaskFailures = 0;
+  /** A damaged log is kept beside the current one. */
+  bool mHasDamagedLog = false;
 };
 
 /** All metrics in the Prometheus text format. Those of the members are absent
--- a/drivers/raft_storage.cpp
+++ b/drivers/raft_storage.cpp
@@ -17,6 +17,13 @@
 const std::string kSegmentPrefix = "log-";
 const std::string kSnapshotPrefix = "snapshot-";
 const std::string kDiskIdName = "disk-id";
+const std::string kDamagedSuffix = "-damaged";
+
+std::filesystem::path
+PathOfDamaged(const std::filesystem::path& aFolder)
+{
+  return aFolder.parent_path() / (aFolder.filename().string() + kDamagedSuffix);
+}
 
 std::string
 SegmentName(std::uint64_t aNumber)
@@ -124,6 +131,34 @@
   return storage;
 }
 
+result<std::filesystem::path, storage_error>
+raft_storage::SetAside(const std::filesystem::path& aFolder)
+{
+  std::filesystem::path kept = PathOfDamaged(aFolder);
+  std::error_code problem;
+  std::filesystem::remove_all(kept, problem);
+  if (!problem) {
+    std::filesystem::rename(aFolder, kept, problem);
+  }
+  if (problem) {
+    return Fail(storage_error::CannotWrite,
+                kept.string() + ": " + problem.message());
+  }
+  auto synced = SyncFolder(kept.parent_path());
+  if (!synced) {
+    return ToStorageError(synced.error());
+  }
+  return kept;
+}
+
+bool
+raft_storage::IsSetAside(const std::filesystem::path& aFolder)
+{
+  std::error_code problem;
+  // One that can't be looked at may be there.
+  return std::filesystem::exists(PathOfDamaged(aFolder), problem) || problem;
+}
+
 result<void, storage_error>
 raft_storage::Lock()
 {
--- a/drivers/raft_storage.h
+++ b/drivers/raft_storage.h
@@ -103,6 +103,16 @@
     const std::string& aNewDiskId,
     file_observer aObserver = {});
 
+  /**
+   * Keeps a folder that `Create` finds damaged beside its place, in which a new
+   * one can then be created, and returns the path. Of two that are kept one
+   * after the other, the later one stays.
+   */
+  static result<std::filesystem::path, storage_error> SetAside(
+    const std::filesystem::path& aFolder);
+  /** True while a folder is kept beside this one. */
+  static bool IsSetAside(const std::filesystem::path& aFolder);
+
   [[nodiscard]] const disk_id& DiskId() const { return mDiskId; }
   /** The folder's contents when it was opened; call it once. */
   raft_persistent_state TakePersisted() { return std::move(mPersisted); }
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -55,6 +55,12 @@
                                           : role_error::DiskUnavailable;
 }
 
+std::filesystem::path
+LogFolder(const settings& aSettings)
+{
+  return std::filesystem::path(aSettings.mControlDataFolder) / "log";
+}
+
 /** The hosts of the group's voters, sorted. */
 std::vector<control_host>
 VotersOf(const control_group_status& aStatus,
@@ -92,6 +98,7 @@
                            control_client aClient)
   : mContext(aContext)
   , mSettings(std::move(aSettings))
+  , mHasDamagedLog(raft_storage::IsSetAside(LogFolder(mSettings)))
   , mStorage(std::move(aStorage))
   , mRefusals(std::move(aRefusals))
   , mTransport(raft_transport::Create(ControlHosts(mSettings)))
@@ -109,9 +116,30 @@
 
 result<std::unique_ptr<control_role>, role_error>
 control_role::Create(asio::io_context& aContext, const settings& aSettings)
+{
+  auto role = Open(aContext, aSettings);
+  bool isDamaged = !role && role.error().mCode == role_error::DiskFailed;
+  if (!isDamaged) {
+    return role;
+  }
+  // No later start could read it either. Only a leader with a majority of the
+  // others adds the new disk, so that nothing is decided without what this log
+  // held unless enough other members hold it.
+  auto kept = raft_storage::SetAside(LogFolder(aSettings));
+  if (!kept) {
+    return Fail(role_error::DiskUnavailable, kept.error().mDetail);
+  }
+  log_event("log_set_aside", log_event::severity::Error)
+    .Add("cause", role.error().mDetail)
+    .Add("kept", kept.value().string());
+  return Open(aContext, aSettings);
+}
+
+result<std::unique_ptr<control_role>, role_error>
+control_role::Open(asio::io_context& aContext, const settings& aSettings)
 {
   std::filesystem::path folder(aSettings.mControlDataFolder);
-  auto storage = raft_storage::Create(folder / "log", RandomHex(4));
+  auto storage = raft_storage::Create(LogFolder(aSettings), RandomHex(4));
   if (!storage) {
     return Fail(ToRoleError(storage.error().mCode), storage.error().mDetail);
   }
@@ -269,7 +297,10 @@
   auto group = control_group::Create(
     std::move(config), GroupHooks(), mStorage.TakePersisted(), SteadyNow());
   if (!group) {
-    return Fail(role_error::CannotStart, group.error().mDetail);
+    return Fail(group.error().mCode == group_error::BadLog
+                  ? role_error::DiskFailed
+                  : role_error::CannotStart,
+                group.error().mDetail);
   }
   mGroup = std::move(group.value());
   mHub = std::make_unique<watch_hub>(watch_hub_config{}, HubHooks());
@@ -294,7 +325,7 @@
   hooks.mProbe = [this] {
     control_group_status status = mGroup->Status();
     return probe_result{ status.mSelf,
-                         status.mIsEmpty,
+                         status.mIsEmpty && !mHasDamagedLog,
                          GroupHosts(),
                          { mSettings.mHostFailureDomain } };
   };
@@ -362,8 +393,10 @@
     return mClient.ReadRefusals(aFrom);
   };
   hooks.mMetrics = [this] {
-    return MakeControlMetricsPage(
-      { mGroup->Status(), mHub->Daemons().size(), TaskFailureCount() });
+    return MakeControlMetricsPage({ mGroup->Status(),
+                                    mHub->Daemons().size(),
+                                    TaskFailureCount(),
+                                    mHasDamagedLog });
   };
   hooks.mEarliestArrival = [this] { return EarliestArrival(); };
   hooks.mNewChangeId = [this] {
@@ -424,7 +457,9 @@
   // Only the first host bootstraps the group, so that no two hosts form
   // different groups.
   bool isBootstrapHost = !group.empty() && own.mSelf.mHost == group.front();
-  if (!own.mIsEmpty || !isBootstrapHost || !mSettings.mControlBootstrap) {
+  bool mayForm = own.mIsEmpty && !mHasDamagedLog && isBootstrapHost &&
+                 mSettings.mControlBootstrap;
+  if (!mayForm) {
     co_return;
   }
   std::vector<raft_peer> voters{ { own.mSelf, true } };
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -33,6 +33,9 @@
   /** Failure domains of the members of the group, as far as known. */
   sharded_map<host_id, failure_domain_id> mHostDomains;
   settings mSettings;
+  /** A damaged log is kept beside the current one: this host had a group, and
+   * must not form one. */
+  bool mHasDamagedLog;
   raft_storage mStorage;
   /** Why the latest write failed, or empty if it succeeded; used only by the
    * group thread. */
@@ -62,6 +65,10 @@
                refusal_store aRefusals,
                control_client aClient);
 
+  /** As `Create`, for a data folder that is not damaged. */
+  static result<std::unique_ptr<control_role>, role_error> Open(
+    boost::asio::io_context& aContext,
+    const settings& aSettings);
   result<void, role_error> SetUpGroup();
   result<void, role_error> SetUpService();
   result<void, role_error> SetUpOperators();
@@ -102,7 +109,8 @@
   control_role(const control_role&) = delete;
   control_role& operator=(const control_role&) = delete;
 
-  /** Creates and starts the role. */
+  /** Creates and starts the role. A damaged log is kept aside, and the host
+   * joins its group as one with a new disk. */
   static result<std::unique_ptr<control_role>, role_error> Create(
     boost::asio::io_context& aContext,
     const settings& aSettings);
