Deal the control hosts' votes over the failure domains

What callers saw: with the spare control host of asahikawa-a added and one other control host frozen for 4 s, the loss of asahikawa-a, which the deployment has to bear, left the others without a leader for as long as that domain was away: no change was confirmed or read back (CONFIG). In the split, a majority inside the lost domain could acknowledge what nobody outside got.

Cause: the plan of members didn't know the failure domains. After 1.8 s of silence the vote went to the only ready learner, in the domain with two votes, and the host that returned stayed a learner.

The leader now gets the domains that control hosts learn from each other's probes. A learner whose vote would make a domain necessary takes the place of a silent voter only once that is gone for 10 s; of several learners, the one in the domain with the fewest votes is promoted; the voters don't grow into a majority of one domain; and if one domain holds too many votes and a learner elsewhere is ready, the learner is promoted and a voter of that domain removed, with all voters reachable and no vote given or taken for two election time-outs.

--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -131,6 +131,12 @@
   Enqueue(known_hosts_event{ std::move(aHosts) });
 }
 
+void
+control_group::SetFailureDomains(std::map<host_id, failure_domain_id> aDomains)
+{
+  Enqueue(failure_domains_event{ std::move(aDomains) });
+}
+
 void
 control_group::TransferLeadership()
 {
@@ -326,6 +332,12 @@
   mNode.SetKnownHosts(std::move(aEvent.mHosts));
 }
 
+void
+control_group::Handle(failure_domains_event& aEvent, steady_time /*aNow*/)
+{
+  mNode.SetFailureDomains(std::move(aEvent.mDomains));
+}
+
 void
 control_group::BeginStall()
 {
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -185,12 +185,17 @@
   {
     std::set<host_id> mHosts;
   };
+  struct failure_domains_event
+  {
+    std::map<host_id, failure_domain_id> mDomains;
+  };
   using event = std::variant<propose_event,
                              receive_event,
                              read_event,
                              bootstrap_event,
                              transfer_event,
-                             known_hosts_event>;
+                             known_hosts_event,
+                             failure_domains_event>;
 
   struct pending_proposal
   {
@@ -260,6 +265,7 @@
   void Handle(bootstrap_event& aEvent, steady_time aNow);
   void Handle(transfer_event& aEvent, steady_time aNow);
   void Handle(known_hosts_event& aEvent, steady_time aNow);
+  void Handle(failure_domains_event& aEvent, steady_time aNow);
   void BeginStall();
   /** Retries until the write succeeds; false if the group is stopped. */
   bool RetryUntilWritten(const std::function<bool()>& aWrite);
@@ -320,6 +326,9 @@
   void Bootstrap(std::vector<raft_peer> aVoters);
   /** Replaces the hosts that this one asks to join, while it has no group. */
   void SetKnownHosts(std::set<host_id> aHosts);
+  /** Replaces the known failure domains of control hosts, over which a leader
+   * deals the votes. */
+  void SetFailureDomains(std::map<host_id, failure_domain_id> aDomains);
   /** Transfers leadership to another member if this one is the leader. */
   void TransferLeadership();
 
--- a/decisions/raft_member_plan.cpp
+++ b/decisions/raft_member_plan.cpp
@@ -1,6 +1,8 @@
 #include "decisions/raft_member_plan.h"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 namespace hibiscusspool {
 
@@ -114,30 +116,193 @@
   return std::nullopt;
 }
 
+/** The members after a voter was removed. */
+members
+WithoutVoter(members aMembers, const raft_peer_id& aRemoved)
+{
+  std::erase_if(aMembers, [&](const member_view& aMember) {
+    return aMember.mPeer.mId == aRemoved;
+  });
+  return aMembers;
+}
+
+/** The members after a learner was promoted. */
+members
+WithVoter(members aMembers, const raft_peer_id& aPromoted)
+{
+  for (member_view& member : aMembers) {
+    member.mPeer.mIsVoter =
+      member.mPeer.mIsVoter || member.mPeer.mId == aPromoted;
+  }
+  return aMembers;
+}
+
+std::map<failure_domain_id, std::size_t>
+VotersByDomain(const members& aMembers)
+{
+  std::map<failure_domain_id, std::size_t> voters;
+  for (const member_view& member : aMembers) {
+    if (member.mPeer.mIsVoter && !member.mDomain.IsEmpty()) {
+      ++voters[member.mDomain];
+    }
+  }
+  return voters;
+}
+
+/** How many votes too many some failure domain holds for the others to be a
+ * majority without it; 0 if the group bears the loss of each one. */
+std::size_t
+ExcessOfDomain(const members& aMembers)
+{
+  std::size_t voters = VotersIn(aMembers);
+  std::size_t bearable = voters - std::min(voters, voters / 2 + 1);
+  std::size_t most = 0;
+  for (const auto& [domain, count] : VotersByDomain(aMembers)) {
+    most = std::max(most, count);
+  }
+  return most - std::min(most, bearable);
+}
+
+/** The ready learner whose vote leaves the failure domains dealt best. */
+std::optional<raft_peer_id>
+BestLearner(const members& aMembers, const member_limits& aLimits)
+{
+  std::optional<raft_peer_id> best;
+  std::pair<std::size_t, std::size_t> bestRank;
+  auto voters = VotersByDomain(aMembers);
+  for (const member_view& member : aMembers) {
+    if (!IsReady(member, aLimits)) {
+      continue;
+    }
+    auto sameDomain = voters.find(member.mDomain);
+    std::pair rank(ExcessOfDomain(WithVoter(aMembers, member.mPeer.mId)),
+                   sameDomain == voters.end() ? 0 : sameDomain->second);
+    if (!best || rank < bestRank) {
+      best = member.mPeer.mId;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+/** The voter other than the leader, of those that were added last, without
+ * which the failure domains are dealt best. */
+std::optional<raft_peer_id>
+MostDispensableVoter(const members& aMembers, const raft_peer_id& aLeader)
+{
+  std::optional<raft_peer_id> best;
+  std::size_t bestExcess = 0;
+  for (const member_view& member : aMembers) {
+    const raft_peer_id& id = member.mPeer.mId;
+    if (!member.mPeer.mIsVoter || id == aLeader) {
+      continue;
+    }
+    std::size_t excess = ExcessOfDomain(WithoutVoter(aMembers, id));
+    if (!best || excess <= bestExcess) {
+      best = id;
+      bestExcess = excess;
+    }
+  }
+  return best;
+}
+
+bool
+IsEachVoterReachable(const members& aMembers,
+                     const raft_peer_id& aLeader,
+                     const member_limits& aLimits)
+{
+  return std::all_of(
+    aMembers.begin(), aMembers.end(), [&](const auto& aMember) {
+      return !aMember.mPeer.mIsVoter || aMember.mPeer.mId == aLeader ||
+             (aMember.mHasReplied && aMember.mSilence < aLimits.mReachable);
+    });
+}
+
+/** True if two more voters, which raise the quorum by one, are worth it. */
+bool
+IsGrowing(const members& aMembers,
+          const raft_peer_id& aLeader,
+          const member_limits& aLimits)
+{
+  if (ReadyLearners(aMembers, aLimits).size() < 2 ||
+      VotersIn(aMembers) + 2 > aLimits.mMaxVoters ||
+      !IsEachVoterReachable(aMembers, aLeader, aLimits)) {
+    return false;
+  }
+  members grown = WithVoter(aMembers, *BestLearner(aMembers, aLimits));
+  grown = WithVoter(grown, *BestLearner(grown, aLimits));
+  return ExcessOfDomain(grown) <= ExcessOfDomain(aMembers);
+}
+
 next_members
 PromoteLearner(const members& aMembers,
                const raft_peer_id& aLeader,
                const member_limits& aLimits)
 {
-  auto ready = ReadyLearners(aMembers, aLimits);
+  auto learner = BestLearner(aMembers, aLimits);
   std::size_t voters = VotersIn(aMembers);
-  if (ready.empty() || voters >= aLimits.mMaxVoters) {
+  if (!learner || voters >= aLimits.mMaxVoters) {
     return std::nullopt;
   }
   bool isEven = voters % 2 == 0;
-  // One more voter than an odd number raises the quorum by one. It is worth
-  // that only if a second one follows, and all voters are known to run.
-  bool isEachVoterReachable =
-    std::all_of(aMembers.begin(), aMembers.end(), [&](const auto& aMember) {
-      return !aMember.mPeer.mIsVoter || aMember.mPeer.mId == aLeader ||
-             (aMember.mHasReplied && aMember.mSilence < aLimits.mReachable);
-    });
-  bool isGrowing = ready.size() >= 2 && voters + 2 <= aLimits.mMaxVoters &&
-                   isEachVoterReachable;
-  if (!isEven && !isGrowing) {
+  if (!isEven && !IsGrowing(aMembers, aLeader, aLimits)) {
+    return std::nullopt;
+  }
+  return WithVote(aMembers, *learner);
+}
+
+/** Deals the votes anew over the failure domains, one more and then one fewer;
+ * at the maximum, the other way round. */
+next_members
+RedealVotes(const members& aMembers,
+            const raft_peer_id& aLeader,
+            const member_limits& aLimits,
+            milliseconds aSinceVoteChange)
+{
+  std::size_t voters = VotersIn(aMembers);
+  std::size_t excess = ExcessOfDomain(aMembers);
+  auto learner = BestLearner(aMembers, aLimits);
+  auto voter = MostDispensableVoter(aMembers, aLeader);
+  if (excess == 0 || voters < aLimits.mMinVoters || !voter ||
+      !IsEachVoterReachable(aMembers, aLeader, aLimits)) {
     return std::nullopt;
   }
-  return WithVote(aMembers, ready.front());
+  members fewer = WithoutVoter(aMembers, *voter);
+  if (voters % 2 == 0) {
+    std::size_t excessOfMore =
+      learner ? ExcessOfDomain(WithVoter(aMembers, *learner)) : excess;
+    bool isWorthIt =
+      voters > aLimits.mMinVoters && ExcessOfDomain(fewer) < excessOfMore;
+    return isWorthIt ? next_members(PeersOf(fewer)) : std::nullopt;
+  }
+  bool isWorthIt = learner && aSinceVoteChange >= aLimits.mSettled &&
+                   ExcessOfDomain(WithVoter(fewer, *learner)) < excess;
+  if (!isWorthIt) {
+    return std::nullopt;
+  }
+  return voters < aLimits.mMaxVoters ? WithVote(aMembers, *learner)
+                                     : PeersOf(fewer);
+}
+
+/** The silent voter whose place a ready learner can take, the one with the
+ * longest silence if there are several. */
+std::optional<raft_peer_id>
+VoterWithSuccessor(const members& aMembers,
+                   const std::vector<raft_peer_id>& aSilent,
+                   const std::vector<raft_peer_id>& aGone,
+                   const member_limits& aLimits)
+{
+  std::size_t excess = ExcessOfDomain(aMembers);
+  for (const raft_peer_id& silent : aSilent) {
+    members fewer = WithoutVoter(aMembers, silent);
+    auto successor = BestLearner(fewer, aLimits);
+    bool isGone = std::find(aGone.begin(), aGone.end(), silent) != aGone.end();
+    if (successor &&
+        (isGone || ExcessOfDomain(WithVoter(fewer, *successor)) <= excess)) {
+      return silent;
+    }
+  }
+  return std::nullopt;
 }
 
 next_members
@@ -153,12 +318,14 @@
   if (silent.empty() || voters < 3) {
     return std::nullopt;
   }
-  bool hasSuccessor = !ReadyLearners(aMembers, aLimits).empty();
   auto gone = SilentVoters(aMembers, aLeader, aLimits.mGone);
+  if (auto voter = VoterWithSuccessor(aMembers, silent, gone, aLimits)) {
+    return Without(aMembers, *voter);
+  }
   // An even number of voters bears no more losses than one fewer.
   bool isSpare = voters % 2 == 0 && !gone.empty();
   bool isPairGone = gone.size() >= 2 && voters >= aLimits.mMinVoters + 2;
-  if (!hasSuccessor && !isSpare && !isPairGone) {
+  if (!isSpare && !isPairGone) {
     return std::nullopt;
   }
   return Without(aMembers, silent.front());
@@ -180,8 +347,12 @@
 std::optional<std::vector<raft_peer>>
 NextMembers(const std::vector<member_view>& aMembers,
             const raft_peer_id& aLeader,
-            const member_limits& aLimits)
+            const member_limits& aLimits,
+            milliseconds aSinceVoteChange)
 {
+  if (auto next = RedealVotes(aMembers, aLeader, aLimits, aSinceVoteChange)) {
+    return next;
+  }
   if (auto next = PromoteLearner(aMembers, aLeader, aLimits)) {
     return next;
   }
--- a/decisions/raft_member_plan.h
+++ b/decisions/raft_member_plan.h
@@ -19,6 +19,9 @@
   bool mHasReplied = false;
   /** It has replied to this leader and lacks few entries. */
   bool mIsCaughtUp = false;
+  /** Its host's failure domain; empty while it is not known, which counts as
+   * one of its own. */
+  failure_domain_id mDomain;
 };
 
 struct member_limits
@@ -32,8 +35,11 @@
   milliseconds mGone{ 10'000 };
   /** More voters would only slow down commits. */
   std::size_t mMaxVoters = 9;
-  /** Two voters that are gone leave only a group of more than these. */
+  /** Two voters that are gone leave only a group of more than these; fewer are
+   * not dealt anew over the failure domains. */
   std::size_t mMinVoters = 5;
+  /** Votes are dealt anew no sooner than this after one was given or taken. */
+  milliseconds mSettled{ 2000 };
 };
 
 /**
@@ -44,10 +50,17 @@
  * even, so that replacing a voter never raises the quorum. The voters grow from
  * one odd number to the next, and a learner that is left over stands by. A
  * member that was removed while it was away joins again.
+ *
+ * The group should go on without any one failure domain. A learner whose vote
+ * would stand in the way of that takes the place of a silent voter only once
+ * that is gone for long. If one domain holds too many votes, and a learner
+ * elsewhere is ready, the learner is promoted and a voter of that domain
+ * removed.
  */
 std::optional<std::vector<raft_peer>>
 NextMembers(const std::vector<member_view>& aMembers,
             const raft_peer_id& aLeader,
-            const member_limits& aLimits);
+            const member_limits& aLimits,
+            milliseconds aSinceVoteChange);
 
 }
--- a/decisions/raft_members.cpp
+++ b/decisions/raft_members.cpp
@@ -14,6 +14,18 @@
  * to a learner. */
 constexpr int kSilentElectionTimeouts = 2;
 
+std::set<raft_peer_id>
+VotersIn(const std::vector<raft_peer>& aPeers)
+{
+  std::set<raft_peer_id> voters;
+  for (const raft_peer& peer : aPeers) {
+    if (peer.mIsVoter) {
+      voters.insert(peer.mId);
+    }
+  }
+  return voters;
+}
+
 }
 
 bool
@@ -126,6 +138,12 @@
   mConfig.mKnownHosts = std::move(aHosts);
 }
 
+void
+raft_node::SetFailureDomains(std::map<host_id, failure_domain_id> aDomains)
+{
+  mDomains = std::move(aDomains);
+}
+
 void
 raft_node::RequestJoin(steady_time aNow)
 {
@@ -202,6 +220,9 @@
 void
 raft_node::ChangePeers(std::vector<raft_peer> aPeers, steady_time aNow)
 {
+  if (VotersIn(aPeers) != VotersIn(mPeers)) {
+    mVotersChangedAt = aNow;
+  }
   raft_entry entry;
   entry.mPeers = std::move(aPeers);
   AppendToLog(std::move(entry));
@@ -227,6 +248,9 @@
   for (const raft_peer& peer : mPeers) {
     member_view& member = members.emplace_back();
     member.mPeer = peer;
+    auto domain = mDomains.find(peer.mId.mHost);
+    member.mDomain =
+      domain == mDomains.end() ? failure_domain_id{} : domain->second;
     if (peer.mId == mConfig.mSelf) {
       member.mHasReplied = true;
       continue;
@@ -241,7 +265,10 @@
   member_limits limits;
   limits.mReachable = mConfig.mElectionTimeout;
   limits.mSilent = kSilentElectionTimeouts * mConfig.mElectionTimeout;
-  auto next = NextMembers(members, mConfig.mSelf, limits);
+  limits.mSettled = kSilentElectionTimeouts * mConfig.mElectionTimeout;
+  auto sinceChange = std::chrono::duration_cast<milliseconds>(
+    aNow - std::max(mVotersChangedAt, mLeaderSince));
+  auto next = NextMembers(members, mConfig.mSelf, limits, sinceChange);
   if (next) {
     ChangePeers(std::move(*next), aNow);
   }
--- a/decisions/raft_node.h
+++ b/decisions/raft_node.h
@@ -128,6 +128,10 @@
   std::uint64_t mHeardRound = 0;
   std::set<raft_peer_id> mGrantedVotes;
   std::map<raft_peer_id, progress> mProgress;
+  /** Failure domains of hosts, as far as known. */
+  std::map<host_id, failure_domain_id> mDomains;
+  /** When this leader last gave or took a vote. */
+  steady_time mVotersChangedAt;
   /** Hosts that asked this leader to join and are not members yet. */
   std::set<raft_peer_id> mJoining;
   std::uint64_t mRound = 0;
@@ -232,6 +236,8 @@
   void RequestRead(std::uint64_t aToken);
   /** Replaces the hosts that a host without a group contacts first. */
   void SetKnownHosts(std::set<host_id> aHosts);
+  /** Replaces what is known of the hosts' failure domains. */
+  void SetFailureDomains(std::map<host_id, failure_domain_id> aDomains);
   /** Transfers leadership to another voter, preferably not on these hosts. */
   void TransferLeadership(const std::set<host_id>& aAvoid, steady_time aNow);
   /** Replaces the log up to an applied index with the state at that index. */
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -489,6 +489,7 @@
 asio::awaitable<void>
 control_role::LearnFailureDomains()
 {
+  bool hasLearned = false;
   for (const raft_peer& peer : mGroup->Status().mPeers) {
     const host_id& host = peer.mId.mHost;
     if (mHostDomains.Get(host)) {
@@ -497,8 +498,16 @@
     auto reply = co_await mClient.Probe(host);
     if (reply && !reply->failure_domain().empty()) {
       mHostDomains.Set(host, { reply->failure_domain() });
+      hasLearned = true;
     }
   }
+  if (hasLearned) {
+    std::map<host_id, failure_domain_id> domains;
+    mHostDomains.ForEach([&](const host_id& aHost, failure_domain_id& aDomain) {
+      domains[aHost] = aDomain;
+    });
+    mGroup->SetFailureDomains(std::move(domains));
+  }
 }
 
 void
--- a/tests/decisions/simulated_group.cpp
+++ b/tests/decisions/simulated_group.cpp
@@ -69,6 +69,7 @@
                                   member.mStorage.mEntries },
                                 mNow);
   member.mNode = std::make_unique<raft_node>(std::move(node.value()));
+  member.mNode->SetFailureDomains(mDomains);
   member.mApplied.clear();
   member.mAppliedIndex = member.mStorage.mSnapshot.mIndex;
 }
--- a/tests/decisions/simulated_group.h
+++ b/tests/decisions/simulated_group.h
@@ -91,6 +91,8 @@
   /** With `mKnowsHosts` off, the hosts that the settings name. */
   std::set<host_id> mSeeds;
   int mConfirmedReads = 0;
+  /** The failure domains that each host knows from its start on. */
+  std::map<host_id, failure_domain_id> mDomains;
   milliseconds mHeartbeatInterval{ 100 };
   milliseconds mElectionTimeout{ 1000 };
 
