--- a/tests/drivers/crash_disk.cpp
+++ b/tests/drivers/crash_disk.cpp
@@ -155,6 +155,12 @@
   return state;
 }
 
+folder_state
+crash_disk::SyncedFiles() const
+{
+  return MakeState(std::vector<std::size_t>(ChoiceCounts().size(), 0));
+}
+
 std::vector<std::size_t>
 crash_disk::ChoiceCounts() const
 {
--- a/tests/drivers/crash_disk.h
+++ b/tests/drivers/crash_disk.h
@@ -56,6 +56,8 @@
   void Follow(const file_operation& aOperation);
   /** The files as they are now, synced or not: what a killed process leaves. */
   [[nodiscard]] folder_state FilesInPlace() const;
+  /** The files without anything that is not synced. */
+  [[nodiscard]] folder_state SyncedFiles() const;
   /** All states that a loss of power may leave now, or that many of them,
    * drawn at random. */
   [[nodiscard]] std::vector<folder_state> States(
