Cut a refusal batch that a full disk truncated

A batch that the disk took only in part stayed at the end of the open file. Later ones were appended behind it and acknowledged; reading stops at the part, and the next start cuts off all that follows, so that recorded refusals were lost without a word.

--- a/drivers/refusal_store.cpp
+++ b/drivers/refusal_store.cpp
@@ -105,6 +105,7 @@
   mOpenFile->mFile =
     open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   mOpenFile->mDay = aDay;
+  mOpenFile->mBytes = validBytes;
   if (mOpenFile->mFile < 0) {
     return Fail(file_error::CannotWrite, "Could not open " + path.string());
   }
@@ -122,7 +123,20 @@
   if (!opened) {
     return opened.error();
   }
-  return AppendAndSync(mOpenFile->mFile, MakeFrame(batch.SerializeAsString()));
+  std::string bytes = MakeFrame(batch.SerializeAsString());
+  auto stored = AppendAndSync(mOpenFile->mFile, bytes);
+  if (stored) {
+    mOpenFile->mBytes += bytes.size();
+    return stored;
+  }
+  // Part of the batch would hide those that are appended after it.
+  auto size = static_cast<off_t>(mOpenFile->mBytes);
+  if (ftruncate(mOpenFile->mFile, size) != 0) {
+    // Opened again, the file is cut.
+    close(mOpenFile->mFile);
+    mOpenFile->mFile = -1;
+  }
+  return stored;
 }
 
 std::vector<refusal_batch>
--- a/drivers/refusal_store.h
+++ b/drivers/refusal_store.h
@@ -23,6 +23,8 @@
     std::mutex mLock;
     std::int64_t mDay = -1;
     int mFile = -1;
+    /** Bytes of complete batches. */
+    std::uint64_t mBytes = 0;
   };
 
   std::filesystem::path mFolder;
--- a/tests/drivers/raft_storage_test.cpp
+++ b/tests/drivers/raft_storage_test.cpp
@@ -314,6 +314,23 @@
   LONGS_EQUAL(1, store.value().Read(0).size());
 }
 
+TEST(raft_storage, RefusalsAreReadThatWereStoredAfterADiskWasFull)
+{
+  refusal_batch batch;
+  batch.mHost.mValue = "e1";
+  batch.mRefusals.resize(20);
+  constexpr wall_ms kDay = 86'400'000;
+  auto store = refusal_store::Create(mFolder, 14);
+  store.value().Store(batch, kDay).value();
+  auto size = std::filesystem::file_size(mFolder / "refusals-1");
+  {
+    file_size_limit full(size + size / 2);
+    CHECK(!store.value().Store(batch, kDay).has_value());
+  }
+  store.value().Store(batch, kDay).value();
+  LONGS_EQUAL(2, store.value().Read(0).size());
+}
+
 TEST(raft_storage, AnAccessTokenAuthorizesOnlyItself)
 {
   auto path = mFolder / "token";
