Say at a start how the process before ended

A code was all that a report held of a control host that ended again and again. A control host now keeps a small file in its data folder: how far the process has come, how many in a row ended before they served, and its last words; the next start logs them as previous_process. Starts that fail end with a code for each cause (3 bad_settings, 4 disk_failed, 5 cannot_listen, 6 cannot_start) in place of 1.

start_conditions/AProcessSaysHow… ends a real control host by SIGSEGV and reads both lines.

--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,5 +1,6 @@
 #include "core/log_writer.h"
 #include "core/termination.h"
+#include "main/exit_code.h"
 #include "main/serve.h"
 #include "settings/settings.h"
 #include "tools/admin.h"
@@ -21,9 +22,9 @@
 namespace options = boost::program_options;
 using namespace hibiscusspool;
 
-constexpr int kSuccess = 0;
-constexpr int kFailure = 1;
-constexpr int kUsageError = 2;
+constexpr int kSuccess = static_cast<int>(exit_code::Success);
+constexpr int kFailure = static_cast<int>(exit_code::Failure);
+constexpr int kUsageError = static_cast<int>(exit_code::UsageError);
 
 constexpr const char* kUsageText =
   "hibiscusspool: a query tier over many shards\n"
@@ -39,7 +40,8 @@
   "  --version               show the version\n"
   "\n"
   "Each command takes --help. Exit codes: 0 success, 1 failure, 2 usage or\n"
-  "settings error.\n";
+  "settings error; of a server also 3 bad_settings, 4 disk_failed,\n"
+  "5 cannot_listen, 6 cannot_start.\n";
 
 int
 FailUsage(const std::string& aDetail)
--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -4,8 +4,11 @@
 #include "core/log_event.h"
 #include "core/log_writer.h"
 #include "core/periodic.h"
+#include "core/termination.h"
 #include "drivers/grpc_settings.h"
+#include "drivers/process_file.h"
 #include "drivers/tcp_listener.h"
+#include "main/exit_code.h"
 #include "main/role_support.h"
 #include "main/roles.h"
 #include "main/seed_watcher.h"
@@ -16,7 +19,9 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <filesystem>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -125,6 +130,35 @@
   return !aShutdown.IsStopping();
 }
 
+/** Logs how the process before this one ended. Nothing on a host without a data
+ * folder, or at its first start. */
+std::optional<process_file>
+FollowPreviousProcess(const settings& aSettings)
+{
+  std::filesystem::path folder(aSettings.mControlDataFolder);
+  std::error_code problem;
+  if (!aSettings.IsControl() || !std::filesystem::exists(folder, problem)) {
+    return std::nullopt;
+  }
+  auto file = process_file::Create(folder);
+  if (!file) {
+    log_event("process_file_not_written", log_event::severity::Warning)
+      .Add("cause", file.error().mDetail);
+    return std::nullopt;
+  }
+  if (const auto& previous = file.value().Previous()) {
+    std::uint64_t earlyEnds = file.value().Record().mEarlyEnds;
+    log_event("previous_process",
+              earlyEnds > 0 ? log_event::severity::Warning
+                            : log_event::severity::Info)
+      .Add("phase", NameOf(previous->mRecord.mPhase))
+      .Add("early_ends", earlyEnds)
+      .Add("last_words", previous->mLastWords);
+  }
+  SetLastWordsFile(file.value().File());
+  return std::move(file.value());
+}
+
 using control_result = result<std::unique_ptr<control_role>, role_error>;
 
 /** Creates the control role. While the disk is full or fails, tries again until
@@ -154,7 +188,8 @@
   }
 }
 
-bool
+/** Nothing if the roles run or the process was stopped meanwhile. */
+std::optional<exit_code>
 StartRoles(asio::io_context& aContext,
            const settings& aSettings,
            shutdown_event& aShutdown,
@@ -164,15 +199,15 @@
     log_event("start_failed", log_event::severity::Error)
       .Add("error", NameOf(aError.mCode))
       .Add("cause", aError.mDetail);
-    return false;
+    return ExitCodeOf(aError.mCode);
   };
   if (!WaitForAddresses(aContext, aSettings, aShutdown)) {
-    return false;
+    return std::nullopt;
   }
   if (aSettings.IsControl()) {
     auto control = CreateControl(aContext, aSettings, aShutdown);
     if (!control && aShutdown.IsStopping()) {
-      return false;
+      return std::nullopt;
     }
     if (!control) {
       return report(control.error());
@@ -186,7 +221,7 @@
     }
     aRoles.mEntry = std::move(entry.value());
   }
-  return true;
+  return std::nullopt;
 }
 
 }
@@ -202,6 +237,7 @@
   StartLogWriter();
   LogGrpcMessages();
   LogRepairs(aLoaded.mRepairs);
+  auto processFile = FollowPreviousProcess(used);
   shutdown_event shutdown;
   roles running;
   asio::io_context context;
@@ -210,7 +246,8 @@
   seed_watcher seeds(aPath, used, running);
   AwaitSignals(signals, seeds, shutdown);
 
-  bool isStarted = StartRoles(context, used, shutdown, running);
+  auto startFailure = StartRoles(context, used, shutdown, running);
+  bool isStarted = !startFailure && !shutdown.IsStopping();
   std::vector<std::thread> threads;
   threads.reserve(kBackgroundThreads);
   for (int number = 0; number < kBackgroundThreads; ++number) {
@@ -221,13 +258,16 @@
     RunPeriodically(context, "seeds", kSeedInterval, isStopping, [&seeds] {
       return seeds.Follow();
     });
+    if (processFile) {
+      processFile->SetPhase(process_phase::Serving);
+    }
     log_event("serving")
       .Add("host", used.mHostId)
       .Add("entry", used.mEntryCallersAddress)
       .Add("control", used.mControlAddress);
   }
 
-  bool isClean = isStarted || shutdown.IsStopping();
+  bool isClean = !startFailure || shutdown.IsStopping();
   if (isClean) {
     shutdown.Wait();
   }
@@ -248,9 +288,13 @@
   // Sockets and timers must be destroyed before their I/O context.
   running.mEntry.reset();
   running.mControl.reset();
+  if (processFile && isClean) {
+    processFile->SetPhase(process_phase::Stopped);
+  }
+  SetLastWordsFile(-1);
   log_event("stopped").Add("clean", isClean ? "yes" : "no");
   StopLogWriter();
-  return isClean ? 0 : 1;
+  return static_cast<int>(isClean ? exit_code::Success : *startFailure);
 }
 
 }
--- a/tests/integration/start_conditions_test.cpp
+++ b/tests/integration/start_conditions_test.cpp
@@ -63,6 +63,32 @@
   }));
 }
 
+TEST(start_conditions, AProcessSaysHowTheOneBeforeItEnded)
+{
+  system_options options;
+  options.mControlHosts = 1;
+  test_system system(options);
+  // The first process creates the folder in which the second one leaves word.
+  system.Start("c1");
+  CHECK(WaitFor([&] {
+    return system.Put("/v1/templates/one", R"({"services":"a"})").mStatus ==
+           200;
+  }));
+  system.StopProcess("c1", SIGKILL);
+  system.Start("c1");
+  CHECK(WaitFor([&] { return system.Leader() == "c1"; }));
+  LONGS_EQUAL(-SIGSEGV, system.StopProcess("c1", SIGSEGV));
+  system.Start("c1");
+  CHECK(WaitFor([&] { return system.Leader() == "c1"; }));
+  LONGS_EQUAL(0, system.StopProcess("c1", SIGTERM));
+  std::ifstream file(system.Folder() / "c1.log");
+  std::string log{ std::istreambuf_iterator<char>(file), {} };
+  STRCMP_CONTAINS("event=terminated cause=\"SIGSEGV\"", log.c_str());
+  STRCMP_CONTAINS("event=previous_process phase=serving early_ends=0 "
+                  "last_words=\"level=error event=terminated",
+                  log.c_str());
+}
+
 TEST(start_conditions, AFullLogFileDoesNotEndAHost)
 {
   system_options options;
