--- a/tests/core/termination_test.cpp
+++ b/tests/core/termination_test.cpp
@@ -94,7 +94,7 @@
       log_event("filling").Add("text", filling);
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
-    log_event("before_the_end");
+    log_event("before_the_end").Add("number", 8);
     raise(SIGSEGV);
   });
   CheckEndedBy(SIGSEGV, ended);
