--- a/tests/drivers/control_metrics_page_test.cpp
+++ b/tests/drivers/control_metrics_page_test.cpp
@@ -18,6 +18,7 @@
   source.mGroup.mCommit = 1234;
   source.mWatchStreams = 17;
   source.mTaskFailures = 2;
+  source.mHasDamagedLog = true;
   return source;
 }
 
@@ -82,6 +83,10 @@
     "connected to this host.\n"
     "# TYPE hibiscusspool_control_watch_streams gauge\n"
     "hibiscusspool_control_watch_streams 17\n"
+    "# HELP hibiscusspool_control_damaged_log_kept 1 while a damaged log is "
+    "kept beside this host's current one.\n"
+    "# TYPE hibiscusspool_control_damaged_log_kept gauge\n"
+    "hibiscusspool_control_damaged_log_kept 1\n"
     "# HELP hibiscusspool_task_failures_total Background tasks that an "
     "exception has ended.\n"
     "# TYPE hibiscusspool_task_failures_total counter\n"
