--- a/tests/drivers/stored_group.cpp
+++ b/tests/drivers/stored_group.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <functional>
+#include <utility>
 
 namespace test {
 
@@ -242,22 +242,7 @@
       StoreOwnSnapshot(aMember);
     }
     if (Store(aMember, *aMember.mRefused)) {
-      raft_actions actions = std::move(*aMember.mRefused);
-      aMember.mRefused.reset();
-      actions.mHardState.reset();
-      actions.mAppend.clear();
-      if (actions.mInstallSnapshot) {
-        aMember.mApplied = actions.mInstallSnapshot->mIndex;
-        actions.mInstallSnapshot.reset();
-      }
-      for (raft_message& message : actions.mMessages) {
-        mInFlight.emplace_back(mNow + milliseconds(Pick(kMaxDelayMs)),
-                               std::move(message));
-      }
-      for (const raft_entry& entry : actions.mCommitted) {
-        aMember.mApplied = entry.mIndex;
-        mCommitted.emplace(entry.mIndex, entry);
-      }
+      Complete(aMember, *std::exchange(aMember.mRefused, std::nullopt));
     }
   });
 }
@@ -270,17 +255,23 @@
     aMember.mRefused = std::move(actions);
     return;
   }
-  if (actions.mInstallSnapshot) {
-    aMember.mApplied = actions.mInstallSnapshot->mIndex;
-    if (actions.mInstallSnapshot->mState != StateAt(aMember.mApplied)) {
+  Complete(aMember, std::move(actions));
+}
+
+void
+stored_group::Complete(stored_member& aMember, raft_actions aActions)
+{
+  if (aActions.mInstallSnapshot) {
+    aMember.mApplied = aActions.mInstallSnapshot->mIndex;
+    if (aActions.mInstallSnapshot->mState != StateAt(aMember.mApplied)) {
       Fail(aMember, "installed a state that was not committed");
     }
   }
-  for (raft_message& message : actions.mMessages) {
+  for (raft_message& message : aActions.mMessages) {
     mInFlight.emplace_back(mNow + milliseconds(Pick(kMaxDelayMs)),
                            std::move(message));
   }
-  for (const raft_entry& entry : actions.mCommitted) {
+  for (const raft_entry& entry : aActions.mCommitted) {
     if (entry.mIndex != aMember.mApplied + 1) {
       Fail(aMember, "applied entries out of order");
     }
--- a/tests/drivers/stored_group.h
+++ b/tests/drivers/stored_group.h
@@ -64,6 +64,8 @@
   bool RunProcess(stored_member& aMember, body&& aBody);
   void Open(stored_member& aMember);
   void ProcessActions(stored_member& aMember);
+  /** What follows once the actions are on the disk. */
+  void Complete(stored_member& aMember, raft_actions aActions);
   bool Store(stored_member& aMember, const raft_actions& aActions);
   void RetryRefused(stored_member& aMember);
   bool StoreOwnSnapshot(stored_member& aMember);
