Look at the deal of votes before the choices that it needs

A leader chose the best learner and the most dispensable voter at each heartbeat, also while no domain holds too many votes. The cheap checks come first now; the outcome is the same. last_words loses an accessor that nothing used. Tests of raft_member_plan, raft_failure_domains and termination pass.

--- a/core/last_words.h
+++ b/core/last_words.h
@@ -30,10 +30,6 @@
    * program as `+0x…`, other addresses as `0x…`. */
   last_words& AddBacktrace();
 
-  [[nodiscard]] std::string_view Text() const
-  {
-    return { mText.data(), mSize };
-  }
   /** Writes the line and a line feed to an open file. */
   void WriteTo(int aFile) const;
 };
--- a/decisions/raft_member_plan.cpp
+++ b/decisions/raft_member_plan.cpp
@@ -261,10 +261,13 @@
 {
   std::size_t voters = VotersIn(aMembers);
   std::size_t excess = ExcessOfDomain(aMembers);
+  if (excess == 0 || voters < aLimits.mMinVoters ||
+      !IsEachVoterReachable(aMembers, aLeader, aLimits)) {
+    return std::nullopt;
+  }
   auto learner = BestLearner(aMembers, aLimits);
   auto voter = MostDispensableVoter(aMembers, aLeader);
-  if (excess == 0 || voters < aLimits.mMinVoters || !voter ||
-      !IsEachVoterReachable(aMembers, aLeader, aLimits)) {
+  if (!voter) {
     return std::nullopt;
   }
   members fewer = WithoutVoter(aMembers, *voter);
