Share the sync of a file and the edits of a list of members

SyncFile repeated Resize without the new size, and the plan of members edited lists of peers and of views by the same rules twice. Behaviour is the same: the tests of raft_member_plan, raft_failure_domains, raft_storage, raft_storage_crash and stored_group pass, lint of both files is clean.

--- a/decisions/raft_member_plan.cpp
+++ b/decisions/raft_member_plan.cpp
@@ -21,23 +21,37 @@
   return peers;
 }
 
+/** The members after one was removed. */
+members
+WithoutMember(members aMembers, const raft_peer_id& aRemoved)
+{
+  std::erase_if(aMembers, [&](const member_view& aMember) {
+    return aMember.mPeer.mId == aRemoved;
+  });
+  return aMembers;
+}
+
+/** The members after a learner was promoted. */
+members
+WithVoter(members aMembers, const raft_peer_id& aPromoted)
+{
+  for (member_view& member : aMembers) {
+    member.mPeer.mIsVoter =
+      member.mPeer.mIsVoter || member.mPeer.mId == aPromoted;
+  }
+  return aMembers;
+}
+
 std::vector<raft_peer>
 Without(const members& aMembers, const raft_peer_id& aRemoved)
 {
-  std::vector<raft_peer> peers = PeersOf(aMembers);
-  std::erase_if(peers,
-                [&](const raft_peer& aPeer) { return aPeer.mId == aRemoved; });
-  return peers;
+  return PeersOf(WithoutMember(aMembers, aRemoved));
 }
 
 std::vector<raft_peer>
 WithVote(const members& aMembers, const raft_peer_id& aPromoted)
 {
-  std::vector<raft_peer> peers = PeersOf(aMembers);
-  for (raft_peer& peer : peers) {
-    peer.mIsVoter = peer.mIsVoter || peer.mId == aPromoted;
-  }
-  return peers;
+  return PeersOf(WithVoter(aMembers, aPromoted));
 }
 
 std::size_t
@@ -116,27 +130,6 @@
   return std::nullopt;
 }
 
-/** The members after a voter was removed. */
-members
-WithoutVoter(members aMembers, const raft_peer_id& aRemoved)
-{
-  std::erase_if(aMembers, [&](const member_view& aMember) {
-    return aMember.mPeer.mId == aRemoved;
-  });
-  return aMembers;
-}
-
-/** The members after a learner was promoted. */
-members
-WithVoter(members aMembers, const raft_peer_id& aPromoted)
-{
-  for (member_view& member : aMembers) {
-    member.mPeer.mIsVoter =
-      member.mPeer.mIsVoter || member.mPeer.mId == aPromoted;
-  }
-  return aMembers;
-}
-
 std::map<failure_domain_id, std::size_t>
 VotersByDomain(const members& aMembers)
 {
@@ -197,7 +190,7 @@
     if (!member.mPeer.mIsVoter || id == aLeader) {
       continue;
     }
-    std::size_t excess = ExcessOfDomain(WithoutVoter(aMembers, id));
+    std::size_t excess = ExcessOfDomain(WithoutMember(aMembers, id));
     if (!best || excess <= bestExcess) {
       best = id;
       bestExcess = excess;
@@ -270,7 +263,7 @@
   if (!voter) {
     return std::nullopt;
   }
-  members fewer = WithoutVoter(aMembers, *voter);
+  members fewer = WithoutMember(aMembers, *voter);
   if (voters % 2 == 0) {
     std::size_t excessOfMore =
       learner ? ExcessOfDomain(WithVoter(aMembers, *learner)) : excess;
@@ -297,7 +290,7 @@
 {
   std::size_t excess = ExcessOfDomain(aMembers);
   for (const raft_peer_id& silent : aSilent) {
-    members fewer = WithoutVoter(aMembers, silent);
+    members fewer = WithoutMember(aMembers, silent);
     auto successor = BestLearner(fewer, aLimits);
     bool isGone = std::find(aGone.begin(), aGone.end(), silent) != aGone.end();
     if (successor &&
--- a/drivers/data_folder.cpp
+++ b/drivers/data_folder.cpp
@@ -144,35 +144,30 @@
 result<void, file_error>
 data_folder::Resize(const std::string& aName, std::uint64_t aSize) const
 {
-  std::filesystem::path path = mPath / aName;
-  int file = open(path.c_str(), O_WRONLY | O_CLOEXEC);
-  if (file < 0) {
-    return FailWithErrno(file_error::CannotWrite, path);
-  }
-  bool isResized = ftruncate(file, static_cast<off_t>(aSize)) == 0;
-  if (isResized) {
-    Report({ file_operation_kind::Resized, aName, {}, aSize, {} });
-  }
-  bool isSynced = isResized && fdatasync(file) == 0;
-  int cause = errno;
-  close(file);
-  if (!isSynced) {
-    errno = cause;
-    return FailWithErrno(file_error::CannotWrite, path);
-  }
-  Report({ file_operation_kind::Synced, aName, {}, 0, {} });
-  return boost::outcome_v2::success();
+  return ChangeAndSync(aName, aSize);
 }
 
 result<void, file_error>
 data_folder::SyncFile(const std::string& aName) const
+{
+  return ChangeAndSync(aName, std::nullopt);
+}
+
+result<void, file_error>
+data_folder::ChangeAndSync(const std::string& aName,
+                           std::optional<std::uint64_t> aNewSize) const
 {
   std::filesystem::path path = mPath / aName;
   int file = open(path.c_str(), O_WRONLY | O_CLOEXEC);
   if (file < 0) {
     return FailWithErrno(file_error::CannotWrite, path);
   }
-  bool isSynced = fdatasync(file) == 0;
+  bool isChanged =
+    !aNewSize || ftruncate(file, static_cast<off_t>(*aNewSize)) == 0;
+  if (aNewSize && isChanged) {
+    Report({ file_operation_kind::Resized, aName, {}, *aNewSize, {} });
+  }
+  bool isSynced = isChanged && fdatasync(file) == 0;
   int cause = errno;
   close(file);
   if (!isSynced) {
--- a/drivers/data_folder.h
+++ b/drivers/data_folder.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -69,6 +70,10 @@
   }
 
   void Report(const file_operation& aOperation) const;
+  /** Sets a file's size, if one is given, and syncs it. */
+  [[nodiscard]] result<void, file_error> ChangeAndSync(
+    const std::string& aName,
+    std::optional<std::uint64_t> aNewSize) const;
 
 public:
   /** Opens the folder and creates it if it is missing. */
