--- a/controllers/admission_controller.h
+++ b/controllers/admission_controller.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/sharded_map.h"
-#include "decisions/admission.h"
+#include "decisions/admission/admission.h"
 
 #include <atomic>
 #include <functional>
--- a/controllers/announcement_controller.h
+++ b/controllers/announcement_controller.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/sharded_map.h"
-#include "decisions/announcement.h"
+#include "decisions/state/announcement.h"
 
 #include <vector>
 
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -2,15 +2,15 @@
 
 #include "core/sharded_map.h"
 #include "core/worker_number.h"
-#include "decisions/rate_limit.h"
-#include "decisions/records.h"
-#include "decisions/replica_choice.h"
-#include "decisions/server_health.h"
-#include "decisions/server_limit.h"
-#include "decisions/server_notice.h"
-#include "decisions/share.h"
-#include "decisions/snapshot_choice.h"
-#include "decisions/subquery_plan.h"
+#include "decisions/routing/snapshot_choice.h"
+#include "decisions/routing/subquery_plan.h"
+#include "decisions/servers/rate_limit.h"
+#include "decisions/servers/replica_choice.h"
+#include "decisions/servers/server_health.h"
+#include "decisions/servers/server_limit.h"
+#include "decisions/servers/server_notice.h"
+#include "decisions/servers/share.h"
+#include "decisions/state/records.h"
 
 #include <algorithm>
 #include <atomic>
--- a/controllers/budget_controller.h
+++ b/controllers/budget_controller.h
@@ -2,8 +2,8 @@
 
 #include "core/ids.h"
 #include "core/sharded_map.h"
-#include "decisions/server_limit.h"
-#include "decisions/window_budget.h"
+#include "decisions/admission/window_budget.h"
+#include "decisions/servers/server_limit.h"
 
 #include <functional>
 #include <mutex>
--- a/controllers/catalog_controller.h
+++ b/controllers/catalog_controller.h
@@ -3,9 +3,9 @@
 #include "controllers/backend_controller.h"
 #include "controllers/watch_hub.h"
 #include "core/sharded_map.h"
-#include "decisions/route_table.h"
-#include "decisions/team_policy.h"
-#include "decisions/weighted_choice.h"
+#include "decisions/routing/route_table.h"
+#include "decisions/routing/team_policy.h"
+#include "decisions/routing/weighted_choice.h"
 
 #include <atomic>
 #include <functional>
--- a/controllers/control_group.cpp
+++ b/controllers/control_group.cpp
@@ -1,7 +1,7 @@
 #include "controllers/control_group.h"
 
 #include "core/log_event.h"
-#include "decisions/raft_message_queue.h"
+#include "decisions/group/raft_message_queue.h"
 
 #include <algorithm>
 #include <memory>
--- a/controllers/control_group.h
+++ b/controllers/control_group.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "core/failure.h"
-#include "decisions/control_state.h"
-#include "decisions/log_bounds.h"
-#include "decisions/raft_node.h"
-#include "decisions/round_history.h"
+#include "decisions/group/log_bounds.h"
+#include "decisions/group/raft_node.h"
+#include "decisions/group/round_history.h"
+#include "decisions/state/control_state.h"
 
 #include <condition_variable>
 #include <functional>
--- a/controllers/crash_controller.h
+++ b/controllers/crash_controller.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/crash_suspects.h"
+#include "decisions/servers/crash_suspects.h"
 
 #include <mutex>
 
--- a/controllers/lease_controller.h
+++ b/controllers/lease_controller.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "decisions/records.h"
+#include "decisions/state/records.h"
 
 #include <atomic>
 #include <functional>
--- a/controllers/part_time_controller.h
+++ b/controllers/part_time_controller.h
@@ -2,7 +2,7 @@
 
 #include "core/ids.h"
 #include "core/sharded_map.h"
-#include "decisions/server_limit.h"
+#include "decisions/servers/server_limit.h"
 
 #include <optional>
 
--- a/controllers/refusal_controller.h
+++ b/controllers/refusal_controller.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/sharded_map.h"
-#include "decisions/refusal.h"
+#include "decisions/admission/refusal.h"
 
 #include <atomic>
 #include <map>
--- a/controllers/stall_controller.h
+++ b/controllers/stall_controller.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/stall_detector.h"
+#include "decisions/group/stall_detector.h"
 
 #include <mutex>
 
--- a/controllers/subquery_controller.h
+++ b/controllers/subquery_controller.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/sharded_map.h"
-#include "decisions/records.h"
-#include "decisions/subquery_plan.h"
+#include "decisions/routing/subquery_plan.h"
+#include "decisions/state/records.h"
 
 #include <functional>
 #include <optional>
--- a/controllers/team_stats_controller.h
+++ b/controllers/team_stats_controller.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/sharded_map.h"
-#include "decisions/burn.h"
-#include "decisions/refusal.h"
-#include "decisions/team_policy.h"
+#include "decisions/admission/burn.h"
+#include "decisions/admission/refusal.h"
+#include "decisions/routing/team_policy.h"
 
 #include <boost/histogram.hpp>
 
--- a/controllers/transfer_controller.h
+++ b/controllers/transfer_controller.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/transfer_sum.h"
+#include "decisions/admission/transfer_sum.h"
 
 #include <functional>
 #include <map>
--- a/controllers/watch_hub.h
+++ b/controllers/watch_hub.h
@@ -2,8 +2,8 @@
 
 #include "core/clock.h"
 #include "core/sharded_map.h"
-#include "decisions/control_host_choice.h"
-#include "decisions/records.h"
+#include "decisions/group/control_host_choice.h"
+#include "decisions/state/records.h"
 
 #include <atomic>
 #include <deque>
--- a/decisions/admission.cpp
+++ b/decisions/admission/admission.cpp
@@ -1,4 +1,4 @@
-#include "decisions/admission.h"
+#include "decisions/admission/admission.h"
 
 #include <algorithm>
 
--- a/decisions/admission.h
+++ b/decisions/admission/admission.h
@@ -3,7 +3,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/name_table.h"
-#include "decisions/refusal.h"
+#include "decisions/admission/refusal.h"
 
 #include <cstdint>
 #include <deque>
--- a/decisions/burn.cpp
+++ b/decisions/admission/burn.cpp
@@ -1,4 +1,4 @@
-#include "decisions/burn.h"
+#include "decisions/admission/burn.h"
 
 #include <algorithm>
 
--- a/decisions/refusal.cpp
+++ b/decisions/admission/refusal.cpp
@@ -1,4 +1,4 @@
-#include "decisions/refusal.h"
+#include "decisions/admission/refusal.h"
 
 #include <algorithm>
 #include <map>
--- a/decisions/transfer_sum.cpp
+++ b/decisions/admission/transfer_sum.cpp
@@ -1,4 +1,4 @@
-#include "decisions/transfer_sum.h"
+#include "decisions/admission/transfer_sum.h"
 
 namespace hibiscusspool {
 
--- a/decisions/window_budget.cpp
+++ b/decisions/admission/window_budget.cpp
@@ -1,4 +1,4 @@
-#include "decisions/window_budget.h"
+#include "decisions/admission/window_budget.h"
 
 namespace hibiscusspool {
 
--- a/decisions/control_host_choice.cpp
+++ b/decisions/group/control_host_choice.cpp
@@ -1,4 +1,4 @@
-#include "decisions/control_host_choice.h"
+#include "decisions/group/control_host_choice.h"
 
 #include <algorithm>
 #include <tuple>
--- a/decisions/entry_log.h
+++ b/decisions/group/entry_log.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/raft_types.h"
+#include "decisions/group/raft_types.h"
 
 #include <deque>
 #include <iterator>
--- a/decisions/membership.cpp
+++ b/decisions/group/membership.cpp
@@ -1,4 +1,4 @@
-#include "decisions/membership.h"
+#include "decisions/group/membership.h"
 
 #include <algorithm>
 
--- a/decisions/membership.h
+++ b/decisions/group/membership.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/control_state.h"
+#include "decisions/state/control_state.h"
 
 #include <map>
 #include <set>
--- a/decisions/membership_news.cpp
+++ b/decisions/group/membership_news.cpp
@@ -1,4 +1,4 @@
-#include "decisions/membership_news.h"
+#include "decisions/group/membership_news.h"
 
 #include <algorithm>
 #include <set>
--- a/decisions/membership_news.h
+++ b/decisions/group/membership_news.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/change.h"
+#include "decisions/state/change.h"
 
 #include <optional>
 #include <string>
--- a/decisions/raft_member_plan.cpp
+++ b/decisions/group/raft_member_plan.cpp
@@ -1,4 +1,4 @@
-#include "decisions/raft_member_plan.h"
+#include "decisions/group/raft_member_plan.h"
 
 #include <algorithm>
 #include <map>
--- a/decisions/raft_member_plan.h
+++ b/decisions/group/raft_member_plan.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "decisions/raft_types.h"
+#include "decisions/group/raft_types.h"
 
 #include <optional>
 #include <vector>
--- a/decisions/raft_members.cpp
+++ b/decisions/group/raft_members.cpp
@@ -1,5 +1,5 @@
-#include "decisions/raft_member_plan.h"
-#include "decisions/raft_node.h"
+#include "decisions/group/raft_member_plan.h"
+#include "decisions/group/raft_node.h"
 
 #include <algorithm>
 #include <utility>
--- a/decisions/raft_membership.cpp
+++ b/decisions/group/raft_membership.cpp
@@ -1,4 +1,4 @@
-#include "decisions/raft_membership.h"
+#include "decisions/group/raft_membership.h"
 
 #include <algorithm>
 
--- a/decisions/raft_message_queue.cpp
+++ b/decisions/group/raft_message_queue.cpp
@@ -1,4 +1,4 @@
-#include "decisions/raft_message_queue.h"
+#include "decisions/group/raft_message_queue.h"
 
 namespace hibiscusspool {
 
--- a/decisions/raft_node.cpp
+++ b/decisions/group/raft_node.cpp
@@ -1,4 +1,4 @@
-#include "decisions/raft_node.h"
+#include "decisions/group/raft_node.h"
 
 #include <algorithm>
 
--- a/decisions/raft_node.h
+++ b/decisions/group/raft_node.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/failure.h"
-#include "decisions/entry_log.h"
-#include "decisions/raft_membership.h"
-#include "decisions/raft_types.h"
+#include "decisions/group/entry_log.h"
+#include "decisions/group/raft_membership.h"
+#include "decisions/group/raft_types.h"
 
 #include <map>
 #include <random>
--- a/decisions/raft_recovery.cpp
+++ b/decisions/group/raft_recovery.cpp
@@ -1,4 +1,4 @@
-#include "decisions/raft_recovery.h"
+#include "decisions/group/raft_recovery.h"
 
 namespace hibiscusspool {
 
--- a/decisions/raft_recovery.h
+++ b/decisions/group/raft_recovery.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/raft_node.h"
+#include "decisions/group/raft_node.h"
 
 namespace hibiscusspool {
 
--- a/decisions/round_history.cpp
+++ b/decisions/group/round_history.cpp
@@ -1,4 +1,4 @@
-#include "decisions/round_history.h"
+#include "decisions/group/round_history.h"
 
 #include <algorithm>
 
--- a/decisions/configuration.cpp
+++ b/decisions/routing/configuration.cpp
@@ -1,6 +1,6 @@
-#include "decisions/configuration.h"
+#include "decisions/routing/configuration.h"
 
-#include "decisions/route_policy.h"
+#include "decisions/routing/route_policy.h"
 
 #include <set>
 
--- a/decisions/route_policy.cpp
+++ b/decisions/routing/route_policy.cpp
@@ -1,4 +1,4 @@
-#include "decisions/route_policy.h"
+#include "decisions/routing/route_policy.h"
 
 #include <algorithm>
 #include <sstream>
--- a/decisions/route_table.cpp
+++ b/decisions/routing/route_table.cpp
@@ -1,7 +1,7 @@
-#include "decisions/route_table.h"
+#include "decisions/routing/route_table.h"
 
 #include "core/text.h"
-#include "decisions/route_policy.h"
+#include "decisions/routing/route_policy.h"
 
 #include <algorithm>
 
--- a/decisions/route_table.h
+++ b/decisions/routing/route_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "decisions/configuration.h"
-#include "decisions/team_policy.h"
+#include "decisions/routing/configuration.h"
+#include "decisions/routing/team_policy.h"
 
 #include <map>
 #include <string_view>
--- a/decisions/snapshot_choice.cpp
+++ b/decisions/routing/snapshot_choice.cpp
@@ -1,4 +1,4 @@
-#include "decisions/snapshot_choice.h"
+#include "decisions/routing/snapshot_choice.h"
 
 #include <cmath>
 #include <functional>
--- a/decisions/team_policy.cpp
+++ b/decisions/routing/team_policy.cpp
@@ -1,4 +1,4 @@
-#include "decisions/team_policy.h"
+#include "decisions/routing/team_policy.h"
 
 #include <algorithm>
 #include <charconv>
--- a/decisions/team_policy.h
+++ b/decisions/routing/team_policy.h
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "core/failure.h"
-#include "decisions/records.h"
+#include "decisions/state/records.h"
 
 #include <set>
 
--- a/decisions/weighted_choice.cpp
+++ b/decisions/routing/weighted_choice.cpp
@@ -1,4 +1,4 @@
-#include "decisions/weighted_choice.h"
+#include "decisions/routing/weighted_choice.h"
 
 #include <numeric>
 
--- a/decisions/crash_suspects.cpp
+++ b/decisions/servers/crash_suspects.cpp
@@ -1,4 +1,4 @@
-#include "decisions/crash_suspects.h"
+#include "decisions/servers/crash_suspects.h"
 
 namespace hibiscusspool {
 
--- a/decisions/rate_limit.cpp
+++ b/decisions/servers/rate_limit.cpp
@@ -1,4 +1,4 @@
-#include "decisions/rate_limit.h"
+#include "decisions/servers/rate_limit.h"
 
 #include <algorithm>
 #include <cmath>
--- a/decisions/rate_limit.h
+++ b/decisions/servers/rate_limit.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "decisions/announced_rate.h"
-#include "decisions/rate_window.h"
-#include "decisions/share.h"
+#include "decisions/servers/announced_rate.h"
+#include "decisions/servers/rate_window.h"
+#include "decisions/servers/share.h"
 
 #include <cstdint>
 
--- a/decisions/rate_window.cpp
+++ b/decisions/servers/rate_window.cpp
@@ -1,4 +1,4 @@
-#include "decisions/rate_window.h"
+#include "decisions/servers/rate_window.h"
 
 #include <algorithm>
 
--- a/decisions/replica_choice.cpp
+++ b/decisions/servers/replica_choice.cpp
@@ -1,4 +1,4 @@
-#include "decisions/replica_choice.h"
+#include "decisions/servers/replica_choice.h"
 
 #include <algorithm>
 #include <span>
--- a/decisions/server_health.cpp
+++ b/decisions/servers/server_health.cpp
@@ -1,4 +1,4 @@
-#include "decisions/server_health.h"
+#include "decisions/servers/server_health.h"
 
 #include <algorithm>
 #include <cmath>
--- a/decisions/server_limit.cpp
+++ b/decisions/servers/server_limit.cpp
@@ -1,4 +1,4 @@
-#include "decisions/server_limit.h"
+#include "decisions/servers/server_limit.h"
 
 #include <algorithm>
 
--- a/decisions/server_notice.cpp
+++ b/decisions/servers/server_notice.cpp
@@ -1,4 +1,4 @@
-#include "decisions/server_notice.h"
+#include "decisions/servers/server_notice.h"
 
 #include <algorithm>
 
--- a/decisions/server_notice.h
+++ b/decisions/servers/server_notice.h
@@ -3,7 +3,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/name_table.h"
-#include "decisions/announced_rate.h"
+#include "decisions/servers/announced_rate.h"
 
 #include <cstdint>
 #include <optional>
--- a/decisions/announcement.cpp
+++ b/decisions/state/announcement.cpp
@@ -1,4 +1,4 @@
-#include "decisions/announcement.h"
+#include "decisions/state/announcement.h"
 
 #include "core/address.h"
 
--- a/decisions/announcement.h
+++ b/decisions/state/announcement.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/failure.h"
-#include "decisions/records.h"
+#include "decisions/state/records.h"
 
 namespace hibiscusspool {
 
--- a/decisions/control_claims.cpp
+++ b/decisions/state/control_claims.cpp
@@ -1,6 +1,6 @@
-#include "decisions/control_state.h"
+#include "decisions/state/control_state.h"
 
-#include "decisions/change_evaluation.h"
+#include "decisions/state/change_evaluation.h"
 
 namespace hibiscusspool {
 
--- a/decisions/control_state.cpp
+++ b/decisions/state/control_state.cpp
@@ -1,7 +1,7 @@
-#include "decisions/control_state.h"
+#include "decisions/state/control_state.h"
 
-#include "decisions/change_evaluation.h"
-#include "decisions/team_policy.h"
+#include "decisions/routing/team_policy.h"
+#include "decisions/state/change_evaluation.h"
 
 #include <algorithm>
 
--- a/decisions/records.h
+++ b/decisions/state/records.h
@@ -3,7 +3,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/name_table.h"
-#include "decisions/configuration.h"
+#include "decisions/routing/configuration.h"
 
 #include <cstdint>
 #include <map>
--- a/drivers/announce_api.cpp
+++ b/drivers/announce_api.cpp
@@ -1,7 +1,7 @@
 #include "drivers/announce_api.h"
 
 #include "core/log_event.h"
-#include "decisions/announcement.h"
+#include "decisions/state/announcement.h"
 #include "drivers/error_response.h"
 #include "messages/operator_json.h"
 
--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -5,7 +5,7 @@
 #include "core/log_event.h"
 #include "core/sharded_map.h"
 #include "core/worker_number.h"
-#include "decisions/exchange_history.h"
+#include "decisions/servers/exchange_history.h"
 #include "drivers/rate_field.h"
 #include "drivers/retry_after.h"
 
--- a/drivers/connection_probe.h
+++ b/drivers/connection_probe.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "decisions/crash_suspects.h"
+#include "decisions/servers/crash_suspects.h"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/drivers/control_client.cpp
+++ b/drivers/control_client.cpp
@@ -1,7 +1,7 @@
 #include "drivers/control_client.h"
 
 #include "core/log_event.h"
-#include "decisions/control_host_list.h"
+#include "decisions/group/control_host_list.h"
 #include "drivers/grpc_settings.h"
 #include "drivers/host_address.h"
 #include "drivers/suspended_time.h"
--- a/drivers/control_client.h
+++ b/drivers/control_client.h
@@ -2,7 +2,7 @@
 
 #include "controllers/control_group.h"
 #include "core/failure.h"
-#include "decisions/refusal.h"
+#include "decisions/admission/refusal.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/drivers/control_service.h
+++ b/drivers/control_service.h
@@ -3,7 +3,7 @@
 #include "controllers/control_group.h"
 #include "controllers/watch_hub.h"
 #include "core/failure.h"
-#include "decisions/refusal.h"
+#include "decisions/admission/refusal.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/drivers/process_file.h
+++ b/drivers/process_file.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/failure.h"
-#include "decisions/process_phase.h"
+#include "decisions/group/process_phase.h"
 #include "drivers/synced_file.h"
 
 #include <filesystem>
--- a/drivers/raft_storage.h
+++ b/drivers/raft_storage.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/failure.h"
-#include "decisions/raft_node.h"
+#include "decisions/group/raft_node.h"
 #include "drivers/data_folder.h"
 
 #include <filesystem>
--- a/drivers/raft_transport.cpp
+++ b/drivers/raft_transport.cpp
@@ -1,7 +1,7 @@
 #include "drivers/raft_transport.h"
 
 #include "core/log_event.h"
-#include "decisions/raft_message_queue.h"
+#include "decisions/group/raft_message_queue.h"
 #include "drivers/grpc_settings.h"
 #include "drivers/host_address.h"
 #include "messages/raft_codec.h"
--- a/drivers/raft_transport.h
+++ b/drivers/raft_transport.h
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "core/sharded_map.h"
-#include "decisions/raft_types.h"
+#include "decisions/group/raft_types.h"
 
 #include <functional>
 #include <map>
--- a/drivers/rate_field.h
+++ b/drivers/rate_field.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/announced_rate.h"
+#include "decisions/servers/announced_rate.h"
 #include "filters/forwarded_message.h"
 
 #include <string_view>
--- a/drivers/refusal_store.h
+++ b/drivers/refusal_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/failure.h"
-#include "decisions/refusal.h"
+#include "decisions/admission/refusal.h"
 #include "drivers/synced_file.h"
 
 #include <filesystem>
--- a/drivers/watch_client.h
+++ b/drivers/watch_client.h
@@ -3,7 +3,7 @@
 #include "controllers/lease_controller.h"
 #include "controllers/watch_hub.h"
 #include "core/failure.h"
-#include "decisions/control_host_choice.h"
+#include "decisions/group/control_host_choice.h"
 
 #include <functional>
 #include <map>
--- a/filters/coverage.cpp
+++ b/filters/coverage.cpp
@@ -1,6 +1,6 @@
 #include "filters/coverage.h"
 
-#include "decisions/snapshot_choice.h"
+#include "decisions/routing/snapshot_choice.h"
 
 namespace hibiscusspool {
 
--- a/filters/deliver.cpp
+++ b/filters/deliver.cpp
@@ -1,6 +1,6 @@
 #include "filters/deliver.h"
 
-#include "decisions/top_records.h"
+#include "decisions/routing/top_records.h"
 #include "filters/coverage.h"
 
 namespace hibiscusspool {
--- a/filters/plan.h
+++ b/filters/plan.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/snapshot_choice.h"
+#include "decisions/routing/snapshot_choice.h"
 #include "filters/filter_chain.h"
 
 namespace hibiscusspool {
--- a/filters/route.h
+++ b/filters/route.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/route_table.h"
+#include "decisions/routing/route_table.h"
 #include "filters/filter_chain.h"
 
 namespace hibiscusspool {
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -2,7 +2,7 @@
 
 #include "core/background_task.h"
 #include "core/log_event.h"
-#include "decisions/snapshot_choice.h"
+#include "decisions/routing/snapshot_choice.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/filters/subquery.h
+++ b/filters/subquery.h
@@ -4,7 +4,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/name_table.h"
-#include "decisions/configuration.h"
+#include "decisions/routing/configuration.h"
 #include "filters/forwarded_message.h"
 
 #include <boost/asio/any_io_executor.hpp>
--- a/filters/subquery_result.cpp
+++ b/filters/subquery_result.cpp
@@ -2,7 +2,7 @@
 
 #include "filters/fingerprint.h"
 
-#include "decisions/top_records.h"
+#include "decisions/routing/top_records.h"
 
 namespace hibiscusspool {
 
--- a/main/entry_listeners.cpp
+++ b/main/entry_listeners.cpp
@@ -2,7 +2,7 @@
 
 #include "core/background_task.h"
 #include "core/log_event.h"
-#include "decisions/membership.h"
+#include "decisions/group/membership.h"
 #include "drivers/access_token.h"
 #include "drivers/caller_api.h"
 #include "drivers/metrics_page.h"
--- a/main/server_lease_manager.h
+++ b/main/server_lease_manager.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "controllers/announcement_controller.h"
-#include "decisions/change.h"
+#include "decisions/state/change.h"
 #include "drivers/announce_api.h"
 
 #include <boost/asio/awaitable.hpp>
--- a/messages/caller_json.h
+++ b/messages/caller_json.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/records.h"
+#include "decisions/state/records.h"
 #include "filters/request_context.h"
 
 #include <string>
--- a/messages/configuration_codec.h
+++ b/messages/configuration_codec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/failure.h"
-#include "decisions/configuration.h"
+#include "decisions/routing/configuration.h"
 #include "messages/control_codec.h"
 
 #include <control.pb.h>
--- a/messages/operator_json.cpp
+++ b/messages/operator_json.cpp
@@ -1,6 +1,6 @@
 #include "messages/operator_json.h"
 
-#include "decisions/announcement.h"
+#include "decisions/state/announcement.h"
 
 #include <limits>
 
--- a/messages/operator_json.h
+++ b/messages/operator_json.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "controllers/control_group.h"
-#include "decisions/change.h"
-#include "decisions/refusal.h"
+#include "decisions/admission/refusal.h"
+#include "decisions/state/change.h"
 #include "messages/json_reader.h"
 
 #include <string>
--- a/messages/refusal_codec.h
+++ b/messages/refusal_codec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/refusal.h"
+#include "decisions/admission/refusal.h"
 
 #include <control.pb.h>
 
--- a/tests/controllers/crash_fleet_test.cpp
+++ b/tests/controllers/crash_fleet_test.cpp
@@ -1,6 +1,6 @@
 #include "controllers/crash_controller.h"
 #include "controllers/fingerprint_controller.h"
-#include "decisions/control_state.h"
+#include "decisions/state/control_state.h"
 
 #include <algorithm>
 #include <random>
--- a/tests/decisions/window_budget_test.cpp
+++ b/tests/decisions/admission/window_budget_test.cpp
@@ -1,5 +1,5 @@
-#include "decisions/server_health.h"
-#include "decisions/window_budget.h"
+#include "decisions/admission/window_budget.h"
+#include "decisions/servers/server_health.h"
 
 #include <deque>
 #include <random>
--- a/tests/decisions/control_host_choice_test.cpp
+++ b/tests/decisions/group/control_host_choice_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/control_host_choice.h"
+#include "decisions/group/control_host_choice.h"
 
 #include "drivers/watch_client.h"
 
--- a/tests/decisions/control_host_list_test.cpp
+++ b/tests/decisions/group/control_host_list_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/control_host_list.h"
+#include "decisions/group/control_host_list.h"
 
 #include <string>
 
--- a/tests/decisions/log_bounds_test.cpp
+++ b/tests/decisions/group/log_bounds_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/log_bounds.h"
+#include "decisions/group/log_bounds.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/decisions/raft_member_plan_test.cpp
+++ b/tests/decisions/group/raft_member_plan_test.cpp
@@ -1,5 +1,5 @@
-#include "decisions/raft_member_plan.h"
-#include "decisions/raft_membership.h"
+#include "decisions/group/raft_member_plan.h"
+#include "decisions/group/raft_membership.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/decisions/raft_node_test.cpp
+++ b/tests/decisions/group/raft_node_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/decisions/simulated_group.h"
+#include "tests/decisions/group/simulated_group.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/tests/decisions/stall_detector_test.cpp
+++ b/tests/decisions/group/stall_detector_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/stall_detector.h"
+#include "decisions/group/stall_detector.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/decisions/configuration_test.cpp
+++ b/tests/decisions/routing/configuration_test.cpp
@@ -1,7 +1,7 @@
-#include "decisions/control_state.h"
-#include "decisions/route_policy.h"
-#include "decisions/route_table.h"
-#include "decisions/weighted_choice.h"
+#include "decisions/routing/route_policy.h"
+#include "decisions/routing/route_table.h"
+#include "decisions/routing/weighted_choice.h"
+#include "decisions/state/control_state.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/decisions/subquery_plan_test.cpp
+++ b/tests/decisions/routing/subquery_plan_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/subquery_plan.h"
+#include "decisions/routing/subquery_plan.h"
 
 #include <map>
 #include <random>
--- a/tests/decisions/top_records_test.cpp
+++ b/tests/decisions/routing/top_records_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/top_records.h"
+#include "decisions/routing/top_records.h"
 
 #include <algorithm>
 #include <random>
--- a/tests/decisions/announced_rate_test.cpp
+++ b/tests/decisions/servers/announced_rate_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/announced_rate.h"
+#include "decisions/servers/announced_rate.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/decisions/choices_test.cpp
+++ b/tests/decisions/servers/choices_test.cpp
@@ -1,6 +1,6 @@
-#include "decisions/replica_choice.h"
-#include "decisions/server_limit.h"
-#include "decisions/snapshot_choice.h"
+#include "decisions/routing/snapshot_choice.h"
+#include "decisions/servers/replica_choice.h"
+#include "decisions/servers/server_limit.h"
 
 #include <map>
 
--- a/tests/decisions/exchange_history_test.cpp
+++ b/tests/decisions/servers/exchange_history_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/exchange_history.h"
+#include "decisions/servers/exchange_history.h"
 
 #include <string>
 
--- a/tests/decisions/share_test.cpp
+++ b/tests/decisions/servers/share_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/share.h"
+#include "decisions/servers/share.h"
 
 #include <random>
 #include <set>
--- a/tests/decisions/control_state_test.cpp
+++ b/tests/decisions/state/control_state_test.cpp
@@ -1,4 +1,4 @@
-#include "decisions/control_state.h"
+#include "decisions/state/control_state.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/decisions/records_test.cpp
+++ b/tests/decisions/state/records_test.cpp
@@ -1,8 +1,8 @@
-#include "decisions/announcement.h"
-#include "decisions/burn.h"
-#include "decisions/membership.h"
-#include "decisions/refusal.h"
-#include "decisions/team_policy.h"
+#include "decisions/admission/burn.h"
+#include "decisions/admission/refusal.h"
+#include "decisions/group/membership.h"
+#include "decisions/routing/team_policy.h"
+#include "decisions/state/announcement.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/drivers/stored_group.h
+++ b/tests/drivers/stored_group.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/raft_node.h"
+#include "decisions/group/raft_node.h"
 #include "drivers/raft_storage.h"
 #include "tests/drivers/crash_disk.h"
 
--- a/tests/fuzz/fuzz_input.cpp
+++ b/tests/fuzz/fuzz_input.cpp
@@ -1,7 +1,7 @@
 #include "tests/fuzz/fuzz_input.h"
 
-#include "decisions/announcement.h"
-#include "decisions/control_state.h"
+#include "decisions/state/announcement.h"
+#include "decisions/state/control_state.h"
 #include "drivers/synced_file.h"
 #include "messages/control_codec.h"
 #include "messages/operator_json.h"
--- a/tools/recover.cpp
+++ b/tools/recover.cpp
@@ -1,7 +1,7 @@
 #include "tools/recover.h"
 
 #include "core/random_id.h"
-#include "decisions/raft_recovery.h"
+#include "decisions/group/raft_recovery.h"
 #include "drivers/raft_storage.h"
 #include "settings/settings.h"
 
