Read teams of callers, their keys and quotas from the configuration

Configurations may hold teams that are recognized by API keys. The records, their encodings and the check that no two teams share a key come first, so that authentication and quotas can be built on them side by side. A configuration without teams is served as before.

--- a/decisions/routing/configuration.cpp
+++ b/decisions/routing/configuration.cpp
@@ -2,6 +2,7 @@
 
 #include "decisions/routing/route_policy.h"
 
+#include <map>
 #include <set>
 
 namespace hibiscusspool {
@@ -65,6 +66,24 @@
   return boost::outcome_v2::success();
 }
 
+/** Checks that each key identifies one team. */
+result<void, configuration_error>
+CheckKeys(const std::vector<caller_team_record>& aTeams)
+{
+  std::map<std::string, team_id> holders;
+  for (const caller_team_record& team : aTeams) {
+    for (const std::string& key : team.mKeys) {
+      auto [holder, isNew] = holders.emplace(key, team.mTeam);
+      if (!isNew && holder->second != team.mTeam) {
+        return Fail(configuration_error::SharedKey,
+                    "Teams \"" + holder->second.mValue + "\" and \"" +
+                      team.mTeam.mValue + "\" share a key.");
+      }
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
 }
 
 result<void, configuration_error>
@@ -87,7 +106,7 @@
                     "\" and path prefix \"" + route.mPathPrefix + "\".");
     }
   }
-  return boost::outcome_v2::success();
+  return CheckKeys(aConfiguration.mCallerTeams);
 }
 
 }
--- a/decisions/routing/configuration.h
+++ b/decisions/routing/configuration.h
@@ -6,6 +6,7 @@
 #include "core/name_table.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,8 @@
   std::uint32_t mTopRecords = 0;
   /** Fraction of the shards that a response must cover, 0 to 1. */
   double mMinimumCoverage = 1;
+  /** Requests need no key, even where the configuration has caller teams. */
+  bool mIsPublic = false;
 
   bool operator==(const route_record&) const = default;
 };
@@ -81,6 +84,21 @@
   bool operator==(const service_profile&) const = default;
 };
 
+/** A team of callers, which is recognized by its API keys. */
+struct caller_team_record
+{
+  team_id mTeam;
+  std::vector<std::string> mKeys;
+  /** Replaces the priority of the route, if set. */
+  std::optional<std::uint32_t> mPriority;
+  /** Requests per second on all hosts together; 0 without a limit. */
+  double mRatePerSecond = 0;
+  /** Requests beyond the rate that may come at once. */
+  double mBurst = 0;
+
+  bool operator==(const caller_team_record&) const = default;
+};
+
 /** Limits on callers' requests and connections. */
 struct caller_limits
 {
@@ -100,6 +118,8 @@
   std::vector<route_record> mRoutes;
   std::vector<service_profile> mServices;
   caller_limits mLimits;
+  /** Requests need a key of one of these, unless there are none. */
+  std::vector<caller_team_record> mCallerTeams;
   /** The text that the operator sent; empty on daemons. */
   std::string mDocument;
 
@@ -115,10 +135,11 @@
   BadPrefix,
   NoTarget,
   BadPolicy,
+  SharedKey,
 };
 
 template<>
-inline constexpr name_table<configuration_error, 7> kNames<configuration_error>{
+inline constexpr name_table<configuration_error, 8> kNames<configuration_error>{
   {
     { configuration_error::UnknownService, "unknown_service" },
     { configuration_error::DuplicateRoute, "duplicate_route" },
@@ -127,10 +148,12 @@
     { configuration_error::BadPrefix, "bad_prefix" },
     { configuration_error::NoTarget, "no_target" },
     { configuration_error::BadPolicy, "bad_policy" },
+    { configuration_error::SharedKey, "shared_key" },
   }
 };
 
-/** Validates a configuration; the detail names the invalid route. */
+/** Validates a configuration; the detail names the invalid route or team, and
+ * never a key. */
 result<void, configuration_error>
 CheckConfiguration(const configuration_record& aConfiguration);
 
--- a/decisions/routing/route_table.cpp
+++ b/decisions/routing/route_table.cpp
@@ -14,6 +14,12 @@
   route_table table;
   table.mNumber = aConfiguration.mNumber;
   table.mLimits = aConfiguration.mLimits;
+  table.mCallerTeams = aConfiguration.mCallerTeams;
+  for (std::size_t team = 0; team < table.mCallerTeams.size(); ++team) {
+    for (const std::string& key : table.mCallerTeams[team].mKeys) {
+      table.mByKey.emplace(key, team);
+    }
+  }
   for (const route_record& route : aConfiguration.mRoutes) {
     auto policy = PolicyOf(route);
     if (!policy) {
@@ -52,4 +58,11 @@
   return nullptr;
 }
 
+const caller_team_record*
+route_table::FindCallerTeam(std::string_view aKey) const
+{
+  auto found = mByKey.find(aKey);
+  return found == mByKey.end() ? nullptr : &mCallerTeams[found->second];
+}
+
 }
--- a/decisions/routing/route_table.h
+++ b/decisions/routing/route_table.h
@@ -23,6 +23,9 @@
   std::vector<resolved_route> mRoutes;
   /** Indices into `mRoutes` by virtual host, with the longest prefix first. */
   std::map<std::string, std::vector<std::size_t>, std::less<>> mByVirtualHost;
+  std::vector<caller_team_record> mCallerTeams;
+  /** Indices into `mCallerTeams` by key. */
+  std::map<std::string, std::size_t, std::less<>> mByKey;
 
 public:
   /** Omits routes whose policy is invalid and reports them in `aInvalid`. */
@@ -32,6 +35,15 @@
   /** The route of a request, or null; the host may include a port. */
   [[nodiscard]] const resolved_route* Find(std::string_view aVirtualHost,
                                            std::string_view aPath) const;
+  /** True if requests need a key, unless their route is public. */
+  [[nodiscard]] bool HasCallerTeams() const { return !mCallerTeams.empty(); }
+  /** The team that holds a key, or null. */
+  [[nodiscard]] const caller_team_record* FindCallerTeam(
+    std::string_view aKey) const;
+  [[nodiscard]] const std::vector<caller_team_record>& CallerTeams() const
+  {
+    return mCallerTeams;
+  }
   [[nodiscard]] configuration_number Number() const { return mNumber; }
   [[nodiscard]] const caller_limits& Limits() const { return mLimits; }
 };
--- a/messages/configuration_codec.cpp
+++ b/messages/configuration_codec.cpp
@@ -37,6 +37,7 @@
   }
   aOut.set_top_records(aRoute.mTopRecords);
   aOut.set_minimum_coverage(aRoute.mMinimumCoverage);
+  aOut.set_is_public(aRoute.mIsPublic);
 }
 
 result<route_record, codec_error>
@@ -65,9 +66,38 @@
   }
   route.mTopRecords = aIn.top_records();
   route.mMinimumCoverage = aIn.minimum_coverage();
+  route.mIsPublic = aIn.is_public();
   return route;
 }
 
+void
+WriteCallerTeam(const caller_team_record& aTeam, wire::CallerTeamRecord& aOut)
+{
+  aOut.set_team(aTeam.mTeam.mValue);
+  for (const std::string& key : aTeam.mKeys) {
+    aOut.add_keys(key);
+  }
+  if (aTeam.mPriority) {
+    aOut.set_priority(*aTeam.mPriority);
+  }
+  aOut.set_rate_per_second(aTeam.mRatePerSecond);
+  aOut.set_burst(aTeam.mBurst);
+}
+
+caller_team_record
+ReadCallerTeam(const wire::CallerTeamRecord& aIn)
+{
+  caller_team_record team;
+  team.mTeam.mValue = aIn.team();
+  team.mKeys.assign(aIn.keys().begin(), aIn.keys().end());
+  if (aIn.has_priority()) {
+    team.mPriority = aIn.priority();
+  }
+  team.mRatePerSecond = aIn.rate_per_second();
+  team.mBurst = aIn.burst();
+  return team;
+}
+
 }
 
 void
@@ -92,6 +122,9 @@
   limits.set_header_timeout_ms(
     MillisecondCount(aRecord.mLimits.mHeaderTimeout));
   limits.set_idle_timeout_ms(MillisecondCount(aRecord.mLimits.mIdleTimeout));
+  for (const caller_team_record& team : aRecord.mCallerTeams) {
+    WriteCallerTeam(team, *aOut.add_caller_teams());
+  }
   aOut.set_document(aRecord.mDocument);
 }
 
@@ -118,6 +151,9 @@
                      aIn.limits().body_bytes(),
                      Milliseconds(aIn.limits().header_timeout_ms()),
                      Milliseconds(aIn.limits().idle_timeout_ms()) };
+  for (const wire::CallerTeamRecord& team : aIn.caller_teams()) {
+    record.mCallerTeams.push_back(ReadCallerTeam(team));
+  }
   record.mDocument = aIn.document();
   return record;
 }
--- a/messages/json_reader.cpp
+++ b/messages/json_reader.cpp
@@ -134,6 +134,20 @@
   return number;
 }
 
+bool
+json_reader::Flag(const std::string& aKey)
+{
+  const boost::json::value* value = Find(aKey, false);
+  if (value == nullptr) {
+    return false;
+  }
+  if (!value->is_bool()) {
+    FailAt(json_error::WrongType, aKey, "must be true or false");
+    return false;
+  }
+  return value->get_bool();
+}
+
 std::vector<std::string>
 json_reader::Strings(const std::string& aKey)
 {
--- a/messages/json_reader.h
+++ b/messages/json_reader.h
@@ -87,6 +87,8 @@
   std::vector<std::uint64_t> Numbers(const std::string& aKey);
   /** A number from 0 to a maximum, with or without a fraction. */
   double Decimal(const std::string& aKey, double aMax);
+  /** A boolean; false if the key is absent. */
+  bool Flag(const std::string& aKey);
   std::vector<std::string> Strings(const std::string& aKey);
   /** Runs `aRead` on each object of a list and keeps the first failure. */
   void ForEachObject(const std::string& aKey,
--- a/tests/decisions/routing/configuration_test.cpp
+++ b/tests/decisions/routing/configuration_test.cpp
@@ -71,6 +71,18 @@
   unknownShard.mRoutes[0].mShards = { service_id{ "a" }, service_id{ "z" } };
   CHECK(ErrorOf(unknownShard) == configuration_error::UnknownService);
 
+  configuration_record sharedKey = valid;
+  caller_team_record holder;
+  holder.mTeam.mValue = "t1";
+  holder.mKeys = { "k1", "k2" };
+  caller_team_record other;
+  other.mTeam.mValue = "t2";
+  other.mKeys = { "k2" };
+  sharedKey.mCallerTeams = { holder, other };
+  CHECK(ErrorOf(sharedKey) == configuration_error::SharedKey);
+  CHECK(CheckConfiguration(sharedKey).error().mDetail.find("k2") ==
+        std::string::npos);
+
   configuration_record duplicate = valid;
   duplicate.mRoutes.push_back(Route("r2", "shop.example", "/x/"));
   CHECK(ErrorOf(duplicate) == configuration_error::DuplicateRoute);
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -1,3 +1,4 @@
+#include "messages/configuration_codec.h"
 #include "platform/configuration_json.h"
 #include "platform/heartbeat.h"
 #include "platform/server_protocol.h"
@@ -71,6 +72,34 @@
   }
 }
 
+TEST(platform_decoding, ReadsTeamsOfCallersAndPublicRoutes)
+{
+  std::string document = kDocument;
+  document.insert(document.find("\"kind\""), "\"public\":true,");
+  document.insert(document.find("\"limits\""),
+                  R"("tenants":[{"name":"t1","api_keys":["k1","k2"],)"
+                  R"("rate_per_s":2.5,"burst":4,"priority":0},)"
+                  R"({"name":"t2","api_keys":[]}],)");
+  auto decoded = platform::DecodeConfiguration(document);
+  CHECK(decoded.has_value());
+  const configuration_record& record = decoded.value();
+  CHECK(record.mRoutes[0].mIsPublic);
+  CHECK(!record.mRoutes[1].mIsPublic);
+  LONGS_EQUAL(2, record.mCallerTeams.size());
+  const caller_team_record& team = record.mCallerTeams[0];
+  LONGS_EQUAL(2, team.mKeys.size());
+  DOUBLES_EQUAL(2.5, team.mRatePerSecond, 1e-9);
+  DOUBLES_EQUAL(4, team.mBurst, 1e-9);
+  CHECK(team.mPriority && *team.mPriority == 0);
+  CHECK(!record.mCallerTeams[1].mPriority);
+
+  wire::ConfigurationRecord encoded;
+  WriteConfiguration(record, encoded);
+  auto read = ReadConfiguration(encoded);
+  CHECK(read.has_value());
+  CHECK(read.value() == record);
+}
+
 TEST(platform_decoding, UnknownRouteKindIsNonIdempotent)
 {
   std::string document = kDocument;
