Authenticate callers by API key and revoke keys strictly

Where a configuration holds caller teams, any client could send requests, and its Authorization and X-Tenant fields reached the servers.

The filter authenticate runs after route: it finds the team of the bearer key in the route table that serves the request, puts the team's name into the forwarded fields in place of the key and of what the client sent, and lets the team's priority take precedence. Unknown and missing keys are refused with 401, or with 503 where the host can't confirm that its configuration is the latest. The fingerprint of a request depends on the team, not on the key, also on the host that performs a subquery.

With strict_revoke, a host whose confirmed state is older than 0.6 of revoke_ms uses no key. The rule is asked in the filter and before each send; a subquery is sent only under the configuration that held its key. Attempts are encoded before this check, so that only the write follows it. Names of teams that a header field can't carry unchanged make a configuration invalid.

--- a/controllers/lease_controller.h
+++ b/controllers/lease_controller.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <functional>
+#include <optional>
 
 namespace hibiscusspool {
 
@@ -63,6 +64,12 @@
                                                     confirmed);
   }
 
+  /** The same; absent if no mark was confirmed yet. */
+  [[nodiscard]] std::optional<milliseconds> ConfirmedAge(steady_time aNow) const
+  {
+    return mConfirmedAt.load() == 0 ? std::nullopt : std::optional(Age(aNow));
+  }
+
   [[nodiscard]] milliseconds LeaseDuration() const { return mLeaseDuration; }
 };
 
--- a/controllers/team_stats_controller.cpp
+++ b/controllers/team_stats_controller.cpp
@@ -21,6 +21,7 @@
     case refusal_reason::MissingKey:
     case refusal_reason::KeyReused:
     case refusal_reason::Quarantined:
+    case refusal_reason::UnknownKey:
       return true;
     default:
       return false;
--- a/decisions/routing/configuration.cpp
+++ b/decisions/routing/configuration.cpp
@@ -2,6 +2,7 @@
 
 #include "decisions/routing/route_policy.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -66,6 +67,34 @@
   return boost::outcome_v2::success();
 }
 
+/** True for a name that a header field can carry unchanged. */
+bool
+IsFieldValue(const std::string& aName)
+{
+  auto isControl = [](char aByte) {
+    constexpr unsigned char kFirstPrintable = 0x20;
+    constexpr unsigned char kDelete = 0x7f;
+    auto byte = static_cast<unsigned char>(aByte);
+    return byte < kFirstPrintable || byte == kDelete;
+  };
+  return !aName.empty() && aName.front() != ' ' && aName.back() != ' ' &&
+         std::none_of(aName.begin(), aName.end(), isControl);
+}
+
+/** Checks that servers can be told the names of all teams of callers. */
+result<void, configuration_error>
+CheckTeamNames(const std::vector<caller_team_record>& aTeams)
+{
+  for (const caller_team_record& team : aTeams) {
+    if (!IsFieldValue(team.mTeam.mValue)) {
+      return Fail(configuration_error::BadTeamName,
+                  "The name of a team must not be empty, begin or end with a "
+                  "space, or have control characters.");
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
 /** Checks that each key identifies one team. */
 result<void, configuration_error>
 CheckKeys(const std::vector<caller_team_record>& aTeams)
@@ -106,6 +135,10 @@
                     "\" and path prefix \"" + route.mPathPrefix + "\".");
     }
   }
+  auto named = CheckTeamNames(aConfiguration.mCallerTeams);
+  if (!named) {
+    return named.error();
+  }
   return CheckKeys(aConfiguration.mCallerTeams);
 }
 
--- a/decisions/routing/configuration.h
+++ b/decisions/routing/configuration.h
@@ -136,10 +136,11 @@
   NoTarget,
   BadPolicy,
   SharedKey,
+  BadTeamName,
 };
 
 template<>
-inline constexpr name_table<configuration_error, 8> kNames<configuration_error>{
+inline constexpr name_table<configuration_error, 9> kNames<configuration_error>{
   {
     { configuration_error::UnknownService, "unknown_service" },
     { configuration_error::DuplicateRoute, "duplicate_route" },
@@ -149,6 +150,7 @@
     { configuration_error::NoTarget, "no_target" },
     { configuration_error::BadPolicy, "bad_policy" },
     { configuration_error::SharedKey, "shared_key" },
+    { configuration_error::BadTeamName, "bad_team_name" },
   }
 };
 
--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -331,7 +331,10 @@
   {
     attempt_result outcome;
     const backend_protocol& protocol = ProtocolOf(mConfig, aRequest);
-    // The process may have been paused since the attempt was permitted.
+    backend_request request =
+      MakeRequest(protocol, aRequest, std::chrono::steady_clock::now());
+    // The process may have been paused since the attempt was permitted. Nothing
+    // is left to do between this check and the write.
     steady_time now = std::chrono::steady_clock::now();
     if (now >= aRequest.mDeadline || !mHooks.mMaySend(aRequest, now)) {
       outcome.mStatus = attempt_status::Withdrawn;
@@ -340,7 +343,6 @@
     }
     std::string_view id = protocol.mRequestId(aRequest);
     aConnection->mHistory.OnRequest(id, aRequest.mDeadline, now);
-    backend_request request = MakeRequest(protocol, aRequest, now);
     auto [writeError, written] =
       co_await http::async_write(aConnection->mSocket, request, kNoThrow);
     if (writeError) {
--- a/drivers/caller_api.cpp
+++ b/drivers/caller_api.cpp
@@ -215,6 +215,8 @@
     case refusal_reason::HeaderTooLarge:
     case refusal_reason::SlowSender:
       return 400;
+    case refusal_reason::UnknownKey:
+      return 401;
     case refusal_reason::UnknownTeam:
       return 404;
     case refusal_reason::KeyReused:
--- a/drivers/metrics_page.cpp
+++ b/drivers/metrics_page.cpp
@@ -85,6 +85,23 @@
   aPage << latencies.str();
 }
 
+void
+AddKeyRefusals(std::ostringstream& aPage, const key_refusal_counts& aCounts)
+{
+  WriteMetricHeader(aPage,
+                    metric_type::Counter,
+                    "key_refusals_total",
+                    "Checks of API keys that kept a request from a server.");
+  auto add = [&](std::string_view aCause, std::uint64_t aCount) {
+    aPage << "hibiscusspool_key_refusals_total{cause=\"" << aCause << "\"} "
+          << aCount << '\n';
+  };
+  add("unknown", aCounts.mUnknown);
+  add("unconfirmed", aCounts.mUnconfirmed);
+  add("stale", aCounts.mStale);
+  add("removed", aCounts.mRemoved);
+}
+
 void
 AddBackends(std::ostringstream& aPage,
             const std::vector<backend_status>& aBackends)
@@ -163,6 +180,7 @@
               "Refusals of this run.",
               aSource.mRefusalCount);
   WriteTaskFailures(page, aSource.mTaskFailures);
+  AddKeyRefusals(page, aSource.mKeyRefusals);
   WriteMetricHeader(
     page, metric_type::Counter, "answers_total", "Answered requests.");
   AddTeams(page, aSource.mTeamStats);
--- a/filters/account.cpp
+++ b/filters/account.cpp
@@ -31,6 +31,9 @@
     .Add("hedges", aRequest.mHedges)
     .Add("retries", aRequest.mRetries)
     .Add("ran", NameOf(aRequest.mRan));
+  if (!aRequest.mCallerTeam.IsEmpty()) {
+    line.Add("caller_team", aRequest.mCallerTeam.mValue);
+  }
   for (const missing_service& missing : aRequest.mMissing) {
     line.Add("missing",
              missing.mService.mValue + ":" +
--- a/filters/fingerprint.cpp
+++ b/filters/fingerprint.cpp
@@ -28,4 +28,10 @@
   return FingerprintOf(aBody, XXH3_64bits(head.data(), head.size()));
 }
 
+fingerprint_id
+FingerprintOf(const fingerprint_id& aRequest, const team_id& aTeam)
+{
+  return FingerprintOf(aRequest.mValue + '\n' + aTeam.mValue, 0);
+}
+
 }
--- a/filters/fingerprint.h
+++ b/filters/fingerprint.h
@@ -17,4 +17,9 @@
 fingerprint_id
 FingerprintOf(const forwarded_request& aRequest, const std::string& aBody);
 
+/** The fingerprint of a request as one of a caller's team, whichever of its
+ * keys the caller presents. */
+fingerprint_id
+FingerprintOf(const fingerprint_id& aRequest, const team_id& aTeam);
+
 }
--- a/filters/request_context.h
+++ b/filters/request_context.h
@@ -55,15 +55,18 @@
   Paused,
   /** No server has room in time within the rate that it announced. */
   RateLimited,
+  /** The caller's key may not be used any more. */
+  KeyUnusable,
 };
 
 template<>
-inline constexpr name_table<missing_reason, 5> kNames<missing_reason>{ {
+inline constexpr name_table<missing_reason, 6> kNames<missing_reason>{ {
   { missing_reason::NoServer, "no_server" },
   { missing_reason::NoResponseInTime, "no_answer_in_time" },
   { missing_reason::Failed, "failed" },
   { missing_reason::Paused, "paused" },
   { missing_reason::RateLimited, "rate_limited" },
+  { missing_reason::KeyUnusable, "key_unusable" },
 } };
 
 struct service_response
@@ -78,6 +81,9 @@
   missing_reason mReason = missing_reason::NoServer;
 };
 
+/** Whether a request may be sent to a server at this time. */
+using send_check = std::function<bool(steady_time)>;
+
 /** An error that the API handler found in a request before the chain. */
 struct request_error
 {
@@ -107,6 +113,9 @@
   /** The virtual host and the path for routing. */
   std::string mAuthority;
   std::string mPath;
+  /** The API key that the caller presented; empty if none. Must not appear in
+   * logs, refusals or forwarded fields. */
+  std::string mCallerKey;
 
   team_policy mPolicy;
   bool mHasPolicy = false;
@@ -129,6 +138,12 @@
   /** Maximum number of servers per service that may get the request. */
   std::uint32_t mMaxAttempts = UINT32_MAX;
   std::uint32_t mPriority = 0;
+  /** The route needs no key. */
+  bool mIsPublic = false;
+  /** The team that holds the caller's key; empty if none is known. */
+  team_id mCallerTeam;
+  /** Asked before each send; null if nothing but the host's state matters. */
+  std::shared_ptr<const send_check> mMaySend;
   /** From this time a partial response is preferred to a later, fuller one. */
   steady_time mSoftDeadline = steady_time::max();
   /** The same for a fan-out that is divided among entry hosts, which leaves
--- a/filters/route.cpp
+++ b/filters/route.cpp
@@ -40,6 +40,7 @@
   aRequest.mTopRecords = route.mTopRecords;
   aRequest.mMaxAttempts = std::max(1U, route.mMaxAttempts);
   aRequest.mPriority = route.mPriority;
+  aRequest.mIsPublic = route.mIsPublic;
   if (aRequest.mIsMerged) {
     aRequest.mServices = route.mShards;
   } else {
--- a/filters/scatter.h
+++ b/filters/scatter.h
@@ -26,6 +26,8 @@
   std::shared_ptr<const forwarded_request> mForwarded;
   /** The response is one part of a merged response. */
   bool mIsPart = false;
+  /** Asked just before the attempt is sent; null if it always may be. */
+  std::shared_ptr<const send_check> mMaySend{};
 };
 
 struct attempt_result
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -59,6 +59,12 @@
   return choice;
 }
 
+bool
+scatter_operation::MaySend(steady_time aNow) const
+{
+  return mMaySend == nullptr || (*mMaySend)(aNow);
+}
+
 void
 scatter_operation::StartAttempt(service_progress& aService,
                                 attempt_reason aReason,
@@ -69,6 +75,13 @@
     GiveUp(aService, missing_reason::NoServer);
     return;
   }
+  if (!MaySend(aNow)) {
+    // A hedge that is not sent leaves the attempt before it under way.
+    if (aReason != attempt_reason::Hedge) {
+      GiveUp(aService, missing_reason::KeyUnusable);
+    }
+    return;
+  }
   auto permit = mBackends.Choose(MakeChoiceRequest(aService, aReason), aNow);
   if (!permit) {
     if (aReason != attempt_reason::Hedge) {
@@ -233,6 +246,7 @@
   serverRequest.mBody = mBody;
   serverRequest.mForwarded = mForwarded;
   serverRequest.mIsPart = mIsMerged;
+  serverRequest.mMaySend = mMaySend;
   asio::co_spawn(mExecutor,
                  RunAttempt(shared_from_this(),
                             IndexOf(aService.mService),
--- a/filters/scatter_operation.cpp
+++ b/filters/scatter_operation.cpp
@@ -41,6 +41,7 @@
   , mDividedSoftDeadline(
       std::max(aRequest.mSoftDeadline, aRequest.mDividedSoftDeadline))
   , mForwarded(aRequest.mForwarded)
+  , mMaySend(aRequest.mMaySend)
   , mCaller(aRequest.mCaller)
   , mConfiguration(aRequest.mConfiguration)
   , mTopRecords(aRequest.mTopRecords)
--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -106,6 +106,7 @@
   /** Soft deadline of a fan-out that is divided. */
   steady_time mDividedSoftDeadline;
   std::shared_ptr<const forwarded_request> mForwarded;
+  std::shared_ptr<const send_check> mMaySend;
   std::shared_ptr<caller_status> mCaller;
   configuration_number mConfiguration;
   std::size_t mTopRecords;
@@ -180,6 +181,8 @@
   void Replan(request_context& aRequest);
   void StartDueAttempts(steady_time aNow);
   void Hedge(service_progress& aService, steady_time aNow);
+  /** False once the caller's key may not be used any more. */
+  [[nodiscard]] bool MaySend(steady_time aNow) const;
   /** True if the request may be sent to one more server of the service. */
   [[nodiscard]] bool MayTryAnotherServer(
     const service_progress& aService) const;
--- a/filters/scatter_subqueries.cpp
+++ b/filters/scatter_subqueries.cpp
@@ -50,7 +50,7 @@
 {
   bool mayDivide = mHooks.mSubqueries.mPlan && mIsMerged &&
                    mKind == request_kind::Forward && !mOnProgress &&
-                   mHooks.mIsLeaseValid(aNow);
+                   mHooks.mIsLeaseValid(aNow) && MaySend(aNow);
   if (!mayDivide) {
     return;
   }
--- a/main/entry_hooks.cpp
+++ b/main/entry_hooks.cpp
@@ -40,6 +40,30 @@
                      std::string(aKind) + std::to_string(mNextId++) };
 }
 
+caller_key_hooks
+entry_role::CallerKeyHooks() const
+{
+  caller_key_hooks hooks;
+  hooks.mConfirmedAge = [this](steady_time aNow) {
+    return mLease.ConfirmedAge(aNow);
+  };
+  hooks.mRoutes = [this] { return mCatalog.Routes(); };
+  return hooks;
+}
+
+authenticate_hooks
+entry_role::AuthenticateHooks()
+{
+  authenticate_hooks hooks;
+  hooks.mNow = SteadyNow;
+  hooks.mRoutes = [this] { return mCatalog.Routes(); };
+  hooks.mAreRoutesConfirmed = [this](steady_time aNow) {
+    return mLease.IsValid(aNow);
+  };
+  hooks.mFields = mCallerFields;
+  return hooks;
+}
+
 scatter_hooks
 entry_role::ForwardHooks()
 {
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -12,6 +12,7 @@
 #include "filters/plan.h"
 #include "filters/route.h"
 #include "main/role_support.h"
+#include "platform/caller_fields.h"
 #include "platform/server_protocol.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -82,6 +83,13 @@
   return config;
 }
 
+key_limits
+ToKeyLimits(const settings& aSettings)
+{
+  return { aSettings.mEntryRevokesStrictly,
+           milliseconds(aSettings.mEntryRevocationMs) };
+}
+
 }
 
 entry_role::entry_role(asio::io_context& aContext,
@@ -113,6 +121,8 @@
              { [this](const std::vector<entry_host_record>& aHosts) {
                mSubqueries.SetHosts(aHosts);
              } })
+  , mCallerKeys(ToKeyLimits(mSettings), CallerKeyHooks())
+  , mCallerFields(platform::MakeCallerFields())
   , mAdmission(static_cast<std::uint32_t>(mSettings.mEntryHostLimit))
   , mPartTimes(static_cast<double>(mSettings.mEntryHedgePercentile) * kPercent)
   , mBudgets(static_cast<double>(mSettings.mEntryHedgeBudgetPercent) * kPercent,
@@ -174,7 +184,9 @@
   hooks.mMaySend = [this](const server_request& aRequest, steady_time aNow) {
     bool isConfirmed =
       aRequest.mForwarded != nullptr ? MayForward(aNow) : mLease.IsValid(aNow);
-    return isConfirmed &&
+    bool isKeyUsable =
+      aRequest.mMaySend == nullptr || (*aRequest.mMaySend)(aNow);
+    return isConfirmed && isKeyUsable &&
            mBackends.ConfirmSend(aRequest.mPermit, mLease.IsValid(aNow), aNow);
   };
   hooks.mBorrowConnection = [this](const server_id& aServer) {
@@ -233,6 +245,7 @@
   auto mayForward = [this](steady_time aNow) { return MayForward(aNow); };
   filter_chain chain{
     MakeRoute(std::move(routes)),
+    MakeAuthenticate(mCallerKeys, AuthenticateHooks()),
     MakeConfirm({ SteadyNow, mayForward }),
     MakeAdmit(
       mAdmission,
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -3,6 +3,7 @@
 #include "controllers/admission_controller.h"
 #include "controllers/backend_controller.h"
 #include "controllers/budget_controller.h"
+#include "controllers/caller_key_controller.h"
 #include "controllers/catalog_controller.h"
 #include "controllers/crash_controller.h"
 #include "controllers/fingerprint_controller.h"
@@ -19,6 +20,7 @@
 #include "drivers/subquery_service.h"
 #include "drivers/watch_client.h"
 #include "drivers/worker_pool.h"
+#include "filters/authenticate.h"
 #include "filters/claim.h"
 #include "filters/quarantine.h"
 #include "main/condition_waiter.h"
@@ -59,6 +61,9 @@
   subquery_controller mSubqueries;
   subquery_client mSubqueryClient = subquery_client::Create();
   catalog_controller mCatalog;
+  caller_key_controller mCallerKeys;
+  /** How servers learn the team of a request's caller. */
+  caller_field_hooks mCallerFields;
   admission_controller mAdmission;
   part_time_controller mPartTimes;
   budget_controller mBudgets;
@@ -117,12 +122,17 @@
   void SetUpWatch();
   void StartPeriodicTasks();
 
+  [[nodiscard]] caller_key_hooks CallerKeyHooks() const;
+  [[nodiscard]] authenticate_hooks AuthenticateHooks();
   [[nodiscard]] claim_hooks ClaimHooks();
   [[nodiscard]] quarantine_hooks QuarantineHooks();
   [[nodiscard]] quarantine_hooks ForwardQuarantineHooks();
   [[nodiscard]] scatter_hooks ScatterHooks();
   [[nodiscard]] scatter_hooks ForwardHooks();
   [[nodiscard]] subquery_hooks SubqueryHooks();
+  /** Why a subquery may not be sent for its team; empty if it may be. */
+  std::string_view KeyRefusal(const subquery& aSubquery,
+                              const route_table& aRoutes);
   /** Starts a subquery of another host; returns a function that cancels it. */
   std::function<void()> StartSubquery(subquery aSubquery,
                                       subquery_callback aCallback);
--- a/main/entry_subqueries.cpp
+++ b/main/entry_subqueries.cpp
@@ -123,6 +123,25 @@
   return boost::outcome_v2::success();
 }
 
+std::string_view
+entry_role::KeyRefusal(const subquery& aSubquery, const route_table& aRoutes)
+{
+  bool hasTeam = aRoutes.HasCallerTeams() &&
+                 !mCallerFields.mTeamOf(*aSubquery.mForwarded).empty();
+  if (!hasTeam) {
+    return {};
+  }
+  switch (mCallerKeys.JudgeSubquery(aSubquery.mConfiguration, SteadyNow())) {
+    case key_verdict::Usable:
+      return {};
+    case key_verdict::Stale:
+      return "key_stale";
+    case key_verdict::Removed:
+      return "key_removed";
+  }
+  return {};
+}
+
 std::function<void()>
 entry_role::StartSubquery(subquery aSubquery, subquery_callback aCallback)
 {
@@ -134,6 +153,10 @@
     Refuse(aSubquery, isBehind ? "behind" : "busy", aCallback);
     return [] {};
   }
+  if (auto reason = KeyRefusal(aSubquery, *routes); !reason.empty()) {
+    Refuse(aSubquery, reason, aCallback);
+    return [] {};
+  }
   ++mRunningSubqueries;
   auto caller = std::make_shared<caller_status>();
   auto executor = mWorkers->NextContext().get_executor();
@@ -153,6 +176,9 @@
 {
   steady_time started = SteadyNow();
   request_context context = ToContext(aSubquery, aCaller, aCallback, started);
+  if (mCatalog.Routes()->HasCallerTeams()) {
+    AuthenticateSubquery(mCallerKeys, mCallerFields, context);
+  }
   co_await RunChain(*mSubqueryChain, context);
   --mRunningSubqueries;
   mStopWaiter.Notify();
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -418,6 +418,20 @@
              64,
              "Processor cores that this host may use; fan-outs are divided "
              "if they would take it too long."),
+    Switch("entry",
+           "strict_revoke",
+           &settings::mEntryRevokesStrictly,
+           "Send requests with API keys only while this host's state was "
+           "confirmed within 0.6 of revoke_ms."),
+    Number("entry",
+           "revoke_ms",
+           type::Milliseconds,
+           &settings::mEntryRevocationMs,
+           100,
+           3'600'000,
+           "With strict_revoke, time from the acknowledgement of a change that "
+           "takes an API key away until no request with it is sent any more; "
+           "at least five times mark_ms."),
   };
 }
 
--- a/settings/settings.cpp
+++ b/settings/settings.cpp
@@ -315,6 +315,10 @@
       aSettings.mEntryRenewIntervalMs * 2 > aSettings.mEntryServerLeaseMs) {
     return fail("[entry] lapse_ms must be at least twice renew_ms.");
   }
+  if (aSettings.IsEntry() && aSettings.mEntryRevokesStrictly &&
+      aSettings.mEntryMarkIntervalMs * 5 > aSettings.mEntryRevocationMs) {
+    return fail("[entry] revoke_ms must be at least five times mark_ms.");
+  }
   if (aSettings.IsEntry() && aSettings.mEntryControlHosts.empty() &&
       !aSettings.IsOnPlatform()) {
     return Fail(settings_error::MissingKey,
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -117,6 +117,8 @@
   std::string mEntrySubqueryAddress;
   std::int64_t mEntrySubqueryPortOffset = 0;
   double mEntryCpuShare = 1;
+  bool mEntryRevokesStrictly = false;
+  std::int64_t mEntryRevocationMs = 5000;
 
   std::string mControlAddress;
   std::string mControlOperatorsAddress;
--- a/tests/decisions/routing/configuration_test.cpp
+++ b/tests/decisions/routing/configuration_test.cpp
@@ -83,6 +83,15 @@
   CHECK(CheckConfiguration(sharedKey).error().mDetail.find("k2") ==
         std::string::npos);
 
+  // A name with a line break would add a field of its own to what servers get.
+  for (const char* name :
+       { "", " t", "t ", "t\r\nX-Tenant: u", "t\tu", "t\x7f" }) {
+    configuration_record badName = valid;
+    holder.mTeam.mValue = name;
+    badName.mCallerTeams = { holder };
+    CHECK(ErrorOf(badName) == configuration_error::BadTeamName);
+  }
+
   configuration_record duplicate = valid;
   duplicate.mRoutes.push_back(Route("r2", "shop.example", "/x/"));
   CHECK(ErrorOf(duplicate) == configuration_error::DuplicateRoute);
--- a/tests/drivers/control_metrics_page_test.cpp
+++ b/tests/drivers/control_metrics_page_test.cpp
@@ -161,3 +161,17 @@
   STRCMP_CONTAINS("# TYPE hibiscusspool_request_seconds histogram\n",
                   page.c_str());
 }
+
+TEST(control_metrics_page, AnEntryHostsPageCountsKeysByCause)
+{
+  team_stats_controller teams;
+  std::string page = MakeMetricsPage(
+    { .mTeamStats = teams, .mBackends = {}, .mKeyRefusals = { 5, 6, 7, 8 } });
+  const std::string kName = "hibiscusspool_key_refusals_total";
+  for (const char* line : { "{cause=\"unknown\"} 5\n",
+                            "{cause=\"unconfirmed\"} 6\n",
+                            "{cause=\"stale\"} 7\n",
+                            "{cause=\"removed\"} 8\n" }) {
+    STRCMP_CONTAINS((kName + line).c_str(), page.c_str());
+  }
+}
--- a/tests/filters/scatter_test.cpp
+++ b/tests/filters/scatter_test.cpp
@@ -58,6 +58,8 @@
   std::map<std::string, std::vector<std::string>> mSentTo;
   /** What all servers say of themselves in their responses. */
   server_notice mNotice;
+  /** The check that the latest attempt carried. */
+  std::shared_ptr<const send_check> mLastCheck;
   int mCancelled = 0;
   /** Connections that the request lost, and whether it was answered. */
   int mLost = 0;
@@ -111,6 +113,7 @@
     co_await asio::this_coro::throw_if_cancelled(false);
     mSentTo[aServerRequest.mPermit.mService.mValue].push_back(
       aServerRequest.mPermit.mServer.mValue);
+    mLastCheck = aServerRequest.mMaySend;
     attempt_result result;
     result.mStatus = mOutcomes.front();
     result.mNotice = mNotice;
@@ -389,3 +392,31 @@
   LONGS_EQUAL(1, mLost);
   LONGS_EQUAL(0, mAnswered);
 }
+
+// Guards against a request whose key is taken away between two attempts, which
+// a retry would still send.
+TEST(scatter, RequestIsNotRetriedAfterItsKeyWasTakenAway)
+{
+  int checks = 0;
+  mRequest.mMaySend = std::make_shared<const send_check>(
+    [&checks](steady_time /*aNow*/) { return ++checks == 1; });
+  mOutcomes = { attempt_status::NotSent, attempt_status::Answered };
+  Serve();
+  LONGS_EQUAL(2, checks);
+  LONGS_EQUAL(1, mSentTo["s"].size());
+  LONGS_EQUAL(1, mRequest.mMissing.size());
+  CHECK(mRequest.mMissing.front().mReason == missing_reason::KeyUnusable);
+  CHECK(mRequest.mRan == execution_status::No);
+  CheckRefused(refusal_reason::NoServer);
+}
+
+// Guards against an attempt that a slow connection or a paused process delays
+// past the time for which its key may be used: the check must reach the sender.
+TEST(scatter, AttemptCarriesTheCheckOfItsKey)
+{
+  mRequest.mMaySend = std::make_shared<const send_check>(
+    [](steady_time /*aNow*/) { return true; });
+  mOutcomes = { attempt_status::Answered };
+  Serve();
+  CHECK(mLastCheck == mRequest.mMaySend);
+}
--- a/tests/integration/platform_server.cpp
+++ b/tests/integration/platform_server.cpp
@@ -54,6 +54,20 @@
   }
 }
 
+void
+platform_server::Record(std::string aHead)
+{
+  std::lock_guard guard(mLock);
+  mHeads.push_back(std::move(aHead));
+}
+
+std::vector<std::string>
+platform_server::Heads()
+{
+  std::lock_guard guard(mLock);
+  return mHeads;
+}
+
 void
 platform_server::Listen()
 {
@@ -98,6 +112,7 @@
                      asio::buffers_begin(buffer.data()) +
                        static_cast<std::ptrdiff_t>(size));
     buffer.consume(size);
+    Record(head);
     if (head.find("harmful") != std::string::npos) {
       ++mHarmfulArrivals;
       Crash();
--- a/tests/integration/platform_server.h
+++ b/tests/integration/platform_server.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace test {
 
@@ -29,6 +30,8 @@
   boost::asio::io_context mContext;
   std::mutex mLock;
   std::set<int> mOpen;
+  /** The heads of all requests, as received. */
+  std::vector<std::string> mHeads;
   std::atomic<bool> mIsStopping{ false };
   /** Counts the starts. */
   std::atomic<int> mStarts{ 0 };
@@ -38,6 +41,7 @@
   std::thread mHeartbeats;
   std::list<std::thread> mConnections;
 
+  void Record(std::string aHead);
   void Listen();
   void Serve(socket aPeer, int aStart);
   void SendHeartbeats();
@@ -53,6 +57,8 @@
 
   /** Harmful requests that reached the server. */
   [[nodiscard]] int HarmfulArrivals() const { return mHarmfulArrivals; }
+  /** The heads of all requests that the server got. */
+  [[nodiscard]] std::vector<std::string> Heads();
 };
 
 }
--- a/tests/integration/seeded_system.cpp
+++ b/tests/integration/seeded_system.cpp
@@ -23,6 +23,7 @@
 seeded_system::seeded_system(const system_options& aOptions)
   : mSystem(aOptions)
   , mFirstControlHosts(aOptions.mControlHosts)
+  , mExtraEntrySettings(aOptions.mExtraEntrySettings)
 {
   std::string address = mSystem.ControlAddress("c1");
   mNetwork = address.substr(0, address.find_last_of('.') + 1);
@@ -126,7 +127,7 @@
     file << "[host]\nid=" << ip << ":10903\nfailure_domain=a\n"
          << "[entry]\ncallers_address=" << Callers()
          << "\nannounce_address=" << ip << ":10903\nthreads=2\n"
-         << "[platform]\ncallers_address=" << Clients()
+         << mExtraEntrySettings << "[platform]\ncallers_address=" << Clients()
          << "\ncontrol_port=" << kControlPort << "\nseeds=" << aSeeds << "\n";
   }
   std::filesystem::rename(path + ".new", path);
--- a/tests/integration/seeded_system.h
+++ b/tests/integration/seeded_system.h
@@ -18,6 +18,7 @@
   test_system mSystem;
   std::string mNetwork;
   int mFirstControlHosts;
+  std::string mExtraEntrySettings;
 
   [[nodiscard]] std::string Ip(int aNumber) const;
 
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -104,6 +104,12 @@
   CheckFails(kHostSection + kEntrySection + "lease_ms=1000\nmark_ms=900\n",
              settings_error::BadValue,
              "three times mark_ms");
+  // Marks must confirm the state well within 0.6 of the revocation time.
+  std::string strict = kHostSection + kEntrySection + "strict_revoke=yes\n";
+  CheckFails(strict + "mark_ms=300\nrevoke_ms=1499\n",
+             settings_error::BadValue,
+             "five times mark_ms");
+  CHECK(ParseSettings(strict + "mark_ms=300\nrevoke_ms=1500\n").has_value());
   std::string control = "[host]\nid=c1\nfailure_domain=a\n[control]\n"
                         "address=127.0.0.1:3\n"
                         "operators_address=127.0.0.1:4\ndata_folder=/d\n";
