Let hosts with a later configuration serve subqueries with keys

Hosts learn of a change one after the other; meanwhile a host that was ahead refused the subqueries of those behind, and the parts were asked without help. The bound of a revocation counts from the caller's send, which the host that has the request checks itself.

--- a/decisions/routing/caller_keys.cpp
+++ b/decisions/routing/caller_keys.cpp
@@ -49,8 +49,8 @@
   if (!MayUseKeys(aLimits, aAge)) {
     return key_verdict::Stale;
   }
-  bool isSame = aRoutes != nullptr && aRoutes->Number() == aNumber;
-  return isSame ? key_verdict::Usable : key_verdict::Removed;
+  bool isKnown = aRoutes != nullptr && aRoutes->Number() >= aNumber;
+  return isKnown ? key_verdict::Usable : key_verdict::Removed;
 }
 
 }
--- a/decisions/routing/caller_keys.h
+++ b/decisions/routing/caller_keys.h
@@ -60,8 +60,9 @@
 
 /**
  * Judges the key of a subquery, which another host found under the
- * configuration with this number. The key itself isn't known here, so it counts
- * as removed under any other configuration.
+ * configuration with this number. A later one here doesn't count against it:
+ * the bound counts from the caller's send, and the other host checks the key
+ * itself, so hosts that learn of a change at different times still share work.
  */
 key_verdict
 JudgeSubqueryKey(const key_limits& aLimits,
--- a/tests/filters/authenticate_test.cpp
+++ b/tests/filters/authenticate_test.cpp
@@ -330,6 +330,8 @@
   mConfirmedAt = mNow;
   CHECK(MaySend(received));
   mRoutes = Routes(8, { Team("t1", { "k1" }) });
+  CHECK(MaySend(received));
+  mRoutes = Routes(6, { Team("t1", { "k1" }) });
   CHECK(!MaySend(received));
   // Subqueries without a team need no check.
   sent.mForwarded = Serve("/open/x", "").mForwarded;
