Move a service to another version by measured steps

Operators order a rollout, which is durable in the log before it is acknowledged. Entry hosts send a random share of their requests to the target version and report cumulative counts; the leader compares both versions on the same routes and rolls back, or completes before the deadline. Time since the order is measured by each control host from the log's steps, so neither a change of leader nor wall clocks matter.

--- a/controllers/backend_choice.cpp
+++ b/controllers/backend_choice.cpp
@@ -63,11 +63,14 @@
                      std::find(record.mSnapshots.begin(),
                                record.mSnapshots.end(),
                                aRequest.mSnapshot) != record.mSnapshots.end();
+  bool isOnSide =
+    aRequest.mSide == version_side::Any ||
+    (aRequest.mSide == version_side::Target) == aBackend.mIsTarget;
   bool isAllowed = aRequest.mAllowedServers.empty() ||
                    std::find(aRequest.mAllowedServers.begin(),
                              aRequest.mAllowedServers.end(),
                              record.mServer) != aRequest.mAllowedServers.end();
-  return hasSnapshot && isAllowed &&
+  return hasSnapshot && isOnSide && isAllowed &&
          std::find(aRequest.mExcludedServers.begin(),
                    aRequest.mExcludedServers.end(),
                    record.mServer) == aRequest.mExcludedServers.end();
@@ -196,8 +199,11 @@
   auto domainsOut = DomainsOut();
   std::optional<attempt_permit> permit;
   mServices.UpdateIfPresent(aRequest.mService, [&](service_pool& aPool) {
-    auto index = PickFromSample(aPool, aRequest, *domainsOut, aNow);
-    if (!index) {
+    bool isInRollout = aPool.mIsRolloutInEffect;
+    auto index = isInRollout
+                   ? PickInRollout(aPool, aRequest, *domainsOut, aNow)
+                   : PickFromSample(aPool, aRequest, *domainsOut, aNow);
+    if (!index && !isInRollout) {
       index = PickFromAll(aPool, aRequest, *domainsOut, aNow);
     }
     if (!index) {
@@ -213,6 +219,9 @@
     permit->mIsCold = IsCold(chosen);
     permit->mStartedAt = aNow;
     permit->mRateRequest = aRequest.mRateRequest;
+    if (isInRollout) {
+      MarkRolloutAttempt(aPool, chosen, aRequest, *permit);
+    }
     if (chosen.mRate.IsInForce(aNow)) {
       permit->mRateEntry = ++aPool.mLastRateEntry;
       chosen.mRate.Add(permit->mRateEntry, aRequest.mRateRequest, aNow);
@@ -306,6 +315,7 @@
     }
     --found->mOutstanding;
     RecordOutcome(*found, aPool, aReport, aNow);
+    RecordRolloutAttempt(aPool, aPermit, aReport);
     isChanged = RecordNotice(found->mNotices, aPermit, aReport, aNow);
     notices = found->mNotices;
     RecordRate(aPool, *found, aPermit, aReport, *ring, aNow);
--- a/controllers/backend_controller.cpp
+++ b/controllers/backend_controller.cpp
@@ -64,6 +64,7 @@
     if (found != aPool.mBackends.end()) {
       idle = std::move(found->mIdleConnections);
       aPool.mBackends.erase(found);
+      UpdateRolloutEffect(aPool);
       ReallocateShares(aService, aPool, *ring, {}, aNow);
       std::vector<connection_id> surplus = TakeSurplus(aPool, aNow);
       idle.insert(idle.end(), surplus.begin(), surplus.end());
@@ -134,6 +135,10 @@
       found->mLimit.Restart();
     }
     found->mRecord = aRecord;
+    found->mIsTarget =
+      aPool.mRollout &&
+      aRecord.mSoftwareVersion == aPool.mRollout->mRecord.mTargetVersion;
+    UpdateRolloutEffect(aPool);
     if (isNewIncarnation || capacityChanges) {
       bool isFirstSeen = isNewIncarnation && aIsFirstSeen;
       ReallocateShares(aRecord.mService,
--- a/controllers/backend_controller.h
+++ b/controllers/backend_controller.h
@@ -2,6 +2,8 @@
 
 #include "core/sharded_map.h"
 #include "core/worker_number.h"
+#include "decisions/rollout/rollout_choice.h"
+#include "decisions/rollout/rollout_counts.h"
 #include "decisions/routing/snapshot_choice.h"
 #include "decisions/routing/subquery_plan.h"
 #include "decisions/servers/rate_limit.h"
@@ -15,6 +17,7 @@
 #include <algorithm>
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -69,6 +72,31 @@
          aStatus == attempt_status::Withdrawn;
 }
 
+/** An attempt that counts in the evidence of a rollout. */
+struct rollout_attempt
+{
+  /** Log index of the order of the rollout. */
+  log_index mStartIndex = 0;
+  team_id mRoute;
+  bool mIsTarget = false;
+};
+
+/** What became of the reports that were sent to the leader. */
+enum class rollout_report_end
+{
+  Added,
+  /** A leader added them that hasn't got the earlier ones. */
+  NewLeader,
+  Lost,
+};
+
+template<>
+inline constexpr name_table<rollout_report_end, 3> kNames<rollout_report_end>{ {
+  { rollout_report_end::Added, "added" },
+  { rollout_report_end::NewLeader, "new_leader" },
+  { rollout_report_end::Lost, "lost" },
+} };
+
 /** A reserved slot at one server, for one attempt. */
 struct attempt_permit
 {
@@ -85,6 +113,8 @@
   rate_request mRateRequest{};
   /** Entry in the window of the server's announced rate; 0 if there is none. */
   rate_entry_number mRateEntry = 0;
+  /** Set while a rollout of the service runs. */
+  std::optional<rollout_attempt> mRollout{};
 };
 
 /** The outcome of a permitted attempt. */
@@ -115,6 +145,14 @@
   rate_request mRateRequest{};
   /** This host's view of the other hosts is confirmed. */
   bool mIsConfirmed = true;
+  /** The route under which a rollout counts the attempt; null if it doesn't. */
+  const team_id* mRoute = nullptr;
+  /** Random number of the request. */
+  std::uint64_t mDraw = 0;
+  /** When the request first asked for a server of this service. */
+  steady_time mFirstChoiceAt{};
+  /** Set by the controller during a rollout. */
+  version_side mSide = version_side::Any;
 };
 
 struct backend_config
@@ -195,6 +233,29 @@
     std::uint32_t mConsecutiveOverloads = 0;
     /** The server is recorded as ready but probably restarted cold. */
     bool mIsTreatedAsCold = false;
+    /** The server has the target version of the service's rollout. */
+    bool mIsTarget = false;
+  };
+
+  struct counted_row
+  {
+    rollout_row mRow;
+    /** Number of the latest change of the counts. */
+    std::uint64_t mChange = 0;
+  };
+
+  struct pool_rollout
+  {
+    rollout_record mRecord;
+    steady_time mLearnedAt;
+    std::map<std::pair<team_id, server_id>, counted_row> mRows;
+    std::uint64_t mLastChange = 0;
+    std::uint64_t mReportedChange = 0;
+    /** Changes up to here have been added by the leader. */
+    std::uint64_t mConfirmedChange = 0;
+    /** Counts of the target version haven't been reported. */
+    bool mHasTargetNews = false;
+    steady_time mRoutineReportAt;
   };
 
   struct service_pool
@@ -210,6 +271,9 @@
     /** Since when the servers are divided among hosts as they are now. */
     steady_time mDividedSince;
     rate_entry_number mLastRateEntry = 0;
+    std::optional<pool_rollout> mRollout;
+    /** The rollout decides which servers may be chosen. */
+    bool mIsRolloutInEffect = false;
   };
 
   struct remembered_rate
@@ -232,6 +296,8 @@
   sharded_map<server_id, remembered_rate> mRates;
   /** Without any limit, none is looked up for each attempt. */
   std::atomic<bool> mHasRates{ false };
+  /** Without any rollout, there are no reports to look for. */
+  std::atomic<bool> mHasRollouts{ false };
 
   mutable std::mutex mTopologyLock;
   /** The hosts that divide the servers' connections, sorted. */
@@ -347,6 +413,21 @@
     const choice_request& aRequest,
     const std::set<failure_domain_id>& aDomainsOut,
     steady_time aNow) const;
+  /** Picks a server as the service's rollout allows. */
+  std::optional<std::size_t> PickInRollout(
+    service_pool& aPool,
+    const choice_request& aRequest,
+    const std::set<failure_domain_id>& aDomainsOut,
+    steady_time aNow) const;
+  static void UpdateRolloutEffect(service_pool& aPool);
+  static void MarkRolloutAttempt(const service_pool& aPool,
+                                 const backend& aChosen,
+                                 const choice_request& aRequest,
+                                 attempt_permit& aPermit);
+  /** Counts an attempt that has ended. */
+  static void RecordRolloutAttempt(service_pool& aPool,
+                                   const attempt_permit& aPermit,
+                                   const attempt_report& aReport);
   void RecordOutcome(backend& aBackend,
                      service_pool& aPool,
                      const attempt_report& aReport,
@@ -372,6 +453,17 @@
   void Put(const server_record& aRecord, bool aIsFirstSeen, steady_time aNow);
   void Remove(const server_id& aServer, steady_time aNow);
 
+  /** Sets the latest rollout of a service. */
+  void SetRollout(const rollout_record& aRecord, steady_time aNow);
+  void RemoveRollout(const service_id& aService);
+  /** The counts of running rollouts that the leader hasn't added yet, without
+   * the incarnation of this host; empty while no report is due. */
+  std::vector<rollout_report> RolloutReports(steady_time aNow);
+  /** What became of the latest reports. */
+  void OnRolloutReports(rollout_report_end aEnd);
+  /** The latest rollout of each service that has one. */
+  [[nodiscard]] std::map<service_id, rollout_record> Rollouts() const;
+
   /** Picks a server and reserves a slot at it; nothing if none has one. */
   std::optional<attempt_permit> Choose(const choice_request& aRequest,
                                        steady_time aNow);
--- a/controllers/catalog_controller.cpp
+++ b/controllers/catalog_controller.cpp
@@ -49,6 +49,10 @@
   {
     mCatalog.SetConfiguration(aRecord);
   }
+  void operator()(const rollout_record& aRecord) const
+  {
+    mCatalog.SetRollout(aRecord, mNow);
+  }
   void operator()(const record_removal& aRemoval) const
   {
     mCatalog.Remove(aRemoval, mNow);
@@ -161,6 +165,10 @@
     case record_kind::Quarantine:
       mQuarantine.Take(fingerprint_id{ aRemoval.mName });
       return;
+    case record_kind::Rollout:
+      mRollouts.Take(service_id{ aRemoval.mName });
+      mBackends.RemoveRollout(service_id{ aRemoval.mName });
+      return;
     case record_kind::Claim:
     case record_kind::Configuration:
       return;
@@ -200,6 +208,10 @@
     mNames.insert({ record_kind::Quarantine, aRecord.mFingerprint.mValue });
   }
   void operator()(const claim_record& /*aRecord*/) const {}
+  void operator()(const rollout_record& aRecord) const
+  {
+    mNames.insert({ record_kind::Rollout, aRecord.mService.mValue });
+  }
   // There is one configuration; it is replaced but never removed.
   void operator()(const configuration_record& /*aRecord*/) const {}
   void operator()(const record_removal& /*aRecord*/) const {}
@@ -232,6 +244,7 @@
   AppendRemovals(mFailureDomains, record_kind::FailureDomain, existing);
   AppendRemovals(mEntryHosts, record_kind::EntryHost, existing);
   AppendRemovals(mQuarantine, record_kind::Quarantine, existing);
+  AppendRemovals(mRollouts, record_kind::Rollout, existing);
   for (const backend_status& status : mBackends.Statuses(aNow)) {
     existing.push_back({ record_kind::Server, status.mRecord.mServer.mValue });
   }
@@ -301,6 +314,25 @@
   return mRoutes;
 }
 
+void
+catalog_controller::SetRollout(const rollout_record& aRecord, steady_time aNow)
+{
+  auto known = mRollouts.Get(aRecord.mService);
+  bool isNews = !known || known->mStartIndex != aRecord.mStartIndex ||
+                known->mState != aRecord.mState;
+  mRollouts.Set(aRecord.mService, aRecord);
+  mBackends.SetRollout(aRecord, aNow);
+  if (isNews) {
+    log_event("rollout_in_force")
+      .Add("service", aRecord.mService.mValue)
+      .Add("target_version", aRecord.mTargetVersion)
+      .Add("state", NameOf(aRecord.mState))
+      .Add("share_permille", aRecord.SharePermille())
+      .Add("reason", aRecord.mReason)
+      .Add("version", aRecord.mVersion);
+  }
+}
+
 void
 catalog_controller::SetConfiguration(const configuration_record& aRecord)
 {
--- a/controllers/catalog_controller.h
+++ b/controllers/catalog_controller.h
@@ -47,6 +47,7 @@
   sharded_map<failure_domain_id, failure_domain_record> mFailureDomains;
   sharded_map<host_id, entry_host_record> mEntryHosts;
   sharded_map<fingerprint_id, quarantine_record> mQuarantine;
+  sharded_map<service_id, rollout_record> mRollouts;
   mutable std::mutex mRoutesLock;
   std::shared_ptr<const route_table> mRoutes;
   /** Position in the weighted cycle of each route with several services, by
@@ -64,6 +65,7 @@
   void UpdatePolicy(const team_id& aTeam);
   void RefreshHosts(steady_time aNow);
   void RefreshDomains();
+  void SetRollout(const rollout_record& aRecord, steady_time aNow);
   void SetConfiguration(const configuration_record& aRecord);
   void Remove(const record_removal& aRemoval, steady_time aNow);
   void RemoveAllExcept(const std::vector<record_change>& aChanges,
--- a/decisions/state/announcement.cpp
+++ b/decisions/state/announcement.cpp
@@ -93,7 +93,8 @@
          aKnown.mSlots != aAnnounced.mSlots ||
          aKnown.mConnections != aAnnounced.mConnections ||
          aKnown.mColdSlots != aAnnounced.mColdSlots ||
-         aKnown.mSnapshots != aAnnounced.mSnapshots;
+         aKnown.mSnapshots != aAnnounced.mSnapshots ||
+         aKnown.mSoftwareVersion != aAnnounced.mSoftwareVersion;
 }
 
 }
--- a/decisions/state/control_state.cpp
+++ b/decisions/state/control_state.cpp
@@ -257,6 +257,8 @@
       return CurrentVersion(mClaims, aRemoval.mName);
     case record_kind::Configuration:
       return mConfiguration ? mConfiguration->mVersion : 0;
+    case record_kind::Rollout:
+      return CurrentVersion(mRollouts, service_id{ aRemoval.mName });
   }
   return 0;
 }
@@ -323,6 +325,11 @@
                     current,
                     "A configuration can't be removed, only replaced by one "
                     "with a higher number.");
+    case record_kind::Rollout:
+      return Refuse(change_verdict::Invalid,
+                    current,
+                    "A rollout can't be removed, only replaced by a later "
+                    "one.");
   }
   aEffects.mRecordChanges.emplace_back(aProposed);
   return Accept(mIndex);
@@ -391,6 +398,7 @@
   if (mConfiguration) {
     records.emplace_back(*mConfiguration);
   }
+  AppendRecords(mRollouts, records);
   return records;
 }
 
@@ -417,7 +425,12 @@
   std::set<std::pair<wall_ms, server_id>>& mGoneServers;
   std::map<fingerprint_id, quarantine_record>& mQuarantine;
   std::optional<configuration_record>& mConfiguration;
+  std::map<service_id, rollout_record>& mRollouts;
 
+  void operator()(const rollout_record& aRecord) const
+  {
+    mRollouts[aRecord.mService] = aRecord;
+  }
   void operator()(const configuration_record& aRecord) const
   {
     mConfiguration = aRecord;
@@ -473,7 +486,7 @@
                         state.mFailureDomains, state.mEntryHosts,
                         state.mServers,        state.mServerAddresses,
                         state.mGoneServers,    state.mQuarantine,
-                        state.mConfiguration };
+                        state.mConfiguration,  state.mRollouts };
   for (const record_change& record : aRecords) {
     std::visit(loader, record);
   }
--- a/decisions/state/control_state.h
+++ b/decisions/state/control_state.h
@@ -38,6 +38,11 @@
   milliseconds mGoneServerRetention = std::chrono::seconds(60);
   /** Maximum crashes and trials of one request, counted over all hosts. */
   std::size_t mMaxCrashes = 2;
+  /** Maximum number of services that have a rollout. */
+  std::size_t mMaxRollouts = 10'000;
+  /** How long after the end of a rollout its order counts as a repeat. Must
+   * exceed the time for which operators send an order again. */
+  milliseconds mRolloutRepeatWindow = std::chrono::seconds(60);
 };
 
 /** An evaluated change, kept so that a resend gets the same outcome. */
@@ -69,6 +74,7 @@
   std::set<std::pair<wall_ms, server_id>> mGoneServers;
   std::map<fingerprint_id, quarantine_record> mQuarantine;
   std::optional<configuration_record> mConfiguration;
+  std::map<service_id, rollout_record> mRollouts;
   std::map<std::string, claim_record> mClaims;
   /** Names of settled claims by the time at which they settled. */
   std::deque<std::pair<wall_ms, std::string>> mSettledClaims;
@@ -109,6 +115,11 @@
   change_outcome Put(const record_removal& aProposed,
                      const std::optional<log_index>& aIfVersion,
                      change_effects& aEffects);
+  change_outcome Put(const rollout_record& aProposed,
+                     const std::optional<log_index>& aIfVersion,
+                     change_effects& aEffects);
+  change_outcome ApplyStep(const rollout_record& aProposed,
+                           change_effects& aEffects);
   change_outcome SettleClaim(claim_record& aClaim,
                              const claim_record& aProposed,
                              change_effects& aEffects);
@@ -161,6 +172,13 @@
   {
     return mConfiguration;
   }
+  [[nodiscard]] const std::map<service_id, rollout_record>& Rollouts() const
+  {
+    return mRollouts;
+  }
+  /** The latest rollout of a service, or nothing. */
+  [[nodiscard]] const rollout_record* FindRollout(
+    const service_id& aService) const;
   /** The claim of this name, or nothing. */
   [[nodiscard]] const claim_record* FindClaim(const std::string& aName) const;
   [[nodiscard]] std::size_t ClaimCount() const { return mClaims.size(); }
--- a/decisions/state/records.h
+++ b/decisions/state/records.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 #include "core/name_table.h"
 #include "decisions/routing/configuration.h"
+#include "decisions/state/rollout_record.h"
 
 #include <cstdint>
 #include <map>
@@ -156,6 +157,8 @@
   wall_ms mStartedAt = 0;
   /** The server announced that it leaves; this incarnation can't return. */
   bool mHasLeft = false;
+  /** Version of its software as announced; empty if not announced. */
+  std::string mSoftwareVersion;
 
   bool operator==(const server_record&) const = default;
 };
@@ -221,10 +224,11 @@
   Quarantine,
   Claim,
   Configuration,
+  Rollout,
 };
 
 template<>
-inline constexpr name_table<record_kind, 8> kNames<record_kind>{ {
+inline constexpr name_table<record_kind, 9> kNames<record_kind>{ {
   { record_kind::Template, "template" },
   { record_kind::Team, "team" },
   { record_kind::FailureDomain, "failure_domain" },
@@ -233,6 +237,7 @@
   { record_kind::Quarantine, "quarantine" },
   { record_kind::Claim, "claim" },
   { record_kind::Configuration, "configuration" },
+  { record_kind::Rollout, "rollout" },
 } };
 
 /** Removes the record of this kind and name. */
@@ -253,6 +258,7 @@
                                    quarantine_record,
                                    claim_record,
                                    record_removal,
-                                   configuration_record>;
+                                   configuration_record,
+                                   rollout_record>;
 
 }
--- a/drivers/control_client.cpp
+++ b/drivers/control_client.cpp
@@ -7,6 +7,7 @@
 #include "drivers/suspended_time.h"
 #include "messages/control_codec.h"
 #include "messages/refusal_codec.h"
+#include "messages/rollout_codec.h"
 
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/post.hpp>
@@ -29,6 +30,10 @@
 
 constexpr milliseconds kStatusTimeout{ 1000 };
 constexpr milliseconds kRetryDelay{ 50 };
+/** Time limit for a report, which is repeated with later counts. */
+constexpr milliseconds kReportTimeout{ 500 };
+/** Calls until a report has reached the leader: one to a host that names it. */
+constexpr int kReportCalls = 2;
 /** Time limit for one host to answer a proposal. One that does not may have
  * frozen or be cut off, and the group may have another leader by then. */
 constexpr milliseconds kAttemptTimeout{ 1000 };
@@ -64,6 +69,8 @@
   std::condition_variable mCallEnded;
   std::map<std::uint64_t, grpc::ClientContext*> mCalls;
   std::uint64_t mNextCall = 1;
+  /** Number of reports that reached no leader, to ask another host next. */
+  std::size_t mLostReports = 0;
   bool mIsStopped = false;
 
   /** Registers a new call and returns its number; none after `Stop`. */
@@ -389,6 +396,46 @@
   co_return batches;
 }
 
+asio::awaitable<std::optional<rollout_receipt>>
+control_client::ReportRollouts(const std::vector<rollout_report>& aReports)
+{
+  using call = unary_call<wire::ReportRolloutRequest, wire::ReportRolloutReply>;
+  unary_start<wire::ReportRolloutRequest, wire::ReportRolloutReply> start =
+    [](call& aCall, std::function<void(grpc::Status)> aDone) {
+      aCall.mStub->async()->ReportRollout(
+        &aCall.mContext, &aCall.mRequest, &aCall.mReply, std::move(aDone));
+    };
+  wire::ReportRolloutRequest request;
+  for (const rollout_report& report : aReports) {
+    WriteRolloutReport(report, *request.add_reports());
+  }
+  for (int calls = 0; calls < kReportCalls; ++calls) {
+    host_id target = mState->Target(mState->mLostReports);
+    if (target.IsEmpty()) {
+      co_return std::nullopt;
+    }
+    auto reply = co_await mState
+                   ->Call<wire::ReportRolloutRequest, wire::ReportRolloutReply>(
+                     target, request, kReportTimeout, start);
+    if (reply && reply->is_leader()) {
+      mState->SetLeader(target);
+      rollout_receipt receipt{ true, target, reply->term() };
+      co_return receipt;
+    }
+    host_id leader;
+    if (reply && reply->leader_host() != target.mValue) {
+      leader.mValue = reply->leader_host();
+    }
+    bool isNamed = !leader.IsEmpty();
+    mState->SetLeader(std::move(leader));
+    if (!isNamed) {
+      ++mState->mLostReports;
+      co_return std::nullopt;
+    }
+  }
+  co_return std::nullopt;
+}
+
 asio::awaitable<std::optional<wire::ProbeReply>>
 control_client::Probe(host_id aHost)
 {
--- a/drivers/control_client.h
+++ b/drivers/control_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "controllers/control_group.h"
+#include "controllers/rollout_controller.h"
 #include "core/failure.h"
 #include "decisions/admission/refusal.h"
 
@@ -92,6 +93,11 @@
   boost::asio::awaitable<std::vector<refusal_batch>> ReadRefusals(
     wall_ms aFrom);
 
+  /** Sends counts of running rollouts to the leader; nothing if it wasn't
+   * reached or isn't known. Makes two calls at most. */
+  boost::asio::awaitable<std::optional<rollout_receipt>> ReportRollouts(
+    const std::vector<rollout_report>& aReports);
+
   /** What a control host reports of itself, if it replies. */
   boost::asio::awaitable<std::optional<wire::ProbeReply>> Probe(host_id aHost);
 
--- a/drivers/control_metrics_page.cpp
+++ b/drivers/control_metrics_page.cpp
@@ -74,6 +74,26 @@
               "control_damaged_log_kept",
               "1 while a damaged log is kept beside this host's current one.",
               aSource.mHasDamagedLog ? 1 : 0);
+  auto countOf = [&](rollout_state aState) {
+    auto found = aSource.mRollouts.find(aState);
+    return found == aSource.mRollouts.end() ? 0 : found->second;
+  };
+  WriteMetric(page,
+              metric_type::Gauge,
+              "control_rollouts_running",
+              "Services with a rollout in progress.",
+              countOf(rollout_state::Running) +
+                countOf(rollout_state::Completing));
+  WriteMetric(page,
+              metric_type::Gauge,
+              "control_rollouts_completed",
+              "Services whose latest rollout was completed.",
+              countOf(rollout_state::Completed));
+  WriteMetric(page,
+              metric_type::Gauge,
+              "control_rollouts_rolled_back",
+              "Services whose latest rollout was rolled back.",
+              countOf(rollout_state::RolledBack));
   WriteTaskFailures(page, aSource.mTaskFailures);
   return page.str();
 }
--- a/drivers/control_metrics_page.h
+++ b/drivers/control_metrics_page.h
@@ -2,6 +2,7 @@
 
 #include "controllers/control_group.h"
 
+#include <map>
 #include <string>
 
 namespace hibiscusspool {
@@ -16,6 +17,8 @@
   std::uint64_t mTaskFailures = 0;
   /** A damaged log is kept beside the current one. */
   bool mHasDamagedLog = false;
+  /** Services by the state of their latest rollout. */
+  std::map<rollout_state, std::size_t> mRollouts{};
 };
 
 /** All metrics in the Prometheus text format. Those of the members are absent
--- a/drivers/control_service.cpp
+++ b/drivers/control_service.cpp
@@ -5,6 +5,7 @@
 #include "messages/control_codec.h"
 #include "messages/raft_codec.h"
 #include "messages/refusal_codec.h"
+#include "messages/rollout_codec.h"
 
 #include <algorithm>
 #include <mutex>
@@ -199,7 +200,8 @@
         wire::Control::WithCallbackMethod_Status<
           wire::Control::WithCallbackMethod_StoreRefusals<
             wire::Control::WithCallbackMethod_ReadRefusals<
-              wire::Control::Service>>>>>>>;
+              wire::Control::WithCallbackMethod_ReportRollout<
+                wire::Control::Service>>>>>>>>;
 
 class control_callback_service : public callback_service
 {
@@ -357,6 +359,29 @@
     return reactor;
   }
 
+  grpc::ServerUnaryReactor* ReportRollout(
+    grpc::CallbackServerContext* aContext,
+    const wire::ReportRolloutRequest* aRequest,
+    wire::ReportRolloutReply* aReply) override
+  {
+    auto* reactor = aContext->DefaultReactor();
+    std::vector<rollout_report> reports;
+    for (const wire::RolloutReport& report : aRequest->reports()) {
+      auto read = ReadRolloutReport(report);
+      if (!read) {
+        reactor->Finish(BadMessage(read.error()));
+        return reactor;
+      }
+      reports.push_back(std::move(read.value()));
+    }
+    rollout_receipt receipt = mHooks.mReportRollouts(reports);
+    aReply->set_is_leader(receipt.mIsLeader);
+    aReply->set_leader_host(receipt.mLeader.mValue);
+    aReply->set_term(receipt.mTerm);
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+  }
+
 private:
   void WriteDaemons(wire::StatusReply& aReply)
   {
--- a/drivers/control_service.h
+++ b/drivers/control_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "controllers/control_group.h"
+#include "controllers/rollout_controller.h"
 #include "controllers/watch_hub.h"
 #include "core/failure.h"
 #include "decisions/admission/refusal.h"
@@ -58,6 +59,9 @@
   std::function<std::optional<std::uint64_t>(const refusal_batch&)>
     mStoreRefusals;
   std::function<std::vector<refusal_batch>(wall_ms)> mReadRefusals;
+  /** Adds an entry host's counts of running rollouts. */
+  std::function<rollout_receipt(const std::vector<rollout_report>&)>
+    mReportRollouts;
 };
 
 /** The gRPC server of a control host, listening on an `ip:port`. */
--- a/drivers/operator_api.cpp
+++ b/drivers/operator_api.cpp
@@ -69,6 +69,7 @@
     { "entry-hosts", record_kind::EntryHost },
     { "servers", record_kind::Server },
     { "quarantine", record_kind::Quarantine },
+    { "rollouts", record_kind::Rollout },
   };
   constexpr std::string_view kPrefix = "/v1/";
   if (!aPath.starts_with(kPrefix)) {
@@ -119,6 +120,10 @@
   {
     return { record_kind::Configuration, std::to_string(aRecord.mNumber) };
   }
+  record_path operator()(const rollout_record& aRecord) const
+  {
+    return { record_kind::Rollout, aRecord.mService.mValue };
+  }
   record_path operator()(const record_removal& aRecord) const
   {
     return { aRecord.mKind, aRecord.mName };
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -50,6 +50,9 @@
   choice.mAvoidedDomain = aService.mFirstDomain;
   choice.mWorker = CurrentWorker();
   choice.mRateRequest.mPriority = mPriority;
+  choice.mRoute = &mTeam;
+  choice.mDraw = mDraw;
+  choice.mFirstChoiceAt = aService.mFirstChoiceAt;
   // A retry that no server has got yet is the service's first attempt.
   choice.mRateRequest.mIsExtra =
     aReason == attempt_reason::Hedge ||
@@ -69,6 +72,9 @@
     GiveUp(aService, missing_reason::NoServer);
     return;
   }
+  if (aService.mFirstChoiceAt == steady_time{}) {
+    aService.mFirstChoiceAt = aNow;
+  }
   auto permit = mBackends.Choose(MakeChoiceRequest(aService, aReason), aNow);
   if (!permit) {
     if (aReason != attempt_reason::Hedge) {
--- a/filters/scatter_operation.cpp
+++ b/filters/scatter_operation.cpp
@@ -50,6 +50,9 @@
   , mIsMerged(aRequest.mIsMerged)
   , mMaxAttempts(aRequest.mMaxAttempts)
   , mPriority(aRequest.mPriority)
+  , mDraw(std::hash<std::string>{}(aRequest.mRequest.mValue) ^
+          static_cast<std::uint64_t>(
+            aRequest.mReceivedAt.time_since_epoch().count()))
   , mRequiredResponses(NeededServices(aRequest.mServices.size(),
                                       aRequest.mPolicy.mMinimumCoverage))
   , mSnapshot(aRequest.mSnapshot)
--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -61,6 +61,8 @@
   /** The subset of `mTried` that refused the request without running it. */
   std::vector<server_id> mRefusedBy;
   steady_time mNextAttemptAt;
+  /** When the first attempt was due; no time before that. */
+  steady_time mFirstChoiceAt{};
   steady_time mHedgeAt = steady_time::max();
   missing_reason mReason = missing_reason::NoServer;
 };
@@ -117,6 +119,8 @@
   std::optional<microseconds> mMaxHedgeDelay;
   std::uint32_t mMaxAttempts;
   std::uint32_t mPriority;
+  /** Random number of the request, for rollouts. */
+  std::uint64_t mDraw;
   /** Minimum number of services that must answer. */
   std::size_t mRequiredResponses;
   snapshot_number mSnapshot;
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -61,6 +61,17 @@
   return std::filesystem::path(aSettings.mControlDataFolder) / "log";
 }
 
+/** Time between looks at the rollouts: a small part of the time in which a
+ * version that was found bad must have been left. */
+milliseconds
+RolloutStepInterval(const settings& aSettings)
+{
+  constexpr std::int64_t kDivisor = 25;
+  return std::clamp(milliseconds(aSettings.mControlRollbackMs / kDivisor),
+                    milliseconds(50),
+                    milliseconds(500));
+}
+
 /** The hosts of the group's voters, sorted. */
 std::vector<control_host>
 VotersOf(const control_group_status& aStatus,
@@ -237,6 +248,11 @@
   hooks.mPublish = [this](log_index aIndex,
                           std::vector<record_change> aRecords) {
     DropDocuments(aRecords);
+    for (const record_change& change : aRecords) {
+      if (const auto* rollout = std::get_if<rollout_record>(&change)) {
+        ObserveRollout(*rollout);
+      }
+    }
     mHub->Publish(aIndex, aRecords, SteadyNow());
   };
   hooks.mOnStateReplaced = [this](log_index aIndex) {
@@ -364,6 +380,9 @@
     return aBatch.mRefusals.empty() ? 0 : aBatch.mRefusals.back().mNumber;
   };
   hooks.mReadRefusals = [this](wall_ms aFrom) { return mRefusals.Read(aFrom); };
+  hooks.mReportRollouts = [this](const std::vector<rollout_report>& aReports) {
+    return AddRolloutReports(aReports);
+  };
   auto service = control_service::Create(
     mContext, mSettings.mControlAddress, std::move(hooks));
   if (!service) {
@@ -396,7 +415,8 @@
     return MakeControlMetricsPage({ mGroup->Status(),
                                     mHub->Daemons().size(),
                                     TaskFailureCount(),
-                                    mHasDamagedLog });
+                                    mHasDamagedLog,
+                                    CountRollouts() });
   };
   hooks.mEarliestArrival = [this] { return EarliestArrival(); };
   hooks.mNewChangeId = [this] {
@@ -433,6 +453,10 @@
     mContext, "membership", kMembershipInterval, mIsStopping, [this] {
       return UpdateMembership();
     });
+  RunPeriodically(
+    mContext, "rollouts", RolloutStepInterval(mSettings), mIsStopping, [this] {
+      return StepRollouts();
+    });
   RunPeriodically(
     mContext, "failure_domains", kBootstrapInterval, mIsStopping, [this] {
       return LearnFailureDomains();
@@ -721,6 +745,13 @@
   hooks.mProposeOrder = [this](record_change aChange, steady_time aDeadline) {
     return Client().ProposeOne(std::move(aChange), std::nullopt, aDeadline);
   };
+  hooks.mStartRollout = [this](rollout_record aRecord, steady_time aDeadline) {
+    aRecord.mShare = InitialShare(ExposureLimits());
+    return Client().ProposeOne(std::move(aRecord), std::nullopt, aDeadline);
+  };
+  hooks.mReadRollout = [this](service_id aService) {
+    return ReadRollout(std::move(aService), SteadyNow() + kPlatformTimeout);
+  };
   hooks.mReadDocument =
     [this]() -> asio::awaitable<std::optional<std::optional<std::string>>> {
     std::optional<std::optional<std::string>> document;
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "controllers/control_group.h"
+#include "controllers/rollout_controller.h"
 #include "controllers/stall_controller.h"
 #include "controllers/watch_hub.h"
 #include "decisions/group/membership.h"
 #include "decisions/group/membership_news.h"
+#include "decisions/rollout/rollout_step.h"
 #include "drivers/control_client.h"
 #include "drivers/control_service.h"
 #include "drivers/http_server.h"
@@ -43,6 +45,7 @@
   refusal_store mRefusals;
   raft_transport mTransport;
   control_client mClient;
+  rollout_controller mRollouts;
   std::unique_ptr<control_group> mGroup;
   std::unique_ptr<watch_hub> mHub;
   std::unique_ptr<control_service> mService;
@@ -101,6 +104,21 @@
   boost::asio::awaitable<void> LearnFailureDomains();
   boost::asio::awaitable<std::optional<std::vector<record_change>>>
   ConfirmedRecords(steady_time aDeadline);
+  [[nodiscard]] exposure_limits ExposureLimits() const;
+  /** The number of services by the state of their latest rollout. */
+  [[nodiscard]] std::map<rollout_state, std::size_t> CountRollouts() const;
+  /** Takes the time of an applied record and logs starts and ends. */
+  void ObserveRollout(const rollout_record& aRecord);
+  [[nodiscard]] std::vector<rollout_record> RunningRollouts() const;
+  rollout_receipt AddRolloutReports(
+    const std::vector<rollout_report>& aReports);
+  /** What the leader proposes for a running rollout, if anything. */
+  std::optional<rollout_record> NextRolloutStep(const rollout_record& aRecord);
+  boost::asio::awaitable<void> StepRollouts();
+  /** The latest rollout of a service. The outer nullopt means that the read was
+   * not confirmed, the inner that there is none. */
+  boost::asio::awaitable<std::optional<std::optional<rollout_record>>>
+  ReadRollout(service_id aService, steady_time aDeadline);
   [[nodiscard]] std::vector<host_id> GroupHosts() const;
   /** The client, told of the leader that this host's group follows. */
   control_client& Client();
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -58,6 +58,17 @@
   return sum + sum / 100;
 }
 
+/** Time between reports of a rollout's counts: a small part of the time in
+ * which a version that was found bad must have been left. */
+milliseconds
+RolloutReportInterval(const settings& aSettings)
+{
+  constexpr std::int64_t kDivisor = 16;
+  return std::clamp(milliseconds(aSettings.mEntryRollbackMs / kDivisor),
+                    milliseconds(50),
+                    milliseconds(300));
+}
+
 backend_config
 ToBackendConfig(const settings& aSettings)
 {
@@ -308,6 +319,11 @@
     mContext, "refusals", kRefusalReplicationInterval, mIsStopping, [this] {
       return ReplicateRefusals();
     });
+  RunPeriodically(mContext,
+                  "rollouts",
+                  RolloutReportInterval(mSettings),
+                  mIsStopping,
+                  [this] { return ReportRollouts(); });
 }
 
 asio::awaitable<void>
@@ -380,4 +396,27 @@
   }
 }
 
+asio::awaitable<void>
+entry_role::ReportRollouts()
+{
+  std::vector<rollout_report> reports = mBackends.RolloutReports(SteadyNow());
+  if (reports.empty()) {
+    co_return;
+  }
+  for (rollout_report& report : reports) {
+    report.mIncarnation = mIncarnation;
+  }
+  auto receipt = co_await mClient.ReportRollouts(reports);
+  if (!receipt) {
+    log_event("rollout_report_lost", log_event::severity::Warning)
+      .Add("rollouts", reports.size());
+    mBackends.OnRolloutReports(rollout_report_end::Lost);
+    co_return;
+  }
+  bool isNewLeader = receipt->mTerm != mRolloutTerm;
+  mRolloutTerm = receipt->mTerm;
+  mBackends.OnRolloutReports(isNewLeader ? rollout_report_end::NewLeader
+                                         : rollout_report_end::Added);
+}
+
 }
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -93,6 +93,8 @@
   std::atomic<std::uint64_t> mNextId{ 1 };
   /** Number of the last refusal that each control host has stored. */
   std::map<host_id, std::uint64_t> mLastStoredRefusal;
+  /** Term of the leader that has all counts of rollouts; used by one task. */
+  std::uint64_t mRolloutTerm = 0;
   std::atomic<steady_time::rep> mNextCrashReportAt{ 0 };
   std::atomic<steady_time::rep> mNextSuspicionLiftAt{ 0 };
 
@@ -168,6 +170,8 @@
 
   boost::asio::awaitable<void> CloseSurplusConnections();
   boost::asio::awaitable<void> ReplicateRefusals();
+  /** Sends the counts of running rollouts to the leader. */
+  boost::asio::awaitable<void> ReportRollouts();
 
 public:
   entry_role(const entry_role&) = delete;
--- a/messages/control_codec.cpp
+++ b/messages/control_codec.cpp
@@ -1,6 +1,7 @@
 #include "messages/control_codec.h"
 
 #include "messages/configuration_codec.h"
+#include "messages/rollout_codec.h"
 
 namespace hibiscusspool {
 
@@ -50,6 +51,7 @@
   aOut.set_cold_mark(aRecord.mColdEpoch);
   aOut.set_started_at_ms(aRecord.mStartedAt);
   aOut.set_has_left(aRecord.mHasLeft);
+  aOut.set_software_version(aRecord.mSoftwareVersion);
 }
 
 result<record_change, codec_error>
@@ -77,6 +79,7 @@
   record.mColdEpoch = aIn.cold_mark();
   record.mStartedAt = aIn.started_at_ms();
   record.mHasLeft = aIn.has_left();
+  record.mSoftwareVersion = aIn.software_version();
   return record;
 }
 
@@ -191,6 +194,10 @@
   {
     WriteConfiguration(aRecord, *mOut.mutable_configuration());
   }
+  void operator()(const rollout_record& aRecord) const
+  {
+    WriteRollout(aRecord, *mOut.mutable_rollout());
+  }
   void operator()(const record_removal& aRecord) const
   {
     wire::Removal& out = *mOut.mutable_removal();
@@ -297,6 +304,8 @@
     }
     case wire::RecordChange::kConfiguration:
       return AsChange(ReadConfiguration(aIn.configuration()));
+    case wire::RecordChange::kRollout:
+      return AsChange(ReadRollout(aIn.rollout()));
     case wire::RecordChange::RECORD_NOT_SET:
       break;
   }
--- a/messages/operator_json.cpp
+++ b/messages/operator_json.cpp
@@ -86,7 +86,21 @@
              { "cold_slots", aRecord.mColdSlots },
              { "state", NameOf(aRecord.mState) },
              { "snapshots", std::move(snapshots) },
-             { "sponsor", aRecord.mLeaseHolder.mValue } };
+             { "sponsor", aRecord.mLeaseHolder.mValue },
+             { "software_version", aRecord.mSoftwareVersion } };
+  }
+  json::object operator()(const rollout_record& aRecord) const
+  {
+    return { { "service", aRecord.mService.mValue },
+             { "version", aRecord.mVersion },
+             { "target_version", aRecord.mTargetVersion },
+             { "state", NameOf(aRecord.mState) },
+             { "duration_ms", aRecord.mDuration.count() },
+             { "elapsed_ms", aRecord.mElapsed.count() },
+             { "share", aRecord.mShare },
+             { "started_at_ms", aRecord.mStartedAt },
+             { "ended_at_ms", aRecord.mEndedAt },
+             { "reason", aRecord.mReason } };
   }
   json::object operator()(const quarantine_record& aRecord) const
   {
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -418,6 +418,14 @@
              64,
              "Processor cores that this host may use; fan-outs are divided "
              "if they would take it too long."),
+    Number("entry",
+           "rollback_ms",
+           type::Milliseconds,
+           &settings::mEntryRollbackMs,
+           100,
+           kHourMs,
+           "Time in which a bad version must have been left by a rollout; "
+           "counts are reported in a small part of it."),
   };
 }
 
@@ -538,6 +546,25 @@
       &settings::mControlBootstrap,
       "Allow this host to form a new group. If no, a host with an empty data "
       "folder joins an existing group."),
+    Fraction("control",
+             "exposure_share",
+             &settings::mControlExposureShare,
+             1,
+             "Part of a service's requests that a bad version may get during "
+             "a rollout."),
+    Fraction("control",
+             "exposure_slack",
+             &settings::mControlExposureSlack,
+             1'000'000,
+             "Requests that a bad version may get beyond that part."),
+    Number("control",
+           "rollback_ms",
+           type::Milliseconds,
+           &settings::mControlRollbackMs,
+           100,
+           kHourMs,
+           "Time in which a bad version must have been left by a rollout; "
+           "counts are looked at in a small part of it."),
   };
 }
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -117,6 +117,7 @@
   std::string mEntrySubqueryAddress;
   std::int64_t mEntrySubqueryPortOffset = 0;
   double mEntryCpuShare = 1;
+  std::int64_t mEntryRollbackMs = 5000;
 
   std::string mControlAddress;
   std::string mControlOperatorsAddress;
@@ -134,6 +135,9 @@
   std::int64_t mControlRefusalDays = 14;
   std::int64_t mControlServerLeaseMs = 5000;
   bool mControlBootstrap = true;
+  double mControlExposureShare = 0.1;
+  double mControlExposureSlack = 50;
+  std::int64_t mControlRollbackMs = 5000;
 
   std::string mPlatformCallersAddress;
   std::string mPlatformReadinessAddress;
--- a/tests/drivers/control_metrics_page_test.cpp
+++ b/tests/drivers/control_metrics_page_test.cpp
@@ -46,6 +46,9 @@
   source.mGroup.mStrength = {
     .mVoters = 5, .mReachableVoters = 4, .mLearners = 2, .mQuorum = 3
   };
+  source.mRollouts = { { rollout_state::Running, 2 },
+                       { rollout_state::Completing, 1 },
+                       { rollout_state::RolledBack, 4 } };
   std::string page = MakeControlMetricsPage(source);
   STRCMP_EQUAL(
     "# HELP hibiscusspool_control_leading 1 if this host leads the control "
@@ -87,6 +90,18 @@
     "kept beside this host's current one.\n"
     "# TYPE hibiscusspool_control_damaged_log_kept gauge\n"
     "hibiscusspool_control_damaged_log_kept 1\n"
+    "# HELP hibiscusspool_control_rollouts_running Services with a rollout in "
+    "progress.\n"
+    "# TYPE hibiscusspool_control_rollouts_running gauge\n"
+    "hibiscusspool_control_rollouts_running 3\n"
+    "# HELP hibiscusspool_control_rollouts_completed Services whose latest "
+    "rollout was completed.\n"
+    "# TYPE hibiscusspool_control_rollouts_completed gauge\n"
+    "hibiscusspool_control_rollouts_completed 0\n"
+    "# HELP hibiscusspool_control_rollouts_rolled_back Services whose latest "
+    "rollout was rolled back.\n"
+    "# TYPE hibiscusspool_control_rollouts_rolled_back gauge\n"
+    "hibiscusspool_control_rollouts_rolled_back 4\n"
     "# HELP hibiscusspool_task_failures_total Background tasks that an "
     "exception has ended.\n"
     "# TYPE hibiscusspool_task_failures_total counter\n"
