--- a/controllers/backend_rollouts.cpp
+++ b/controllers/backend_rollouts.cpp
@@ -23,8 +23,9 @@
     bool isSame = aPool.mRollout &&
                   aPool.mRollout->mRecord.mStartIndex == aRecord.mStartIndex;
     if (!isSame) {
-      aPool.mRollout.emplace();
-      aPool.mRollout->mLearnedAt = aNow;
+      pool_rollout fresh;
+      fresh.mLearnedAt = aNow;
+      aPool.mRollout = std::move(fresh);
     }
     aPool.mRollout->mRecord = aRecord;
     if (aRecord.HasEnded()) {
--- a/decisions/rollout/rollout_step.cpp
+++ b/decisions/rollout/rollout_step.cpp
@@ -19,6 +19,10 @@
 /** The same in the last look, where a bad version would get all requests: 30 to
  * 1. */
 constexpr double kLastOdds = 3.4;
+/** Bad responses from which the odds of the last look are enough: soon the
+ * version must have been left, and one with a single server gives little
+ * evidence in a short time. */
+constexpr std::uint64_t kManyBad = 40;
 /** Rates of the old version below which chance is never assumed to lie, as it
  * may have had few requests. */
 constexpr double kMinFailureRate = 0.01;
@@ -242,10 +246,11 @@
                    double aMinRate,
                    std::string_view aKind,
                    const std::string& aRoute) {
-    if (fault || OddsOf(aCompared, aMinRate) < aMinOdds) {
+    server_results newSum = SumOfSegments(aCompared.mNew);
+    double minOdds = newSum.mBad >= kManyBad ? kLastOdds : aMinOdds;
+    if (fault || OddsOf(aCompared, aMinRate) < minOdds) {
       return;
     }
-    server_results newSum = SumOfSegments(aCompared.mNew);
     server_results oldSum = Sum(aCompared.mOld);
     std::ostringstream reason;
     reason << aKind << ": " << newSum.mBad << " of " << newSum.mTotal
--- a/decisions/rollout/version_odds.cpp
+++ b/decisions/rollout/version_odds.cpp
@@ -11,7 +11,7 @@
 /** Chance that a server's machine is in trouble in a segment, on a bad day. */
 constexpr double kTrouble = 0.15;
 /** What a bad version adds to the rate, as parts of the rest up to 1. */
-constexpr std::array kAddedRates{ 0.2, 0.35, 0.5, 0.7, 0.9 };
+constexpr std::array kAddedRates{ 0.2, 0.35, 0.5, 0.7, 0.9, 0.98 };
 
 /** The likelihood of one server's results in a segment. */
 double
--- a/tests/decisions/rollout/rollout_step_test.cpp
+++ b/tests/decisions/rollout/rollout_step_test.cpp
@@ -12,6 +12,8 @@
 constexpr double kExposureShare = 0.1;
 constexpr double kExposureSlack = 50;
 constexpr milliseconds kRollbackTime{ 5000 };
+/** Until all hosts have learned of the end. */
+constexpr milliseconds kPublishTime{ 500 };
 
 using fault_function = decltype(simulated_load::mFault);
 
@@ -56,7 +58,8 @@
       ++summary.mOverExposed;
     }
     if (isRolledBack && outcome.mFiftiethBadAt &&
-        outcome.mEndedAt > *outcome.mFiftiethBadAt + kRollbackTime) {
+        outcome.mEndedAt + kPublishTime >
+          *outcome.mFiftiethBadAt + kRollbackTime) {
       ++summary.mLeftLate;
     }
   }
@@ -240,6 +243,22 @@
   CheckRolledBack(load);
 }
 
+// Guards against a version whose 50th bad response comes early, and which the
+// few segments until then don't tell from a machine in trouble.
+TEST(rollout_step, ABadVersionIsLeftInTimeUnderHighLoad)
+{
+  for (std::size_t servers : { 1, 3 }) {
+    for (double chance : { 0.2, 1.0 }) {
+      simulated_load load;
+      load.mRates = { 360, 630, 100 };
+      load.mOldServers = servers;
+      load.mNewServers = servers;
+      load.mFault = FailsFrom(milliseconds(0), chance);
+      CheckRolledBack(load);
+    }
+  }
+}
+
 // Guards against a service with few requests, whose share alone would give no
 // evidence before the deadline.
 TEST(rollout_step, ABadVersionOfAServiceWithFewRequestsIsRolledBack)
