--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -428,10 +428,18 @@
            type::Milliseconds,
            &settings::mEntryRevocationMs,
            100,
-           3'600'000,
+           kHourMs,
            "With strict_revoke, time from the acknowledgement of a change that "
            "takes an API key away until no request with it is sent any more; "
            "at least five times mark_ms."),
+    Number("entry",
+           "rollback_ms",
+           type::Milliseconds,
+           &settings::mEntryRollbackMs,
+           100,
+           kHourMs,
+           "Time in which a bad version must have been left by a rollout; "
+           "counts are reported in a small part of it."),
   };
 }
 
@@ -552,6 +560,25 @@
       &settings::mControlBootstrap,
       "Allow this host to form a new group. If no, a host with an empty data "
       "folder joins an existing group."),
+    Fraction("control",
+             "exposure_share",
+             &settings::mControlExposureShare,
+             1,
+             "Part of a service's requests that a bad version may get during "
+             "a rollout."),
+    Fraction("control",
+             "exposure_slack",
+             &settings::mControlExposureSlack,
+             1'000'000,
+             "Requests that a bad version may get beyond that part."),
+    Number("control",
+           "rollback_ms",
+           type::Milliseconds,
+           &settings::mControlRollbackMs,
+           100,
+           kHourMs,
+           "Time in which a bad version must have been left by a rollout; "
+           "counts are looked at in a small part of it."),
   };
 }
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -119,6 +119,7 @@
   double mEntryCpuShare = 1;
   bool mEntryRevokesStrictly = false;
   std::int64_t mEntryRevocationMs = 5000;
+  std::int64_t mEntryRollbackMs = 5000;
 
   std::string mControlAddress;
   std::string mControlOperatorsAddress;
@@ -136,6 +137,9 @@
   std::int64_t mControlRefusalDays = 14;
   std::int64_t mControlServerLeaseMs = 5000;
   bool mControlBootstrap = true;
+  double mControlExposureShare = 0.1;
+  double mControlExposureSlack = 50;
+  std::int64_t mControlRollbackMs = 5000;
 
   std::string mPlatformCallersAddress;
   std::string mPlatformReadinessAddress;
