Refuse by rank what overloaded servers can't bear

A burst over slow servers was admitted in full: queues grew to the deadlines, and almost all scattered requests were late or timed out.

With the setting admit_by_rank, overload control learns from the times of single attempts whether the slowest service that a request needs is late for load. It then admits a part of the demand, the most urgent priority and objective first, and keeps a share for each rank. Refusals are sent before any server is asked, with a Retry-After that is longer for less urgent ranks; repeats before it are refused first.

Without the setting nothing changes.

--- a/drivers/caller_api.cpp
+++ b/drivers/caller_api.cpp
@@ -227,6 +227,7 @@
       return 504;
     case refusal_reason::NotConfirmed:
     case refusal_reason::HostLimit:
+    case refusal_reason::Overloaded:
     case refusal_reason::CoverageTooLow:
     case refusal_reason::NoSnapshot:
     case refusal_reason::ClaimsFull:
--- a/drivers/metrics_page.cpp
+++ b/drivers/metrics_page.cpp
@@ -130,6 +130,36 @@
       &service_sum::mOutstanding);
 }
 
+void
+AddOverload(std::ostringstream& aPage, const overload_counts& aCounts)
+{
+  if (aCounts.empty()) {
+    return;
+  }
+  WriteMetricHeader(aPage,
+                    metric_type::Counter,
+                    "overload_admitted_total",
+                    "Requests that servers could bear, by priority.");
+  for (const auto& [priority, count] : aCounts) {
+    aPage << "hibiscusspool_overload_admitted_total{priority=\"" << priority
+          << "\"} " << count.mAdmitted << '\n';
+  }
+  WriteMetricHeader(aPage,
+                    metric_type::Counter,
+                    "overload_refused_total",
+                    "Requests that servers could not bear, by priority and "
+                    "cause.");
+  for (const auto& [priority, count] : aCounts) {
+    for (const auto& row : kNames<overload_cause>) {
+      if (row.mValue != overload_cause::Room) {
+        aPage << "hibiscusspool_overload_refused_total{priority=\"" << priority
+              << "\",cause=\"" << row.mName << "\"} "
+              << count.mRefused[static_cast<std::size_t>(row.mValue)] << '\n';
+      }
+    }
+  }
+}
+
 }
 
 std::string
@@ -167,6 +197,7 @@
     page, metric_type::Counter, "answers_total", "Answered requests.");
   AddTeams(page, aSource.mTeamStats);
   AddBackends(page, aSource.mBackends);
+  AddOverload(page, aSource.mOverload);
   return page.str();
 }
 
--- a/filters/admit.cpp
+++ b/filters/admit.cpp
@@ -1,5 +1,7 @@
 #include "filters/admit.h"
 
+#include "decisions/routing/snapshot_choice.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -51,11 +53,30 @@
   co_return *aQueued->mResult;
 }
 
+/** Refuses a request that the servers can't bear. */
+void
+RefuseIfOverloaded(const admit_hooks& aHooks, request_context& aRequest)
+{
+  if (!aHooks.mCheckOverload || aRequest.mServices.empty()) {
+    return;
+  }
+  overload_verdict verdict = aHooks.mCheckOverload(aRequest, aHooks.mNow());
+  if (!verdict.mIsAdmitted) {
+    aRequest.Refuse(refusal_reason::Overloaded,
+                    "The servers have more to do than they can finish in time.",
+                    verdict.mRetryAfter);
+  }
+}
+
 asio::awaitable<void>
 Admit(admission_controller& aAdmission,
       const admit_hooks& aHooks,
       request_context& aRequest)
 {
+  RefuseIfOverloaded(aHooks, aRequest);
+  if (aRequest.mRefusal) {
+    co_return;
+  }
   auto executor = co_await asio::this_coro::executor;
   auto queued = std::make_shared<queued_request>(
     queued_request{ asio::steady_timer(executor), std::nullopt });
@@ -95,6 +116,29 @@
 
 }
 
+overload_request
+ToOverloadRequest(const request_context& aRequest)
+{
+  overload_request request;
+  request.mTeam = aRequest.mTeam;
+  request.mRank.mPriority = aRequest.mPriority;
+  bool hasObjective = aRequest.mSoftDeadline < aRequest.mDeadline;
+  request.mRank.mObjective = hasObjective
+                               ? aRequest.mPolicy.mLatencyObjective
+                               : std::chrono::duration_cast<milliseconds>(
+                                   aRequest.mDeadline - aRequest.mReceivedAt);
+  request.mServices = aRequest.mServices;
+  request.mNeeded = NeededServices(aRequest.mServices.size(),
+                                   aRequest.mPolicy.mMinimumCoverage);
+  if (!aRequest.mRequest.IsEmpty()) {
+    // Requests of different callers may be alike, but not their ids.
+    request.mRepeatKey =
+      aRequest.mRequest.mValue + ' ' + aRequest.mFingerprint.mValue;
+  }
+  request.mDeadline = aRequest.mDeadline;
+  return request;
+}
+
 filter
 MakeAdmit(admission_controller& aAdmission, admit_hooks aHooks)
 {
--- a/filters/scatter.h
+++ b/filters/scatter.h
@@ -3,6 +3,7 @@
 #include "controllers/backend_controller.h"
 #include "controllers/budget_controller.h"
 #include "controllers/fingerprint_controller.h"
+#include "decisions/admission/overload.h"
 #include "filters/filter_chain.h"
 
 namespace hibiscusspool {
@@ -91,6 +92,9 @@
   int mHedgePercent = 100;
   /** Records the service time of a part of a team's fan-out. */
   std::function<void(const team_id&, microseconds)> mOnPartTime;
+  /** An attempt of a forwarded request ended; unset if nobody needs to know. */
+  std::function<void(const service_id&, const team_id&, overload_attempt)>
+    mOnAttempt;
   /** Time after which a team's part counts as slow, if known. */
   std::function<std::optional<microseconds>(const team_id&)> mSlowPart;
   /** Divides large fan-outs among entry hosts; unset hooks disable it. */
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -23,6 +23,29 @@
 /** Minimum time without a response before an attempt is hedged. */
 constexpr microseconds kMinHedgeDelay{ 1000 };
 
+/** What an attempt tells overload control; nothing if its server was lost. */
+std::optional<overload_attempt>
+OverloadAttemptOf(const attempt_report& aReport)
+{
+  switch (aReport.mStatus) {
+    case attempt_status::Answered:
+      return overload_attempt{ attempt_end::Responded, aReport.mDuration };
+    case attempt_status::TimedOut:
+    case attempt_status::Cancelled:
+      return overload_attempt{ attempt_end::GivenUp, aReport.mDuration };
+    case attempt_status::Shed:
+      return overload_attempt{ attempt_end::Shed, aReport.mDuration };
+    case attempt_status::NotSent:
+    case attempt_status::Withdrawn:
+    case attempt_status::Reset:
+    case attempt_status::WrongSnapshot:
+    case attempt_status::BadResponse:
+    case attempt_status::Failed:
+      break;
+  }
+  return std::nullopt;
+}
+
 }
 
 choice_request
@@ -277,6 +300,11 @@
   if (isPart && aOperation->mHooks.mOnPartTime) {
     aOperation->mHooks.mOnPartTime(aOperation->mTeam, report.mDuration);
   }
+  auto ended = OverloadAttemptOf(report);
+  if (ended && aOperation->mForwarded != nullptr &&
+      aOperation->mHooks.mOnAttempt) {
+    aOperation->mHooks.mOnAttempt(permit.mService, aOperation->mTeam, *ended);
+  }
   if (!aOperation->mIsEnded && aOperation->mPlanNumber == aPlanNumber) {
     aOperation->OnAttemptDone(aIndex, aNumber, std::move(result));
     co_return;
--- a/main/entry_hooks.cpp
+++ b/main/entry_hooks.cpp
@@ -64,6 +64,30 @@
   };
   hooks.mHedgePercent = static_cast<int>(mSettings.mEntryMaxHedgeDelayPercent);
   hooks.mIsLeaseValid = [this](steady_time aNow) { return MayForward(aNow); };
+  if (mSettings.mEntryAdmitByRank) {
+    hooks.mOnAttempt = [this](const service_id& aService,
+                              const team_id& aTeam,
+                              overload_attempt aAttempt) {
+      mOverload.OnAttempt(aService, aTeam, aAttempt, SteadyNow());
+    };
+  }
+  return hooks;
+}
+
+admit_hooks
+entry_role::ForwardAdmitHooks()
+{
+  admit_hooks hooks;
+  hooks.mNow = SteadyNow;
+  hooks.mServingHosts = [this] { return mCatalog.ServingHosts(); };
+  hooks.mIsLeaseValid = [this](steady_time aNow) { return MayForward(aNow); };
+  if (mSettings.mEntryAdmitByRank) {
+    hooks.mCheckOverload = [this](const request_context& aRequest,
+                                  steady_time aNow) {
+      return mOverload.Submit(
+        ToOverloadRequest(aRequest), aRequest.mRequest, aNow);
+    };
+  }
   return hooks;
 }
 
--- a/main/entry_listeners.cpp
+++ b/main/entry_listeners.cpp
@@ -151,7 +151,8 @@
                              mAdmission.Running(),
                              mAdmission.HostLimit(),
                              mRefusals.LastNumber(),
-                             TaskFailureCount() });
+                             TaskFailureCount(),
+                             mOverload.Counts() });
   };
   auto listener = StartHttpServer(
     mContext,
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -4,7 +4,6 @@
 #include "core/periodic.h"
 #include "drivers/suspended_time.h"
 #include "filters/account.h"
-#include "filters/admit.h"
 #include "filters/confirm.h"
 #include "filters/deliver.h"
 #include "filters/gather.h"
@@ -114,6 +113,7 @@
                mSubqueries.SetHosts(aHosts);
              } })
   , mAdmission(static_cast<std::uint32_t>(mSettings.mEntryHostLimit))
+  , mOverload(std::hash<host_id>{}(mSelf))
   , mPartTimes(static_cast<double>(mSettings.mEntryHedgePercentile) * kPercent)
   , mBudgets(static_cast<double>(mSettings.mEntryHedgeBudgetPercent) * kPercent,
              static_cast<double>(mSettings.mEntryRetryBudgetPercent) * kPercent,
@@ -200,9 +200,11 @@
       { [this](const team_id& aTeam) { return mCatalog.Team(aTeam); },
         [this] { return NewId("r"); } }),
     MakeConfirm({ SteadyNow, isLeaseValid }),
-    MakeAdmit(
-      mAdmission,
-      { SteadyNow, [this] { return mCatalog.ServingHosts(); }, isLeaseValid }),
+    MakeAdmit(mAdmission,
+              { SteadyNow,
+                [this] { return mCatalog.ServingHosts(); },
+                isLeaseValid,
+                {} }),
     MakeQuarantine(QuarantineHooks()),
     MakeClaim(ClaimHooks()),
     MakePlan({ [this](const std::vector<service_id>& aServices) {
@@ -234,9 +236,7 @@
   filter_chain chain{
     MakeRoute(std::move(routes)),
     MakeConfirm({ SteadyNow, mayForward }),
-    MakeAdmit(
-      mAdmission,
-      { SteadyNow, [this] { return mCatalog.ServingHosts(); }, mayForward }),
+    MakeAdmit(mAdmission, ForwardAdmitHooks()),
     MakeQuarantine(ForwardQuarantineHooks()),
     MakeScatter(mBackends, mBudgets, mFingerprints, ForwardHooks()),
     MakeDeliver(),
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -7,6 +7,7 @@
 #include "controllers/crash_controller.h"
 #include "controllers/fingerprint_controller.h"
 #include "controllers/lease_controller.h"
+#include "controllers/overload_controller.h"
 #include "controllers/part_time_controller.h"
 #include "controllers/refusal_controller.h"
 #include "controllers/subquery_controller.h"
@@ -19,6 +20,7 @@
 #include "drivers/subquery_service.h"
 #include "drivers/watch_client.h"
 #include "drivers/worker_pool.h"
+#include "filters/admit.h"
 #include "filters/claim.h"
 #include "filters/quarantine.h"
 #include "main/condition_waiter.h"
@@ -60,6 +62,7 @@
   subquery_client mSubqueryClient = subquery_client::Create();
   catalog_controller mCatalog;
   admission_controller mAdmission;
+  overload_controller mOverload;
   part_time_controller mPartTimes;
   budget_controller mBudgets;
   fingerprint_controller mFingerprints;
@@ -122,6 +125,7 @@
   [[nodiscard]] quarantine_hooks ForwardQuarantineHooks();
   [[nodiscard]] scatter_hooks ScatterHooks();
   [[nodiscard]] scatter_hooks ForwardHooks();
+  [[nodiscard]] admit_hooks ForwardAdmitHooks();
   [[nodiscard]] subquery_hooks SubqueryHooks();
   /** Starts a subquery of another host; returns a function that cancels it. */
   std::function<void()> StartSubquery(subquery aSubquery,
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -418,6 +418,12 @@
              64,
              "Processor cores that this host may use; fan-outs are divided "
              "if they would take it too long."),
+    Switch("entry",
+           "admit_by_rank",
+           &settings::mEntryAdmitByRank,
+           "Refuse what servers can't bear while they are overloaded, the "
+           "least urgent priorities and the most work first. If no, requests "
+           "are refused for this host's own limits only."),
   };
 }
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -117,6 +117,7 @@
   std::string mEntrySubqueryAddress;
   std::int64_t mEntrySubqueryPortOffset = 0;
   double mEntryCpuShare = 1;
+  bool mEntryAdmitByRank = false;
 
   std::string mControlAddress;
   std::string mControlOperatorsAddress;
--- a/tests/drivers/control_metrics_page_test.cpp
+++ b/tests/drivers/control_metrics_page_test.cpp
@@ -151,7 +151,8 @@
                                        .mRunningRequests = 3,
                                        .mHostLimit = 512,
                                        .mRefusalCount = 4,
-                                       .mTaskFailures = 1 });
+                                       .mTaskFailures = 1,
+                                       .mOverload = {} });
   STRCMP_EQUAL("0.25", ValueIn(page, "confirmed_age_seconds").c_str());
   STRCMP_EQUAL("9", ValueIn(page, "catalog_index").c_str());
   STRCMP_EQUAL("3", ValueIn(page, "requests_running").c_str());
--- a/tests/filters/scatter_test.cpp
+++ b/tests/filters/scatter_test.cpp
@@ -62,6 +62,8 @@
   /** Connections that the request lost, and whether it was answered. */
   int mLost = 0;
   int mAnswered = 0;
+  /** What overload control was told of attempts. */
+  std::vector<attempt_end> mEnds;
   /** Attempts end without having waited for anything. */
   bool mEndsAtOnce = false;
   request_context mRequest;
@@ -147,6 +149,11 @@
     hooks.mOnAnswered = [this](const fingerprint_id& /*aFingerprint*/) {
       ++mAnswered;
     };
+    hooks.mOnAttempt = [this](const service_id& /*aService*/,
+                              const team_id& /*aTeam*/,
+                              overload_attempt aAttempt) {
+      mEnds.push_back(aAttempt.mEnd);
+    };
     filter_chain chain{ MakeScatter(mBackends, mBudgets, mFingerprints, hooks),
                         MakeDeliver() };
     steady_time start = Now();
@@ -389,3 +396,17 @@
   LONGS_EQUAL(1, mLost);
   LONGS_EQUAL(0, mAnswered);
 }
+
+// Guards against overload control that takes the quick end of an attempt
+// without a response for the time of one.
+TEST(scatter, OverloadControlLearnsHowAttemptsEnded)
+{
+  mOutcomes = { attempt_status::NotSent,
+                attempt_status::Shed,
+                attempt_status::Failed,
+                attempt_status::Answered };
+  mRequest.mMaxAttempts = 4;
+  Serve();
+  CHECK(mEnds == (std::vector<attempt_end>{ attempt_end::Shed,
+                                            attempt_end::Responded }));
+}
