--- a/decisions/admission/refusal.h
+++ b/decisions/admission/refusal.h
@@ -31,10 +31,11 @@
   HeaderTooLarge,
   SlowSender,
   UnknownKey,
+  Overloaded,
 };
 
 template<>
-inline constexpr name_table<refusal_reason, 19> kNames<refusal_reason>{ {
+inline constexpr name_table<refusal_reason, 20> kNames<refusal_reason>{ {
   { refusal_reason::BadRequest, "bad_request" },
   { refusal_reason::BodyTooLarge, "body_too_large" },
   { refusal_reason::UnknownTeam, "unknown_team" },
@@ -54,6 +55,7 @@
   { refusal_reason::HeaderTooLarge, "header_too_large" },
   { refusal_reason::SlowSender, "slow_sender" },
   { refusal_reason::UnknownKey, "unknown_key" },
+  { refusal_reason::Overloaded, "overloaded" },
 } };
 
 /** Whether a backend server may have executed the request. */
--- a/drivers/metrics_page.h
+++ b/drivers/metrics_page.h
@@ -2,6 +2,7 @@
 
 #include "controllers/backend_controller.h"
 #include "controllers/caller_key_controller.h"
+#include "controllers/overload_controller.h"
 #include "controllers/team_stats_controller.h"
 
 #include <string>
@@ -21,6 +22,7 @@
   /** Background tasks and handlers that ended with an exception. */
   std::uint64_t mTaskFailures = 0;
   key_refusal_counts mKeyRefusals{};
+  overload_counts mOverload{};
 };
 
 /** All metrics in the Prometheus text format. */
--- a/filters/filter_chain.h
+++ b/filters/filter_chain.h
@@ -26,10 +26,11 @@
   Route,
   Deliver,
   Authenticate,
+  Turn,
 };
 
 template<>
-inline constexpr name_table<filter_name, 13> kNames<filter_name>{ {
+inline constexpr name_table<filter_name, 14> kNames<filter_name>{ {
   { filter_name::Identify, "identify" },
   { filter_name::Confirm, "confirm" },
   { filter_name::Admit, "admit" },
@@ -43,6 +44,7 @@
   { filter_name::Route, "route" },
   { filter_name::Deliver, "deliver" },
   { filter_name::Authenticate, "authenticate" },
+  { filter_name::Turn, "turn" },
 } };
 
 using filter_hook =
--- a/main/entry_listeners.cpp
+++ b/main/entry_listeners.cpp
@@ -152,7 +152,8 @@
                              mAdmission.HostLimit(),
                              mRefusals.LastNumber(),
                              TaskFailureCount(),
-                             mCallerKeys.Counts() });
+                             mCallerKeys.Counts(),
+                             mOverload.Counts() });
   };
   auto listener = StartHttpServer(
     mContext,
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -4,13 +4,13 @@
 #include "core/periodic.h"
 #include "drivers/suspended_time.h"
 #include "filters/account.h"
-#include "filters/admit.h"
 #include "filters/confirm.h"
 #include "filters/deliver.h"
 #include "filters/gather.h"
 #include "filters/identify.h"
 #include "filters/plan.h"
 #include "filters/route.h"
+#include "filters/turn.h"
 #include "main/role_support.h"
 #include "platform/caller_fields.h"
 #include "platform/server_protocol.h"
@@ -135,6 +135,7 @@
   , mCallerKeys(ToKeyLimits(mSettings), CallerKeyHooks())
   , mCallerFields(platform::MakeCallerFields())
   , mAdmission(static_cast<std::uint32_t>(mSettings.mEntryHostLimit))
+  , mOverload(std::hash<host_id>{}(mSelf))
   , mPartTimes(static_cast<double>(mSettings.mEntryHedgePercentile) * kPercent)
   , mBudgets(static_cast<double>(mSettings.mEntryHedgeBudgetPercent) * kPercent,
              static_cast<double>(mSettings.mEntryRetryBudgetPercent) * kPercent,
@@ -223,9 +224,11 @@
       { [this](const team_id& aTeam) { return mCatalog.Team(aTeam); },
         [this] { return NewId("r"); } }),
     MakeConfirm({ SteadyNow, isLeaseValid }),
-    MakeAdmit(
-      mAdmission,
-      { SteadyNow, [this] { return mCatalog.ServingHosts(); }, isLeaseValid }),
+    MakeAdmit(mAdmission,
+              { SteadyNow,
+                [this] { return mCatalog.ServingHosts(); },
+                isLeaseValid,
+                {} }),
     MakeQuarantine(QuarantineHooks()),
     MakeClaim(ClaimHooks()),
     MakePlan({ [this](const std::vector<service_id>& aServices) {
@@ -258,14 +261,19 @@
     MakeRoute(std::move(routes)),
     MakeAuthenticate(mCallerKeys, AuthenticateHooks()),
     MakeConfirm({ SteadyNow, mayForward }),
-    MakeAdmit(
-      mAdmission,
-      { SteadyNow, [this] { return mCatalog.ServingHosts(); }, mayForward }),
+    MakeAdmit(mAdmission, ForwardAdmitHooks()),
     MakeQuarantine(ForwardQuarantineHooks()),
     MakeScatter(mBackends, mBudgets, mFingerprints, ForwardHooks()),
     MakeDeliver(),
     MakeAccount(mAdmission, mTeamStats, mRefusals, { SteadyNow, WallNow }),
   };
+  if (mSettings.mEntryAdmitByRank) {
+    auto scatter =
+      std::find_if(chain.begin(), chain.end(), [](const filter& aFilter) {
+        return aFilter.mName == filter_name::Scatter;
+      });
+    chain.insert(scatter, MakeTurn(mStarts, SteadyNow));
+  }
   mForwardChain = std::make_shared<const filter_chain>(std::move(chain));
 }
 
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -8,8 +8,10 @@
 #include "controllers/crash_controller.h"
 #include "controllers/fingerprint_controller.h"
 #include "controllers/lease_controller.h"
+#include "controllers/overload_controller.h"
 #include "controllers/part_time_controller.h"
 #include "controllers/refusal_controller.h"
+#include "controllers/start_controller.h"
 #include "controllers/subquery_controller.h"
 #include "controllers/team_stats_controller.h"
 #include "drivers/announce_api.h"
@@ -21,6 +23,7 @@
 #include "drivers/watch_client.h"
 #include "drivers/worker_pool.h"
 #include "filters/authenticate.h"
+#include "filters/admit.h"
 #include "filters/claim.h"
 #include "filters/quarantine.h"
 #include "main/condition_waiter.h"
@@ -65,6 +68,8 @@
   /** How servers learn the team of a request's caller. */
   caller_field_hooks mCallerFields;
   admission_controller mAdmission;
+  overload_controller mOverload;
+  start_controller mStarts;
   part_time_controller mPartTimes;
   budget_controller mBudgets;
   fingerprint_controller mFingerprints;
@@ -131,6 +136,7 @@
   [[nodiscard]] quarantine_hooks ForwardQuarantineHooks();
   [[nodiscard]] scatter_hooks ScatterHooks();
   [[nodiscard]] scatter_hooks ForwardHooks();
+  [[nodiscard]] admit_hooks ForwardAdmitHooks();
   [[nodiscard]] subquery_hooks SubqueryHooks();
   /** Why a subquery may not be sent for its team; empty if it may be. */
   std::string_view KeyRefusal(const subquery& aSubquery,
@@ -138,6 +144,8 @@
   /** Starts a subquery of another host; returns a function that cancels it. */
   std::function<void()> StartSubquery(subquery aSubquery,
                                       subquery_callback aCallback);
+  /** Priority of the route of a subquery; 0 if it isn't known. */
+  [[nodiscard]] std::uint32_t PriorityOf(const subquery& aSubquery) const;
   boost::asio::awaitable<void> RunSubquery(
     subquery aSubquery,
     std::shared_ptr<caller_status> aCaller,
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -440,6 +440,13 @@
            kHourMs,
            "Time in which a bad version must have been left by a rollout; "
            "counts are reported in a small part of it."),
+    Switch("entry",
+           "admit_by_rank",
+           &settings::mEntryAdmitByRank,
+           "Refuse what servers can't bear while they are overloaded, the "
+           "least urgent priorities and the most work first, and start urgent "
+           "work first while this host is busy. If no, requests are refused "
+           "for this host's own limits only."),
   };
 }
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -120,6 +120,7 @@
   bool mEntryRevokesStrictly = false;
   std::int64_t mEntryRevocationMs = 5000;
   std::int64_t mEntryRollbackMs = 5000;
+  bool mEntryAdmitByRank = false;
 
   std::string mControlAddress;
   std::string mControlOperatorsAddress;
