Bound what the clients of all listeners hold together

Each connection had limits of its own, but only the bodies at callers' listeners had a common one: buffers, header fields, unread responses and the other listeners had none, and idle or stalled connections took every descriptor for up to a minute.

One sum over all connections of a process now counts buffers, fields, bodies by capacity and responses. client_load decides which connection is closed first: the longest without progress, then the largest, never one whose request is being served, and none that holds no more than an ordinary request. A new connection replaces the longest stalled one when a listener or the process is full; a quarter of the descriptors is left to servers, other hosts and the disk. A request has at most 256 header fields, counted while its head arrives. A body that nothing will read isn't awaited. An idle connection keeps no buffer.

Linger compared no time: reads that complete at once cancel the stream's timer, so a peer that never stops sending kept its connection.

mallopt fixes the threshold of mmap: freed bodies had raised it, and the heap kept them as fragments.

--- a/drivers/announce_api.cpp
+++ b/drivers/announce_api.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::string_view kAnnouncePath = "/v1/announce";
+
 asio::awaitable<http_response>
 Announce(const http_request& aRequest,
          const announce_api_config& aConfig,
@@ -58,7 +60,7 @@
     co_return ErrorResponse(
       401, "no_access", "A valid bearer token is required.");
   }
-  if (aRequest.mPath == "/v1/announce" && aRequest.mMethod == "POST") {
+  if (aRequest.mPath == kAnnouncePath && aRequest.mMethod == "POST") {
     co_return co_await Announce(aRequest, aConfig, aHooks);
   }
   if (aRequest.mPath == "/v1/account" && aRequest.mMethod == "GET") {
@@ -71,6 +73,12 @@
 
 }
 
+bool
+IsAnnouncement(const http_request_head& aHead)
+{
+  return aHead.mMethod == "POST" && aHead.mPath == kAnnouncePath;
+}
+
 http_handler
 MakeAnnounceApi(announce_api_config aConfig,
                 access_token aToken,
--- a/drivers/announce_api.h
+++ b/drivers/announce_api.h
@@ -41,6 +41,10 @@
   milliseconds mRenewInterval{ 1000 };
 };
 
+/** True for an announcement, which has a body. */
+bool
+IsAnnouncement(const http_request_head& aHead);
+
 /**
  * The HTTP API for announcements of backend servers and for the reports, which
  * fetch this host's request counts.
--- a/drivers/caller_api.cpp
+++ b/drivers/caller_api.cpp
@@ -237,6 +237,12 @@
   return 503;
 }
 
+bool
+IsCallersRequest(const http_request_head& aHead)
+{
+  return aHead.mMethod == "POST" && ParsePath(aHead.mPath).has_value();
+}
+
 http_handler
 MakeCallerApi(caller_api_config aConfig,
               std::shared_ptr<const filter_chain> aChain,
--- a/drivers/caller_api.h
+++ b/drivers/caller_api.h
@@ -21,6 +21,11 @@
   milliseconds mListTtl{ 5000 };
 };
 
+/** True for a request of a caller, which has a body; false for any other path
+ * or method. */
+bool
+IsCallersRequest(const http_request_head& aHead);
+
 /** The HTTP API for callers, which passes their requests to the chain. */
 http_handler
 MakeCallerApi(caller_api_config aConfig,
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -17,6 +17,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <iterator>
 
 namespace hibiscusspool {
 
@@ -27,17 +28,97 @@
 
 namespace {
 
+/** Limits of reading from a peer that gets no further response. */
 constexpr milliseconds kLingerTimeout{ 1000 };
+constexpr std::size_t kMaxLingerBytes = 1 << 20;
 /** Idle time-out of connections that were accepted just before the stop. */
 constexpr milliseconds kLastRequestTimeout{ 200 };
 /** Buffered bytes besides the header, which bounds chunk headers and trailers.
  */
 constexpr std::size_t kMaxBodyBuffer = 64 << 10;
+/** Bytes of the first read, for which an idle connection keeps a buffer. */
+constexpr std::size_t kFirstReadBytes = 1024;
+/** Initial size of the buffer of a request that is being received. */
+constexpr std::size_t kReadBufferBytes = 4096;
+constexpr std::size_t kMaxReadBytes = 64 << 10;
+/** A body up to this size is read even if the request takes none: that keeps
+ * the connection usable. */
+constexpr std::uint64_t kMaxUnusedBody = 4096;
+/** Bytes that a header field takes besides its text, in the parser and in a
+ * request. */
+constexpr std::uint64_t kFieldBytes = 112;
+/** Bytes of unfinished requests and unread responses of a listener that shares
+ * no limit with others. */
+constexpr std::uint64_t kMaxOwnBytes = 32U << 20U;
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
+using request_parser = http::request_parser<http::string_body>;
+
+steady_time
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+std::size_t
+CountFields(request_parser& aParser)
+{
+  const auto& message = aParser.get();
+  return static_cast<std::size_t>(
+    std::distance(message.begin(), message.end()));
+}
+
+http_request_head
+HeadOf(request_parser& aParser)
+{
+  const auto& message = aParser.get();
+  std::string_view target(message.target().data(), message.target().size());
+  auto host = message[http::field::host];
+  auto method = message.method_string();
+  return { { method.data(), method.size() },
+           target.substr(0, target.find('?')),
+           { host.data(), host.size() } };
+}
+
+/** Bytes that a request takes while it is being received. A body without a
+ * length is copied each time its string grows, so that it counts twice. */
+std::uint64_t
+ReceivedBytes(request_parser& aParser,
+              const beast::flat_buffer& aBuffer,
+              std::size_t aFields)
+{
+  bool hasLength =
+    aParser.is_header_done() && aParser.content_length().has_value();
+  std::uint64_t body = aParser.get().body().capacity();
+  return aBuffer.capacity() + (hasLength ? body : 2 * body) +
+         aFields * kFieldBytes;
+}
+
+std::uint64_t
+RequestBytes(const http_request& aRequest)
+{
+  std::uint64_t bytes = aRequest.mBody.capacity() + aRequest.mTarget.size();
+  for (const header_field& field : aRequest.mFields) {
+    bytes += kFieldBytes + field.mName.size() + field.mValue.size();
+  }
+  return bytes;
+}
+
+std::uint64_t
+ResponseBytes(const http_response& aResponse)
+{
+  std::uint64_t bytes = aResponse.mBody.capacity();
+  for (const auto& [name, value] : aResponse.mHeaders) {
+    bytes += kFieldBytes + name.size() + value.size();
+  }
+  return bytes;
+}
+
+/** At most `aMaxFields` fields are copied. */
 http_request
-ToRequest(http::request_parser<http::string_body>& aParser,
-          http_read_error aReadError)
+ToRequest(request_parser& aParser,
+          http_read_error aReadError,
+          std::size_t aMaxFields)
 {
   auto& message = aParser.get();
   http_request request;
@@ -50,10 +131,13 @@
     request.mQuery = request.mTarget.substr(queryStart + 1);
   }
   for (const auto& field : message) {
+    if (request.mFields.size() == aMaxFields) {
+      break;
+    }
     request.mFields.push_back(
       { std::string(field.name_string()), std::string(field.value()) });
   }
-  if (aReadError == http_read_error::None) {
+  if (aReadError == http_read_error::None && aParser.is_done()) {
     request.mBody = std::move(message.body());
   }
   return request;
@@ -140,6 +224,8 @@
   std::shared_ptr<caller_status> mCaller;
   /** A request has begun to arrive and was not answered yet. */
   bool mIsReading = false;
+  client_id mNumber = 0;
+  client_phase mPhase = client_phase::Idle;
 
   /** True if no byte of a request has arrived. */
   bool IsIdle()
@@ -156,8 +242,9 @@
   http_server_config mConfig;
   http_handler mHandler;
   std::optional<tcp_listener> mListener;
-  sharded_map<std::uint64_t, std::shared_ptr<http_connection>> mConnections;
-  std::atomic<std::uint64_t> mNextConnection{ 1 };
+  std::shared_ptr<client_controller> mClients;
+  listener_id mNumber = 0;
+  sharded_map<client_id, std::shared_ptr<http_connection>> mConnections;
   std::atomic<std::size_t> mCount{ 0 };
   std::atomic<std::size_t> mActive{ 0 };
   std::atomic<bool> mIsDraining{ false };
@@ -169,7 +256,25 @@
     : mContext(aContext)
     , mConfig(std::move(aConfig))
     , mHandler(std::move(aHandler))
+    , mClients(mConfig.mClients)
+  {
+    if (mClients == nullptr) {
+      mClients = std::make_shared<client_controller>(
+        client_limits{ kMaxOwnBytes, mConfig.mMaxConnections });
+    }
+  }
+
+  state(const state&) = delete;
+  state& operator=(const state&) = delete;
+
+  ~state() { mClients->RemoveListener(mNumber); }
+
+  void SetPhase(http_connection& aConnection,
+                client_phase aPhase,
+                std::uint64_t aBytes)
   {
+    aConnection.mPhase = aPhase;
+    mClients->Update(aConnection.mNumber, aPhase, aBytes, Now());
   }
 
   std::vector<std::shared_ptr<http_connection>> OpenConnections()
@@ -200,48 +305,63 @@
   {
     beast::flat_buffer buffer(mConfig.mMaxHeaderBytes + kMaxBodyBuffer);
     do {
-      http::request_parser<http::string_body> parser;
-      parser.body_limit(mConfig.mMaxBodyBytes);
-      parser.header_limit(mConfig.mMaxHeaderBytes);
+      std::optional<request_parser> parser(std::in_place);
+      parser->body_limit(mConfig.mMaxBodyBytes);
+      parser->header_limit(mConfig.mMaxHeaderBytes);
       auto progress = std::make_shared<read_progress>();
       held_transfer body(mConfig.mTransfers, EndHook(aConnection, progress));
       beast::error_code error =
-        co_await ReadRequest(*aConnection, buffer, parser, progress, body);
-      if (IsDisconnected(error) || (error && !parser.got_some())) {
+        co_await ReadRequest(*aConnection, buffer, *parser, progress, body);
+      if (IsDisconnected(error) || (error && !parser->got_some())) {
         break;
       }
       http_read_error readError = ToReadError(error);
+      bool keepsAlive = readError == http_read_error::None &&
+                        parser->is_done() && parser->keep_alive();
+      http_request request =
+        ToRequest(*parser, readError, mConfig.mMaxHeaderFields);
+      parser.reset();
+      SetPhase(*aConnection,
+               client_phase::Serving,
+               RequestBytes(request) + buffer.capacity());
       ++mActive;
-      bool keepsAlive = co_await Respond(aConnection,
-                                         ToRequest(parser, readError),
-                                         readError == http_read_error::None &&
-                                           parser.keep_alive());
+      keepsAlive =
+        co_await Respond(aConnection, std::move(request), keepsAlive);
       --mActive;
       aConnection->mIsReading = false;
       NotifyDrainProgress();
       if (!keepsAlive) {
         break;
       }
+      buffer.shrink_to_fit();
+      SetPhase(*aConnection, client_phase::Idle, buffer.capacity());
     } while (!mIsStopped);
+    buffer = beast::flat_buffer();
+    SetPhase(*aConnection, client_phase::Lingering, 0);
     co_await Linger(*aConnection);
   }
 
   /**
    * Reads until the peer closes: closing a socket with unread data resets the
-   * connection, which may discard the response.
+   * connection, which may discard the response. The time is compared here: the
+   * stream's timer doesn't end reads that complete at once.
    */
   asio::awaitable<void> Linger(http_connection& aConnection)
   {
     beast::error_code ignored;
     aConnection.mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    aConnection.mStream.expires_after(kLingerTimeout);
+    steady_time end = Now() + kLingerTimeout;
+    aConnection.mStream.expires_at(end);
+    std::size_t left =
+      std::max(kMaxLingerBytes, mConfig.mMaxBodyBytes + kMaxBodyBuffer);
     std::array<char, 4096> scratch{};
-    while (true) {
+    while (left > 0 && Now() < end) {
       auto [error, count] = co_await aConnection.mStream.async_read_some(
         asio::buffer(scratch), kNoThrow);
       if (error) {
         co_return;
       }
+      left -= std::min(left, count);
     }
   }
 
@@ -285,14 +405,18 @@
     if (aBuffer.size() == 0) {
       aConnection.mStream.expires_after(mIsStopped ? kLastRequestTimeout
                                                    : mConfig.mIdleTimeout);
+      std::array<char, kFirstReadBytes> first{};
       auto [error, count] = co_await aConnection.mStream.async_read_some(
-        aBuffer.prepare(4096), kNoThrow);
+        asio::buffer(first), kNoThrow);
       if (error) {
         co_return error == beast::error::timeout ? asio::error::eof : error;
       }
-      aBuffer.commit(count);
+      aBuffer.reserve(kReadBufferBytes);
+      aBuffer.commit(
+        asio::buffer_copy(aBuffer.prepare(count), asio::buffer(first, count)));
     }
     aConnection.mIsReading = true;
+    SetPhase(aConnection, client_phase::Receiving, aBuffer.capacity());
     // The stream's own timer would close it, and no response could be sent.
     aConnection.mStream.expires_never();
     asio::steady_timer limit(aConnection.mStream.get_executor(),
@@ -305,24 +429,92 @@
     });
     beast::error_code error;
     aParser.eager(true);
-    while (!error && !aParser.is_done() && !aProgress->mHasTimedOut &&
+    std::size_t fields = 0;
+    bool isComplete = false;
+    while (!error && !isComplete && !aProgress->mHasTimedOut &&
            !aProgress->mIsGivenUp) {
-      auto [readError, count] = co_await http::async_read_some(
-        aConnection.mStream, aBuffer, aParser, kNoThrow);
-      error = readError;
+      bool wasHeaderDone = aParser.is_header_done();
+      bool needsMore = Parse(aParser, aBuffer, error);
       aBody.Grow(aParser.get().body().size());
+      // The parser holds the fields of an unfinished head too.
+      if (!error && !wasHeaderDone) {
+        fields = CountFields(aParser);
+        error = CheckFields(fields);
+      }
+      isComplete = aParser.is_done() || HasUnusedBody(aParser);
+      SetPhase(aConnection,
+               client_phase::Receiving,
+               ReceivedBytes(aParser, aBuffer, fields));
+      if (needsMore && !error && !isComplete) {
+        std::size_t size = beast::read_size(aBuffer, kMaxReadBytes);
+        if (size == 0) {
+          error = http::error::buffer_overflow;
+          break;
+        }
+        auto [readError, count] = co_await aConnection.mStream.async_read_some(
+          aBuffer.prepare(size), kNoThrow);
+        aBuffer.commit(count);
+        error = readError == asio::error::eof ? EndOfInput(aParser) : readError;
+        isComplete = !error && aParser.is_done();
+      }
     }
-    bool isRead = aParser.is_done();
     aProgress->mIsDone = true;
     limit.cancel();
     aBody.Complete();
-    if (aProgress->mIsGivenUp && !isRead) {
+    if (aProgress->mIsGivenUp && !isComplete) {
       co_return asio::error::no_buffer_space;
     }
     bool hasTimedOut = aProgress->mHasTimedOut;
     co_return hasTimedOut ? beast::error::timeout : error;
   }
 
+  /** Parses what the buffer holds; true if more bytes are needed. */
+  static bool Parse(request_parser& aParser,
+                    beast::flat_buffer& aBuffer,
+                    beast::error_code& aError)
+  {
+    if (aBuffer.size() == 0) {
+      return true;
+    }
+    aBuffer.consume(aParser.put(aBuffer.data(), aError));
+    bool needsMore = aError == http::error::need_more;
+    if (needsMore) {
+      aError = {};
+    }
+    return needsMore || aBuffer.size() == 0;
+  }
+
+  /** The error of a request at whose place the peer has closed its side. */
+  static beast::error_code EndOfInput(request_parser& aParser)
+  {
+    beast::error_code error = http::error::end_of_stream;
+    if (aParser.got_some()) {
+      error = {};
+      aParser.put_eof(error);
+    }
+    return error;
+  }
+
+  beast::error_code CheckFields(std::size_t aFields) const
+  {
+    if (aFields <= mConfig.mMaxHeaderFields) {
+      return {};
+    }
+    mClients->CountRefusedFields(Now());
+    return http::error::header_limit;
+  }
+
+  /** True if the rest of the body is left unread, and the connection closed. */
+  bool HasUnusedBody(request_parser& aParser) const
+  {
+    if (!mConfig.mTakesBody || !aParser.is_header_done() || aParser.is_done()) {
+      return false;
+    }
+    auto left = aParser.content_length_remaining();
+    bool isSmall = left && *left <= kMaxUnusedBody;
+    return !isSmall && !mConfig.mTakesBody(HeadOf(aParser));
+  }
+
   /** Detects that the caller disconnects while its request is active, or that
    * it had done so before the request was read. */
   static void WatchForDisconnect(
@@ -352,6 +544,8 @@
     http_response handlerResponse = co_await mHandler(std::move(aRequest));
     beast::error_code ignored;
     aConnection->mStream.socket().cancel(ignored);
+    SetPhase(
+      *aConnection, client_phase::Sending, ResponseBytes(handlerResponse));
     bool keepsAlive = aKeepAlive && !mIsDraining;
     http::response<http::string_body> response(
       static_cast<http::status>(handlerResponse.mStatus), 11);
@@ -368,8 +562,17 @@
       response.body().clear();
     }
     aConnection->mStream.expires_after(mConfig.mTransferTimeout);
-    auto [error, count] =
-      co_await http::async_write(aConnection->mStream, response, kNoThrow);
+    http::response_serializer<http::string_body> serializer(response);
+    std::uint64_t bytes = response.body().capacity();
+    beast::error_code error;
+    while (!error && !serializer.is_done()) {
+      auto [writeError, count] = co_await http::async_write_some(
+        aConnection->mStream, serializer, kNoThrow);
+      error = writeError;
+      if (!serializer.is_done()) {
+        SetPhase(*aConnection, client_phase::Sending, bytes);
+      }
+    }
     aConnection->mCaller.reset();
     co_return !error && keepsAlive;
   }
@@ -393,6 +596,12 @@
     return Fail(http_server_error::CannotListen, listener.error().mDetail);
   }
   made->mListener.emplace(std::move(listener.value()));
+  made->mNumber = made->mClients->AddListener(made->mConfig.mMaxConnections,
+                                              [weak = std::weak_ptr(made)] {
+                                                if (auto self = weak.lock()) {
+                                                  self->mListener->Resume();
+                                                }
+                                              });
   made->mListener->Start();
   return http_server(std::move(made));
 }
@@ -408,7 +617,7 @@
   };
   hooks.mHasCapacity = [aState] {
     auto self = aState.lock();
-    return !self || self->mCount < self->mConfig.mMaxConnections;
+    return !self || self->mClients->HasRoom(self->mNumber);
   };
   hooks.mOnAccepted = [aState](tcp::socket aSocket) {
     if (auto self = aState.lock()) {
@@ -418,12 +627,41 @@
   return hooks;
 }
 
+std::function<void(client_id)>
+http_server::CloseHook(const std::weak_ptr<state>& aState,
+                       const std::weak_ptr<http_connection>& aConnection)
+{
+  return [aState, aConnection](client_id aNumber) {
+    auto open = aConnection.lock();
+    if (open == nullptr) {
+      return;
+    }
+    asio::post(open->mStream.get_executor(), [aState, open, aNumber] {
+      auto self = aState.lock();
+      if (self == nullptr || !self->mClients->IsClosing(aNumber)) {
+        return;
+      }
+      // A request may have begun to arrive since the choice.
+      beast::error_code ignored;
+      bool hasRequest = open->mPhase == client_phase::Idle &&
+                        open->mStream.socket().available(ignored) > 0;
+      if (hasRequest) {
+        self->mClients->Keep(aNumber);
+      } else {
+        open->mStream.close();
+      }
+    });
+  };
+}
+
 void
 http_server::Start(const std::shared_ptr<state>& aState, tcp::socket aSocket)
 {
   auto connection = std::make_shared<http_connection>(
     http_connection{ beast::tcp_stream(std::move(aSocket)), nullptr });
-  std::uint64_t number = aState->mNextConnection++;
+  client_id number = aState->mClients->Open(
+    aState->mNumber, CloseHook(aState, connection), Now());
+  connection->mNumber = number;
   aState->mConnections.Set(number, connection);
   ++aState->mCount;
   asio::co_spawn(connection->mStream.get_executor(),
@@ -434,8 +672,8 @@
                    }
                    aState->mConnections.Take(number);
                    --aState->mCount;
+                   aState->mClients->Close(number);
                    aState->NotifyDrainProgress();
-                   aState->mListener->Resume();
                  });
 }
 
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controllers/client_controller.h"
 #include "controllers/transfer_controller.h"
 #include "core/clock.h"
 #include "core/failure.h"
@@ -17,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hibiscusspool {
@@ -87,6 +89,15 @@
   std::shared_ptr<const void> mHeldBody;
 };
 
+/** The head of a request whose body has not been read. */
+struct http_request_head
+{
+  std::string_view mMethod;
+  /** Path without the query. */
+  std::string_view mPath;
+  std::string_view mHost;
+};
+
 using http_handler =
   std::function<boost::asio::awaitable<http_response>(http_request)>;
 
@@ -94,18 +105,30 @@
 {
   std::string mAddress;
   std::uint32_t mMaxHeaderBytes = 16 << 10;
+  /** A field takes some 100 bytes besides its text, so that a head of the
+   * maximum size could take thirty times as many bytes. */
+  std::size_t mMaxHeaderFields = 256;
   std::size_t mMaxBodyBytes = 1 << 20;
   milliseconds mTransferTimeout{ 5000 };
   milliseconds mIdleTimeout{ 60'000 };
   std::size_t mMaxConnections = 4096;
   /** Bounds the bodies of all requests together; null if nothing does. */
   std::shared_ptr<transfer_controller> mTransfers;
+  /** Bounds the connections of all listeners together; if null, those of this
+   * listener alone. */
+  std::shared_ptr<client_controller> mClients;
+  /** False for a request that is answered the same whatever its body is: one of
+   * more than a few bytes is not read. If unset, all bodies are read. Called on
+   * any thread. */
+  std::function<bool(const http_request_head&)> mTakesBody;
   /** Selects the context of a new connection; if unset, the listener's own. */
   std::function<boost::asio::io_context&()> mSelectContext;
   /** Called while draining, after each response and each closed connection. */
   std::function<void()> mOnDrainProgress;
 };
 
+struct http_connection;
+
 /**
  * An HTTP/1.1 server. Each connection runs on one thread at a time and
  * processes its requests in order. Requests that could not be read reach the
@@ -118,6 +141,10 @@
 
   explicit http_server(std::shared_ptr<state> aState);
   static tcp_listener_hooks ListenerHooks(const std::weak_ptr<state>& aState);
+  /** Closes a connection that was chosen for it; called on any thread. */
+  static std::function<void(client_id)> CloseHook(
+    const std::weak_ptr<state>& aState,
+    const std::weak_ptr<http_connection>& aConnection);
   /** Serves a connection that was accepted. */
   static void Start(const std::shared_ptr<state>& aState,
                     boost::asio::ip::tcp::socket aSocket);
--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -5,6 +5,7 @@
 #include "core/periodic.h"
 #include "core/random_id.h"
 #include "drivers/access_token.h"
+#include "drivers/client_metrics.h"
 #include "drivers/control_metrics_page.h"
 #include "drivers/operator_api.h"
 #include "main/role_support.h"
@@ -115,9 +116,11 @@
 }
 
 result<std::unique_ptr<control_role>, role_error>
-control_role::Create(asio::io_context& aContext, const settings& aSettings)
+control_role::Create(asio::io_context& aContext,
+                     const settings& aSettings,
+                     const std::shared_ptr<client_controller>& aClients)
 {
-  auto role = Open(aContext, aSettings);
+  auto role = Open(aContext, aSettings, aClients);
   bool isDamaged = !role && role.error().mCode == role_error::DiskFailed;
   if (!isDamaged) {
     return role;
@@ -132,11 +135,13 @@
   log_event("log_set_aside", log_event::severity::Error)
     .Add("cause", role.error().mDetail)
     .Add("kept", kept.value().string());
-  return Open(aContext, aSettings);
+  return Open(aContext, aSettings, aClients);
 }
 
 result<std::unique_ptr<control_role>, role_error>
-control_role::Open(asio::io_context& aContext, const settings& aSettings)
+control_role::Open(asio::io_context& aContext,
+                   const settings& aSettings,
+                   const std::shared_ptr<client_controller>& aClients)
 {
   std::filesystem::path folder(aSettings.mControlDataFolder);
   auto storage = raft_storage::Create(LogFolder(aSettings), RandomHex(4));
@@ -164,6 +169,7 @@
     control_client::Create(
       aContext.get_executor(), std::move(hosts), std::move(clientHooks))));
   *owner = role.get();
+  role->mClients = aClients;
   auto group = role->SetUpGroup();
   if (!group) {
     return group.error();
@@ -396,7 +402,8 @@
     return MakeControlMetricsPage({ mGroup->Status(),
                                     mHub->Daemons().size(),
                                     TaskFailureCount(),
-                                    mHasDamagedLog });
+                                    mHasDamagedLog }) +
+           MakeClientMetrics(mClients->Status());
   };
   hooks.mEarliestArrival = [this] { return EarliestArrival(); };
   hooks.mNewChangeId = [this] {
@@ -405,6 +412,7 @@
   };
   http_server_config config;
   config.mAddress = mSettings.mControlOperatorsAddress;
+  ShareClientLimits(mSettings, mClients, config);
   auto listener = StartHttpServer(
     mContext,
     std::move(config),
@@ -752,6 +760,7 @@
   http_server_config config;
   config.mAddress = address;
   config.mMaxConnections = kMaxPlatformConnections;
+  ShareClientLimits(mSettings, mClients, config);
   config.mTransfers =
     std::make_shared<transfer_controller>(kMaxPlatformBodyBytes);
   auto listener =
--- a/main/control_role.h
+++ b/main/control_role.h
@@ -46,6 +46,8 @@
   std::unique_ptr<control_group> mGroup;
   std::unique_ptr<watch_hub> mHub;
   std::unique_ptr<control_service> mService;
+  /** The clients of all listeners of this process. */
+  std::shared_ptr<client_controller> mClients;
   std::unique_ptr<http_server> mOperatorListener;
   std::unique_ptr<http_server> mPlatformListener;
   server_lease_manager mServerLeases;
@@ -68,7 +70,8 @@
   /** As `Create`, for a data folder that is not damaged. */
   static result<std::unique_ptr<control_role>, role_error> Open(
     boost::asio::io_context& aContext,
-    const settings& aSettings);
+    const settings& aSettings,
+    const std::shared_ptr<client_controller>& aClients);
   result<void, role_error> SetUpGroup();
   result<void, role_error> SetUpService();
   result<void, role_error> SetUpOperators();
@@ -113,7 +116,8 @@
    * joins its group as one with a new disk. */
   static result<std::unique_ptr<control_role>, role_error> Create(
     boost::asio::io_context& aContext,
-    const settings& aSettings);
+    const settings& aSettings,
+    const std::shared_ptr<client_controller>& aClients);
 
   /** True while no leader is known. */
   [[nodiscard]] bool IsOutOfTouch() const;
--- a/main/entry_listeners.cpp
+++ b/main/entry_listeners.cpp
@@ -5,6 +5,7 @@
 #include "decisions/group/membership.h"
 #include "drivers/access_token.h"
 #include "drivers/caller_api.h"
+#include "drivers/client_metrics.h"
 #include "drivers/metrics_page.h"
 #include "main/role_support.h"
 #include "messages/account_json.h"
@@ -35,6 +36,13 @@
 /** Limit for the subqueries of other hosts to end at a stop. */
 constexpr milliseconds kSubqueryStopTimeout{ 100 };
 
+/** For a listener of which no request needs a body. */
+bool
+TakesNoBody(const http_request_head& /*aHead*/)
+{
+  return false;
+}
+
 }
 
 std::vector<entry_host_record>
@@ -75,6 +83,7 @@
   config.mMaxBodyBytes = static_cast<std::size_t>(mSettings.mEntryMaxBodyBytes);
   config.mTransferTimeout = milliseconds(mSettings.mEntryTransferTimeoutMs);
   config.mTransfers = mRequestBodies;
+  ShareClientLimits(mSettings, mClients, config);
   config.mMaxConnections =
     static_cast<std::size_t>(mSettings.mEntryMaxConnections);
   config.mSelectContext = [this]() -> asio::io_context& {
@@ -93,6 +102,7 @@
   if (aConfig.mAddress.empty()) {
     return boost::outcome_v2::success();
   }
+  ShareClientLimits(mSettings, mClients, aConfig);
   auto listener =
     StartHttpServer(mContext, std::move(aConfig), std::move(aHandler));
   if (!listener) {
@@ -107,6 +117,7 @@
 {
   http_server_config directory;
   directory.mAddress = mSettings.mPlatformDirectoryAddress;
+  directory.mTakesBody = TakesNoBody;
   auto started = StartPlatformListener(
     mDirectoryListener,
     std::move(directory),
@@ -118,15 +129,22 @@
   if (!started) {
     return started.error();
   }
+  http_server_config clients = CallersConfig(mSettings.mPlatformCallersAddress);
+  clients.mTakesBody = [this](const http_request_head& aHead) {
+    auto routes = mCatalog.Routes();
+    return routes != nullptr &&
+           routes->Find(aHead.mHost, aHead.mPath) != nullptr;
+  };
   started =
     StartPlatformListener(mClientListener,
-                          CallersConfig(mSettings.mPlatformCallersAddress),
+                          std::move(clients),
                           platform::MakeClientApi(mForwardChain, SteadyNow));
   if (!started) {
     return started.error();
   }
   http_server_config readiness;
   readiness.mAddress = mSettings.mPlatformReadinessAddress;
+  readiness.mTakesBody = TakesNoBody;
   return StartPlatformListener(
     mReadinessListener,
     std::move(readiness),
@@ -151,11 +169,14 @@
                              mAdmission.Running(),
                              mAdmission.HostLimit(),
                              mRefusals.LastNumber(),
-                             TaskFailureCount() });
+                             TaskFailureCount() }) +
+           MakeClientMetrics(mClients->Status());
   };
+  http_server_config callers = CallersConfig(mSettings.mEntryCallersAddress);
+  callers.mTakesBody = IsCallersRequest;
   auto listener = StartHttpServer(
     mContext,
-    CallersConfig(mSettings.mEntryCallersAddress),
+    std::move(callers),
     MakeCallerApi({ milliseconds(mSettings.mEntryHostListTtlMs) },
                   mChain,
                   std::move(hooks)));
@@ -175,6 +196,8 @@
   }
   http_server_config announce;
   announce.mAddress = mSettings.mEntryAnnounceAddress;
+  announce.mTakesBody = IsAnnouncement;
+  ShareClientLimits(mSettings, mClients, announce);
   announce_api_hooks announceHooks;
   announceHooks.mAnnounce = [this](server_record aRecord) {
     return mServerLeases.HandleAnnouncement(std::move(aRecord));
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -87,7 +87,8 @@
 entry_role::entry_role(asio::io_context& aContext,
                        settings aSettings,
                        incarnation_number aIncarnation,
-                       control_client aClient)
+                       control_client aClient,
+                       std::shared_ptr<client_controller> aClients)
   : mContext(aContext)
   , mSettings(std::move(aSettings))
   , mSelf{ mSettings.mHostId }
@@ -127,19 +128,22 @@
   , mServerLeases(mSelf,
                   milliseconds(mSettings.mEntryServerLeaseMs),
                   ServerLeaseHooks())
+  , mClients(std::move(aClients))
   , mRequestBodies(std::make_shared<transfer_controller>(
       static_cast<std::uint64_t>(mSettings.mEntryMaxHeldBytes)))
 {
 }
 
 result<std::unique_ptr<entry_role>, role_error>
-entry_role::Create(asio::io_context& aContext, const settings& aSettings)
+entry_role::Create(asio::io_context& aContext,
+                   const settings& aSettings,
+                   std::shared_ptr<client_controller> aClients)
 {
   auto client =
     control_client::Create(aContext.get_executor(), ControlHosts(aSettings));
   auto incarnation = NewIncarnation();
-  std::unique_ptr<entry_role> role(
-    new entry_role(aContext, aSettings, incarnation, std::move(client)));
+  std::unique_ptr<entry_role> role(new entry_role(
+    aContext, aSettings, incarnation, std::move(client), std::move(aClients)));
   role->SetUpBackendClient();
   role->SetUpChain();
   role->SetUpForwardChain();
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -77,6 +77,8 @@
   std::unique_ptr<subquery_service> mSubqueryService;
   std::atomic<std::size_t> mRunningSubqueries{ 0 };
   condition_waiter mStopWaiter;
+  /** The clients of all listeners of this process. */
+  std::shared_ptr<client_controller> mClients;
   /** The bodies of requests that are being received, on all listeners. */
   std::shared_ptr<transfer_controller> mRequestBodies;
   /** Receives the requests of callers, for `mChain`. */
@@ -99,7 +101,8 @@
   entry_role(boost::asio::io_context& aContext,
              settings aSettings,
              incarnation_number aIncarnation,
-             control_client aClient);
+             control_client aClient,
+             std::shared_ptr<client_controller> aClients);
 
   void SetUpBackendClient();
   void SetUpChain();
@@ -175,7 +178,8 @@
 
   static result<std::unique_ptr<entry_role>, role_error> Create(
     boost::asio::io_context& aContext,
-    const settings& aSettings);
+    const settings& aSettings,
+    std::shared_ptr<client_controller> aClients);
 
   /** True while no control host has confirmed this host's state of late. */
   [[nodiscard]] bool IsOutOfTouch() const;
--- a/main/role_support.cpp
+++ b/main/role_support.cpp
@@ -4,10 +4,41 @@
 #include "core/log_event.h"
 #include "drivers/suspended_time.h"
 
+#include <algorithm>
 #include <random>
 
+#include <sys/resource.h>
+
 namespace hibiscusspool {
 
+namespace {
+
+/** Memory of the smallest machine that runs a host. */
+constexpr std::uint64_t kDefaultMemoryMb = 112;
+constexpr std::uint64_t kBytesPerMb = 1'000'000;
+/** Clients may hold a fifth of the memory, which takes up to twice as much of
+ * the heap. The process itself takes a quarter of the smallest machine. */
+constexpr std::uint64_t kMemoryParts = 5;
+/** Clients may hold three quarters of the descriptors. The others are for
+ * backend servers, other hosts and the disk. */
+constexpr std::uint64_t kDescriptorQuarters = 3;
+/** Used if the process may open any number of descriptors. */
+constexpr std::uint64_t kDefaultDescriptors = 1 << 20;
+
+std::uint64_t
+MaxDescriptors(const settings& aSettings)
+{
+  if (aSettings.mHostMaxDescriptors > 0) {
+    return static_cast<std::uint64_t>(aSettings.mHostMaxDescriptors);
+  }
+  rlimit limit{};
+  bool isLimited =
+    getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+  return isLimited ? limit.rlim_cur : kDefaultDescriptors;
+}
+
+}
+
 wall_ms
 WallNow()
 {
@@ -68,6 +99,36 @@
   }
 }
 
+client_limits
+ClientLimits(const settings& aSettings)
+{
+  client_limits limits;
+  auto memory = static_cast<std::uint64_t>(aSettings.mHostMemoryMb);
+  bool isKnown = memory > 0;
+  limits.mMaxBytes =
+    (isKnown ? memory : kDefaultMemoryMb) * kBytesPerMb / kMemoryParts;
+  // Who lets an entry host hold more than by default has the memory for it.
+  bool isRaised = aSettings.mEntryMaxHeldBytes > settings{}.mEntryMaxHeldBytes;
+  if (!isKnown && isRaised) {
+    limits.mMaxBytes =
+      std::max(limits.mMaxBytes,
+               static_cast<std::uint64_t>(aSettings.mEntryMaxHeldBytes));
+  }
+  limits.mMaxConnections = std::max<std::uint64_t>(
+    1, MaxDescriptors(aSettings) * kDescriptorQuarters / 4);
+  return limits;
+}
+
+void
+ShareClientLimits(const settings& aSettings,
+                  const std::shared_ptr<client_controller>& aClients,
+                  http_server_config& aConfig)
+{
+  aConfig.mClients = aClients;
+  aConfig.mMaxHeaderFields =
+    static_cast<std::size_t>(aSettings.mHostMaxHeaderFields);
+}
+
 result<std::unique_ptr<http_server>, role_error>
 StartHttpServer(boost::asio::io_context& aContext,
                 http_server_config aConfig,
--- a/main/role_support.h
+++ b/main/role_support.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controllers/client_controller.h"
 #include "core/clock.h"
 #include "core/ids.h"
 #include "drivers/http_server.h"
@@ -37,6 +38,16 @@
 void
 LogRepairs(const std::vector<setting_repair>& aRepairs);
 
+/** What the clients of all listeners of this process may hold. */
+client_limits
+ClientLimits(const settings& aSettings);
+
+/** Makes a listener share the limits of all listeners of this process. */
+void
+ShareClientLimits(const settings& aSettings,
+                  const std::shared_ptr<client_controller>& aClients,
+                  http_server_config& aConfig);
+
 /** Creates a listening HTTP server; an error names the address. */
 result<std::unique_ptr<http_server>, role_error>
 StartHttpServer(boost::asio::io_context& aContext,
--- a/main/serve.cpp
+++ b/main/serve.cpp
@@ -27,6 +27,8 @@
 
 #include <csignal>
 
+#include <malloc.h>
+
 namespace hibiscusspool {
 
 namespace asio = boost::asio;
@@ -40,6 +42,9 @@
  * bind an address that is in use. */
 constexpr milliseconds kStartRetryInterval{ 500 };
 
+/** Blocks of this size and above return to the system when they are freed. */
+constexpr int kMmapThresholdBytes = 128 << 10;
+
 /** Interval between looks at the seeds while a host is out of touch. */
 constexpr milliseconds kSeedInterval{ 1000 };
 
@@ -166,11 +171,12 @@
 control_result
 CreateControl(asio::io_context& aContext,
               const settings& aSettings,
+              const std::shared_ptr<client_controller>& aClients,
               shutdown_event& aShutdown)
 {
   std::string lastCause;
   while (true) {
-    auto control = control_role::Create(aContext, aSettings);
+    auto control = control_role::Create(aContext, aSettings, aClients);
     bool mayPass =
       !control && control.error().mCode == role_error::DiskUnavailable;
     if (!mayPass) {
@@ -204,8 +210,9 @@
   if (!WaitForAddresses(aContext, aSettings, aShutdown)) {
     return std::nullopt;
   }
+  auto clients = std::make_shared<client_controller>(ClientLimits(aSettings));
   if (aSettings.IsControl()) {
-    auto control = CreateControl(aContext, aSettings, aShutdown);
+    auto control = CreateControl(aContext, aSettings, clients, aShutdown);
     if (!control && aShutdown.IsStopping()) {
       return std::nullopt;
     }
@@ -215,7 +222,7 @@
     aRoles.mControl = std::move(control.value());
   }
   if (aSettings.IsEntry()) {
-    auto entry = entry_role::Create(aContext, aSettings);
+    auto entry = entry_role::Create(aContext, aSettings, clients);
     if (!entry) {
       return report(entry.error());
     }
@@ -234,6 +241,9 @@
   // beyond the limit on the size of files for that file only.
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGXFSZ, SIG_IGN);
+  // Once set, the threshold no longer rises to the size of the blocks that were
+  // freed, and large bodies don't remain with the process as fragments.
+  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   StartLogWriter();
   LogGrpcMessages();
   LogRepairs(aLoaded.mRepairs);
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -7,6 +7,8 @@
 constexpr std::int64_t kMebibyte = 1 << 20;
 constexpr std::int64_t kMinuteMs = 60'000;
 constexpr std::int64_t kHourMs = 60 * kMinuteMs;
+constexpr std::int64_t kMaxMemoryMb = 1 << 24;
+constexpr std::int64_t kMaxDescriptors = 1 << 24;
 constexpr std::int64_t kMaxClaimHours = 720; // 30 days
 
 setting_row
@@ -103,6 +105,34 @@
          true,
          "Name of this host; must be unique."),
     std::move(domain),
+    Number(
+      "host",
+      "memory_mb",
+      setting_type::Count,
+      &settings::mHostMemoryMb,
+      0,
+      kMaxMemoryMb,
+      "Memory of this host's machine, in MB. Clients may hold a fifth of it "
+      "with unfinished requests and unread responses, on all listeners; "
+      "beyond it, connections without progress are closed. 0: not known; 112 "
+      "MB, or what max_held_bytes allows if it was raised."),
+    Number("host",
+           "max_descriptors",
+           setting_type::Count,
+           &settings::mHostMaxDescriptors,
+           0,
+           kMaxDescriptors,
+           "Maximum number of descriptors that this process may open. Clients "
+           "may hold three quarters of them; beyond it, a new connection "
+           "replaces the one without progress for the longest time. 0: the "
+           "limit of the process."),
+    Number("host",
+           "max_header_fields",
+           setting_type::Count,
+           &settings::mHostMaxHeaderFields,
+           16,
+           16'384,
+           "Maximum number of header fields of a request."),
   };
 }
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -74,6 +74,9 @@
 {
   std::string mHostId;
   std::string mHostFailureDomain;
+  std::int64_t mHostMemoryMb = 0;
+  std::int64_t mHostMaxDescriptors = 0;
+  std::int64_t mHostMaxHeaderFields = 256;
 
   std::string mEntryCallersAddress;
   std::string mEntryAnnounceAddress;
--- a/tests/drivers/http_server_test.cpp
+++ b/tests/drivers/http_server_test.cpp
@@ -168,3 +168,22 @@
   }
   CHECK(error.failed());
 }
+
+// Guards against a closing connection that stays for as long as its peer sends:
+// reads that complete at once kept the time limit from ending it.
+TEST(http_server, APeerThatNeverStopsSendingIsCutOff)
+{
+  // The most that the server reads, and what both kernels buffer.
+  constexpr std::size_t kMaxBytes = 32 << 20;
+  Start(true);
+  asio::io_context callers;
+  tcp::socket socket = Connect(callers);
+  Write(socket, "no request\r\n\r\n");
+  std::string block(65'536, 'e');
+  boost::system::error_code error;
+  std::size_t sent = 0;
+  while (!error && sent <= kMaxBytes) {
+    sent += asio::write(socket, asio::buffer(block), error);
+  }
+  CHECK(error.failed());
+}
--- a/tests/integration/test_system.cpp
+++ b/tests/integration/test_system.cpp
@@ -235,15 +235,18 @@
 void
 test_system::ApplyLimits(const std::string& aName) const
 {
-  if (!mControlPorts.contains(aName)) {
-    return;
-  }
   auto apply = [](auto aResource, rlim_t aMax) {
     rlimit limit{ aMax, aMax };
     if (aMax > 0) {
       setrlimit(aResource, &limit);
     }
   };
+  if (mCallerPorts.contains(aName)) {
+    apply(RLIMIT_NOFILE, mOptions.mEntryDescriptors);
+  }
+  if (!mControlPorts.contains(aName)) {
+    return;
+  }
   apply(RLIMIT_NOFILE, mOptions.mControlDescriptors);
   apply(RLIMIT_FSIZE, mOptions.mControlFileBytes);
 }
--- a/tests/integration/test_system.h
+++ b/tests/integration/test_system.h
@@ -31,6 +31,8 @@
   /** Maximum size of the files that a control host writes, in bytes; 0 for the
    * limit of the tests. */
   rlim_t mControlFileBytes = 0;
+  /** Maximum open files of each entry host; 0 for the limit of the tests. */
+  rlim_t mEntryDescriptors = 0;
   /** Lines appended to the section [entry] or [control]. */
   std::string mExtraEntrySettings;
   std::string mExtraControlSettings;
@@ -89,6 +91,10 @@
   [[nodiscard]] std::uint64_t IgnoredSignals(const std::string& aName) const;
   /** Deletes the data folder of a control host. */
   void DeleteDataFolder(const std::string& aHost) const;
+  [[nodiscard]] pid_t Pid(const std::string& aName) const
+  {
+    return mProcesses.at(aName);
+  }
   [[nodiscard]] bool IsRunning(const std::string& aName) const
   {
     return mProcesses.contains(aName);
