Treat a status outside 100 to 599 as a bad response

The parser takes any three digits, and each status below 500 that isn't 2xx passed for the server's own response: 000, 099 or 999 reached the caller, and x-not-executed beside one passed for a proof that the request had not run.

The head is judged as soon as it is read, for whole requests, parts and the own protocol: the attempt is a BadResponse, its body isn't awaited, no notice is read and the connection isn't reused.

Nothing reads health answers here: servers are known by heartbeats, and a probe only connects.

--- a/drivers/backend_client.cpp
+++ b/drivers/backend_client.cpp
@@ -6,6 +6,7 @@
 #include "core/sharded_map.h"
 #include "core/worker_number.h"
 #include "decisions/servers/exchange_history.h"
+#include "drivers/http_status.h"
 #include "drivers/rate_field.h"
 #include "drivers/retry_after.h"
 
@@ -83,6 +84,13 @@
 /** Maximum number of informational responses before the final one. */
 constexpr int kMaxInformational = 8;
 
+/** True if the head of a response was read and its status is none. */
+bool
+HasInvalidStatus(response_parser& aParser)
+{
+  return aParser.is_header_done() && !IsHttpStatus(aParser.get().result_int());
+}
+
 /** True for a response that precedes the final one and has no body. */
 bool
 IsInformational(unsigned aStatus)
@@ -439,11 +447,13 @@
     auto body = std::make_shared<held_transfer>(mConfig.mTransfers, end);
     beast::error_code error;
     aParser.eager(true);
-    while (!error && !aParser.is_done() && !state->mIsGivenUp) {
+    bool isInvalid = false;
+    while (!error && !isInvalid && !aParser.is_done() && !state->mIsGivenUp) {
       auto [readError, count] = co_await http::async_read_some(
         aConnection->mSocket, aConnection->mBuffer, aParser, kNoThrow);
       error = readError;
       body->Grow(aParser.get().body().size());
+      isInvalid = HasInvalidStatus(aParser);
     }
     state->mIsReading = false;
     body->Complete();
@@ -455,6 +465,11 @@
         .Add("bytes", aParser.get().body().size());
       co_return attempt_status::BadResponse;
     }
+    if (isInvalid) {
+      log_event("status_invalid", log_event::severity::Warning)
+        .Add("status", aParser.get().result_int());
+      co_return attempt_status::BadResponse;
+    }
     if (error) {
       co_return StatusOf(error);
     }
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -1,6 +1,7 @@
 #include "drivers/http_client.h"
 
 #include "core/address.h"
+#include "drivers/http_status.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -50,7 +51,7 @@
   parser.body_limit(kMaxResponseBytes);
   beast::flat_buffer buffer;
   auto onRead = [&](beast::error_code aError, std::size_t) {
-    if (!aError) {
+    if (!aError && IsHttpStatus(parser.get().result_int())) {
       response.mStatus = parser.get().result_int();
       response.mBody = std::move(parser.get().body());
     }
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -19,7 +19,8 @@
   milliseconds mTimeout{ 15'000 };
 };
 
-/** The response; status 0 if none was received. */
+/** The response; status 0 if none with a status from 100 to 599 was received.
+ */
 struct http_client_response
 {
   unsigned mStatus = 0;
