--- a/tests/integration/raw_crowd.cpp
+++ b/tests/integration/raw_crowd.cpp
@@ -39,7 +39,9 @@
     int made = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     setsockopt(
       made, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer, sizeof kReceiveBuffer);
-    connect(made, reinterpret_cast<const sockaddr*>(&peer), sizeof peer);
+    // A connection that fails ends the first attempt to send.
+    static_cast<void>(
+      connect(made, reinterpret_cast<const sockaddr*>(&peer), sizeof peer));
     mMembers.push_back({ made });
   }
 }
