--- a/main/control_role.cpp
+++ b/main/control_role.cpp
@@ -5,6 +5,7 @@
 #include "core/periodic.h"
 #include "core/random_id.h"
 #include "drivers/access_token.h"
+#include "drivers/client_metrics.h"
 #include "drivers/control_metrics_page.h"
 #include "drivers/operator_api.h"
 #include "main/role_support.h"
@@ -126,9 +127,11 @@
 }
 
 result<std::unique_ptr<control_role>, role_error>
-control_role::Create(asio::io_context& aContext, const settings& aSettings)
+control_role::Create(asio::io_context& aContext,
+                     const settings& aSettings,
+                     const std::shared_ptr<client_controller>& aClients)
 {
-  auto role = Open(aContext, aSettings);
+  auto role = Open(aContext, aSettings, aClients);
   bool isDamaged = !role && role.error().mCode == role_error::DiskFailed;
   if (!isDamaged) {
     return role;
@@ -143,11 +146,13 @@
   log_event("log_set_aside", log_event::severity::Error)
     .Add("cause", role.error().mDetail)
     .Add("kept", kept.value().string());
-  return Open(aContext, aSettings);
+  return Open(aContext, aSettings, aClients);
 }
 
 result<std::unique_ptr<control_role>, role_error>
-control_role::Open(asio::io_context& aContext, const settings& aSettings)
+control_role::Open(asio::io_context& aContext,
+                   const settings& aSettings,
+                   const std::shared_ptr<client_controller>& aClients)
 {
   std::filesystem::path folder(aSettings.mControlDataFolder);
   auto storage = raft_storage::Create(LogFolder(aSettings), RandomHex(4));
@@ -175,6 +180,7 @@
     control_client::Create(
       aContext.get_executor(), std::move(hosts), std::move(clientHooks))));
   *owner = role.get();
+  role->mClients = aClients;
   auto group = role->SetUpGroup();
   if (!group) {
     return group.error();
@@ -416,7 +422,8 @@
                                     mHub->Daemons().size(),
                                     TaskFailureCount(),
                                     mHasDamagedLog,
-                                    CountRollouts() });
+                                    CountRollouts() }) +
+           MakeClientMetrics(mClients->Status());
   };
   hooks.mEarliestArrival = [this] { return EarliestArrival(); };
   hooks.mNewChangeId = [this] {
@@ -425,6 +432,7 @@
   };
   http_server_config config;
   config.mAddress = mSettings.mControlOperatorsAddress;
+  ShareClientLimits(mSettings, mClients, config);
   auto listener = StartHttpServer(
     mContext,
     std::move(config),
@@ -783,6 +791,7 @@
   http_server_config config;
   config.mAddress = address;
   config.mMaxConnections = kMaxPlatformConnections;
+  ShareClientLimits(mSettings, mClients, config);
   config.mTransfers =
     std::make_shared<transfer_controller>(kMaxPlatformBodyBytes);
   auto listener =
