Keep the quotas of caller teams over all entry hosts

Entry hosts could not hold a team to its rate and burst, since each sees a hundredth of the requests. Each team now has an owner among the serving entry hosts, found by rendezvous hash. Hosts admit at once and report what they admitted in the last window while the team is far below its quota; the owner tells all hosts, through some of them, as soon as the requests expected in 0.6 s would reach the limit, and hosts then ask before they admit. Without the owner, its deputy grants 0.35 of the margin, and hosts that reach neither admit their own part. Requests over the quota get 429 with the time at which there is room.

While the owner is lost, a large team can still be refused below its quota.

--- a/decisions/admission/refusal.h
+++ b/decisions/admission/refusal.h
@@ -30,10 +30,11 @@
   NoServer,
   HeaderTooLarge,
   SlowSender,
+  QuotaExceeded,
 };
 
 template<>
-inline constexpr name_table<refusal_reason, 18> kNames<refusal_reason>{ {
+inline constexpr name_table<refusal_reason, 19> kNames<refusal_reason>{ {
   { refusal_reason::BadRequest, "bad_request" },
   { refusal_reason::BodyTooLarge, "body_too_large" },
   { refusal_reason::UnknownTeam, "unknown_team" },
@@ -52,6 +53,7 @@
   { refusal_reason::NoServer, "no_server" },
   { refusal_reason::HeaderTooLarge, "header_too_large" },
   { refusal_reason::SlowSender, "slow_sender" },
+  { refusal_reason::QuotaExceeded, "quota_exceeded" },
 } };
 
 /** Whether a backend server may have executed the request. */
--- a/drivers/caller_api.cpp
+++ b/drivers/caller_api.cpp
@@ -221,6 +221,7 @@
     case refusal_reason::Quarantined:
       return 409;
     case refusal_reason::TeamLimit:
+    case refusal_reason::QuotaExceeded:
       return 429;
     case refusal_reason::DeadlinePassed:
     case refusal_reason::OutcomeUnknown:
--- a/drivers/metrics_page.cpp
+++ b/drivers/metrics_page.cpp
@@ -130,6 +130,41 @@
       &service_sum::mOutstanding);
 }
 
+void
+AddQuotas(std::ostringstream& aPage, const quota_counts& aCounts)
+{
+  auto addByBasis =
+    [&](std::string_view aName, std::string_view aHelp, const auto& aNumbers) {
+      WriteMetricHeader(aPage, metric_type::Counter, aName, aHelp);
+      for (const auto& row : kNames<quota_basis>) {
+        aPage << "hibiscusspool_" << aName << "{basis=\"" << row.mName << "\"} "
+              << aNumbers[static_cast<std::size_t>(row.mValue)] << '\n';
+      }
+    };
+  addByBasis("quota_admitted_total",
+             "Requests within the quota of their caller team, by what decided.",
+             aCounts.mAdmitted);
+  addByBasis("quota_refused_total",
+             "Requests over the quota of their caller team, by what decided.",
+             aCounts.mRefused);
+  WriteMetric(aPage,
+              metric_type::Counter,
+              "quota_returned_total",
+              "Requests that stopped counting, since they did not run.",
+              aCounts.mReturned);
+  WriteMetricHeader(aPage,
+                    metric_type::Counter,
+                    "quota_messages_total",
+                    "Messages to other entry hosts on quotas.");
+  aPage << "hibiscusspool_quota_messages_total{kind=\"ask\"} " << aCounts.mAsks
+        << "\nhibiscusspool_quota_messages_total{kind=\"report\"} "
+        << aCounts.mReports
+        << "\nhibiscusspool_quota_messages_total{kind=\"notice\"} "
+        << aCounts.mNotices
+        << "\nhibiscusspool_quota_messages_total{kind=\"failed\"} "
+        << aCounts.mFailedMessages << '\n';
+}
+
 }
 
 std::string
@@ -167,6 +202,7 @@
     page, metric_type::Counter, "answers_total", "Answered requests.");
   AddTeams(page, aSource.mTeamStats);
   AddBackends(page, aSource.mBackends);
+  AddQuotas(page, aSource.mQuotas);
   return page.str();
 }
 
--- a/drivers/metrics_page.h
+++ b/drivers/metrics_page.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "controllers/backend_controller.h"
+#include "controllers/quota_controller.h"
 #include "controllers/team_stats_controller.h"
 
 #include <string>
@@ -19,6 +20,7 @@
   std::uint64_t mRefusalCount = 0;
   /** Background tasks and handlers that ended with an exception. */
   std::uint64_t mTaskFailures = 0;
+  quota_counts mQuotas{};
 };
 
 /** All metrics in the Prometheus text format. */
--- a/drivers/rpc_server.cpp
+++ b/drivers/rpc_server.cpp
@@ -62,7 +62,8 @@
 result<rpc_server, rpc_server_error>
 rpc_server::Create(asio::io_context& aContext,
                    const std::string& aAddress,
-                   grpc::Service& aService)
+                   grpc::Service& aService,
+                   grpc::Service* aOtherService)
 {
   auto made = std::make_unique<state>();
   tcp_listener_hooks hooks;
@@ -83,6 +84,9 @@
   builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
   builder.SetMaxSendMessageSize(kMaxMessageBytes);
   builder.RegisterService(&aService);
+  if (aOtherService != nullptr) {
+    builder.RegisterService(aOtherService);
+  }
   made->mServer = builder.BuildAndStart();
   if (made->mServer == nullptr) {
     return Fail(rpc_server_error::CannotListen,
--- a/drivers/rpc_server.h
+++ b/drivers/rpc_server.h
@@ -39,12 +39,13 @@
   rpc_server& operator=(rpc_server&&) noexcept;
   ~rpc_server();
 
-  /** Serves on an `ip:port`. The service must outlive the server; connections
+  /** Serves on an `ip:port`. The services must outlive the server; connections
    * are accepted by the threads of the context. */
   static result<rpc_server, rpc_server_error> Create(
     boost::asio::io_context& aContext,
     const std::string& aAddress,
-    grpc::Service& aService);
+    grpc::Service& aService,
+    grpc::Service* aOtherService = nullptr);
 
   /** Cancels calls that last longer than the time-out. */
   void Stop(milliseconds aTimeout);
--- a/drivers/subquery_client.cpp
+++ b/drivers/subquery_client.cpp
@@ -35,12 +35,13 @@
   std::uint64_t mNextCall = 1;
   bool mIsStopped = false;
 
-  std::shared_ptr<grpc::Channel> Channel(const assigned_subquery& aTarget)
+  std::shared_ptr<grpc::Channel> Channel(const host_id& aHost,
+                                         const std::string& aAddress)
   {
     std::lock_guard guard(mLock);
-    auto& channel = mChannels[aTarget.mHost];
+    auto& channel = mChannels[aHost];
     if (channel == nullptr) {
-      channel = OpenChannel(aTarget.mAddress);
+      channel = OpenChannel(aAddress);
     }
     return channel;
   }
@@ -198,18 +199,25 @@
     });
     return [] {};
   }
-  auto* reactor =
-    new subquery_reactor(wire::Subqueries::NewStub(self->Channel(aTarget)),
-                         std::move(context),
-                         aSubquery,
-                         aTarget.mHost,
-                         std::move(aExecutor),
-                         std::move(aCallback),
-                         [self, call] { self->EndCall(*call); });
+  auto* reactor = new subquery_reactor(
+    wire::Subqueries::NewStub(self->Channel(aTarget.mHost, aTarget.mAddress)),
+    std::move(context),
+    aSubquery,
+    aTarget.mHost,
+    std::move(aExecutor),
+    std::move(aCallback),
+    [self, call] { self->EndCall(*call); });
   reactor->Start();
   return [self, call] { self->Cancel(*call); };
 }
 
+std::shared_ptr<grpc::Channel>
+subquery_client::ChannelTo(const host_id& aHost,
+                           const std::string& aAddress) const
+{
+  return mState->Channel(aHost, aAddress);
+}
+
 void
 subquery_client::DropChannel(const host_id& aHost) const
 {
--- a/drivers/subquery_client.h
+++ b/drivers/subquery_client.h
@@ -5,6 +5,8 @@
 #include <functional>
 #include <memory>
 
+#include <grpcpp/channel.h>
+
 namespace hibiscusspool {
 
 /**
@@ -30,6 +32,10 @@
     const subquery& aSubquery,
     boost::asio::any_io_executor aExecutor,
     subquery_callback aCallback) const;
+  /** The channel to a host, for other calls to it. */
+  [[nodiscard]] std::shared_ptr<grpc::Channel> ChannelTo(
+    const host_id& aHost,
+    const std::string& aAddress) const;
   /** Drops the channel to a host that does not respond. */
   void DropChannel(const host_id& aHost) const;
   /** Cancels all subqueries and waits until they have ended. */
--- a/drivers/subquery_service.cpp
+++ b/drivers/subquery_service.cpp
@@ -180,10 +180,12 @@
 result<subquery_service, subquery_service_error>
 subquery_service::Create(boost::asio::io_context& aContext,
                          const std::string& aAddress,
-                         subquery_handler aHandler)
+                         subquery_handler aHandler,
+                         grpc::Service* aOtherService)
 {
   auto made = std::make_unique<state>(std::move(aHandler));
-  auto server = rpc_server::Create(aContext, aAddress, made->mService);
+  auto server =
+    rpc_server::Create(aContext, aAddress, made->mService, aOtherService);
   if (!server) {
     return Fail(subquery_service_error::CannotListen, server.error().mDetail);
   }
--- a/drivers/subquery_service.h
+++ b/drivers/subquery_service.h
@@ -5,6 +5,7 @@
 #include "filters/subquery.h"
 
 #include <boost/asio/io_context.hpp>
+#include <grpcpp/impl/service_type.h>
 
 #include <functional>
 #include <memory>
@@ -43,11 +44,13 @@
   subquery_service& operator=(subquery_service&&) noexcept;
   ~subquery_service();
 
-  /** Connections are accepted by the threads of the context. */
+  /** Connections are accepted by the threads of the context. The other service
+   * is served by the same server, and must outlive it. */
   static result<subquery_service, subquery_service_error> Create(
     boost::asio::io_context& aContext,
     const std::string& aAddress,
-    subquery_handler aHandler);
+    subquery_handler aHandler,
+    grpc::Service* aOtherService = nullptr);
 
   /** Refuses new subqueries and gives running ones this long to end. */
   void Stop(milliseconds aTimeout);
--- a/filters/filter_chain.h
+++ b/filters/filter_chain.h
@@ -25,10 +25,12 @@
   Account,
   Route,
   Deliver,
+  Quota,
+  QuotaReturn,
 };
 
 template<>
-inline constexpr name_table<filter_name, 12> kNames<filter_name>{ {
+inline constexpr name_table<filter_name, 14> kNames<filter_name>{ {
   { filter_name::Identify, "identify" },
   { filter_name::Confirm, "confirm" },
   { filter_name::Admit, "admit" },
@@ -41,6 +43,8 @@
   { filter_name::Account, "account" },
   { filter_name::Route, "route" },
   { filter_name::Deliver, "deliver" },
+  { filter_name::Quota, "quota" },
+  { filter_name::QuotaReturn, "quota_return" },
 } };
 
 using filter_hook =
--- a/filters/request_context.h
+++ b/filters/request_context.h
@@ -129,11 +129,15 @@
   /** Maximum number of servers per service that may get the request. */
   std::uint32_t mMaxAttempts = UINT32_MAX;
   std::uint32_t mPriority = 0;
+  /** The team of callers whose key the request carries; empty if none. */
+  team_id mCallerTeam;
   /** From this time a partial response is preferred to a later, fuller one. */
   steady_time mSoftDeadline = steady_time::max();
   /** The same for a fan-out that is divided among entry hosts, which leaves
    * this host less to do before it responds. */
   steady_time mDividedSoftDeadline;
+  /** When the request was counted in its caller team's quota, if it was. */
+  std::optional<steady_time> mQuotaCountedAt;
   fingerprint_id mFingerprint;
   bool mIsAdmitted = false;
   steady_time mAdmittedAt;
--- a/main/entry_listeners.cpp
+++ b/main/entry_listeners.cpp
@@ -151,7 +151,8 @@
                              mAdmission.Running(),
                              mAdmission.HostLimit(),
                              mRefusals.LastNumber(),
-                             TaskFailureCount() });
+                             TaskFailureCount(),
+                             mQuotas.Counts() });
   };
   auto listener = StartHttpServer(
     mContext,
@@ -273,6 +274,7 @@
   if (mSubqueryService != nullptr) {
     mSubqueryService->Stop(kSubqueryStopTimeout);
   }
+  mQuotaClient.Stop();
   mSubqueryClient.Stop();
   mWatch->Stop();
   mClient.Stop();
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -108,10 +108,13 @@
       [this](const std::vector<service_id>& aServices, steady_time aNow) {
         return mBackends.AnsweringDomains(aServices, aNow);
       })
+  , mQuotas(QuotaConfig(), QuotaHooks())
+  , mQuotaClient(quota_client::Create(QuotaClientHooks()))
   , mCatalog(mSelf,
              mBackends,
              { [this](const std::vector<entry_host_record>& aHosts) {
                mSubqueries.SetHosts(aHosts);
+               mQuotas.SetHosts(aHosts, SteadyNow());
              } })
   , mAdmission(static_cast<std::uint32_t>(mSettings.mEntryHostLimit))
   , mPartTimes(static_cast<double>(mSettings.mEntryHedgePercentile) * kPercent)
@@ -234,12 +237,14 @@
   filter_chain chain{
     MakeRoute(std::move(routes)),
     MakeConfirm({ SteadyNow, mayForward }),
+    MakeQuota(mQuotas, QuotaFilterHooks()),
     MakeAdmit(
       mAdmission,
       { SteadyNow, [this] { return mCatalog.ServingHosts(); }, mayForward }),
     MakeQuarantine(ForwardQuarantineHooks()),
     MakeScatter(mBackends, mBudgets, mFingerprints, ForwardHooks()),
     MakeDeliver(),
+    MakeQuotaReturn(mQuotas, QuotaFilterHooks()),
     MakeAccount(mAdmission, mTeamStats, mRefusals, { SteadyNow, WallNow }),
   };
   mForwardChain = std::make_shared<const filter_chain>(std::move(chain));
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -8,6 +8,7 @@
 #include "controllers/fingerprint_controller.h"
 #include "controllers/lease_controller.h"
 #include "controllers/part_time_controller.h"
+#include "controllers/quota_controller.h"
 #include "controllers/refusal_controller.h"
 #include "controllers/subquery_controller.h"
 #include "controllers/team_stats_controller.h"
@@ -15,12 +16,14 @@
 #include "drivers/backend_client.h"
 #include "drivers/control_client.h"
 #include "drivers/http_server.h"
+#include "drivers/quota_client.h"
 #include "drivers/subquery_client.h"
 #include "drivers/subquery_service.h"
 #include "drivers/watch_client.h"
 #include "drivers/worker_pool.h"
 #include "filters/claim.h"
 #include "filters/quarantine.h"
+#include "filters/quota.h"
 #include "main/condition_waiter.h"
 #include "main/role_error.h"
 #include "main/role_support.h"
@@ -58,6 +61,11 @@
   backend_controller mBackends;
   subquery_controller mSubqueries;
   subquery_client mSubqueryClient = subquery_client::Create();
+  quota_controller mQuotas;
+  quota_client mQuotaClient;
+  std::unique_ptr<grpc::Service> mQuotaService;
+  /** A report on quotas is about to be sent. */
+  std::atomic<bool> mIsReportingQuotas{ false };
   catalog_controller mCatalog;
   admission_controller mAdmission;
   part_time_controller mPartTimes;
@@ -130,6 +138,15 @@
     subquery aSubquery,
     std::shared_ptr<caller_status> aCaller,
     subquery_callback aCallback);
+  [[nodiscard]] quota_config QuotaConfig() const;
+  [[nodiscard]] quota_hooks QuotaHooks();
+  [[nodiscard]] quota_filter_hooks QuotaFilterHooks();
+  [[nodiscard]] quota_client_hooks QuotaClientHooks();
+  /** Reports to the owners of quotas after a short while. */
+  void ReportQuotasSoon();
+  boost::asio::awaitable<void> ReportQuotas();
+  boost::asio::awaitable<void> SendQuotaReport(quota_message aMessage);
+  boost::asio::awaitable<void> SendQuotaNotice(quota_notice_message aMessage);
   [[nodiscard]] server_lease_hooks ServerLeaseHooks();
   [[nodiscard]] std::optional<budget_limits> SharedBudget(
     steady_time aNow) const;
--- a/main/entry_subqueries.cpp
+++ b/main/entry_subqueries.cpp
@@ -3,6 +3,7 @@
 #include "core/address.h"
 #include "core/background_task.h"
 #include "core/log_event.h"
+#include "drivers/quota_service.h"
 #include "filters/confirm.h"
 #include "filters/subquery_result.h"
 #include "main/role_support.h"
@@ -109,12 +110,20 @@
   if (mSubqueryAddress.empty()) {
     return boost::outcome_v2::success();
   }
+  mQuotaService =
+    MakeQuotaService({ [this](const quota_request& aRequest) {
+                        return mQuotas.Serve(aRequest, SteadyNow());
+                      },
+                       [this](const quota_notice& aNotice) {
+                         mQuotas.OnNotice(aNotice, SteadyNow());
+                       } });
   auto service = subquery_service::Create(
     mContext,
     mSubqueryAddress,
     [this](subquery aSubquery, subquery_callback aCallback) {
       return StartSubquery(std::move(aSubquery), std::move(aCallback));
-    });
+    },
+    mQuotaService.get());
   if (!service) {
     return Fail(role_error::CannotStart, service.error().mDetail);
   }
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -418,6 +418,26 @@
              64,
              "Processor cores that this host may use; fan-outs are divided "
              "if they would take it too long."),
+    Number("entry",
+           "quota_window_s",
+           type::Seconds,
+           &settings::mEntryQuotaWindowS,
+           1,
+           3600,
+           "Span of time in which the quota of a caller team is kept. Must be "
+           "the same on all hosts, as the next two."),
+    Fraction("entry",
+             "quota_overshoot",
+             &settings::mEntryQuotaOvershoot,
+             10,
+             "Requests beyond its quota that a caller team may send in a "
+             "window, per request of the quota, over all hosts."),
+    Fraction("entry",
+             "quota_slack",
+             &settings::mEntryQuotaSlack,
+             1'000'000,
+             "Requests that a caller team may send in a window in addition "
+             "to its quota and quota_overshoot, over all hosts."),
   };
 }
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -117,6 +117,9 @@
   std::string mEntrySubqueryAddress;
   std::int64_t mEntrySubqueryPortOffset = 0;
   double mEntryCpuShare = 1;
+  std::int64_t mEntryQuotaWindowS = 5;
+  double mEntryQuotaOvershoot = 0.1;
+  double mEntryQuotaSlack = 20;
 
   std::string mControlAddress;
   std::string mControlOperatorsAddress;
