--- a/decisions/admission/refusal.h
+++ b/decisions/admission/refusal.h
@@ -32,10 +32,11 @@
   SlowSender,
   UnknownKey,
   Overloaded,
+  QuotaExceeded,
 };
 
 template<>
-inline constexpr name_table<refusal_reason, 20> kNames<refusal_reason>{ {
+inline constexpr name_table<refusal_reason, 21> kNames<refusal_reason>{ {
   { refusal_reason::BadRequest, "bad_request" },
   { refusal_reason::BodyTooLarge, "body_too_large" },
   { refusal_reason::UnknownTeam, "unknown_team" },
@@ -56,6 +57,7 @@
   { refusal_reason::SlowSender, "slow_sender" },
   { refusal_reason::UnknownKey, "unknown_key" },
   { refusal_reason::Overloaded, "overloaded" },
+  { refusal_reason::QuotaExceeded, "quota_exceeded" },
 } };
 
 /** Whether a backend server may have executed the request. */
--- a/drivers/metrics_page.h
+++ b/drivers/metrics_page.h
@@ -3,6 +3,7 @@
 #include "controllers/backend_controller.h"
 #include "controllers/caller_key_controller.h"
 #include "controllers/overload_controller.h"
+#include "controllers/quota_controller.h"
 #include "controllers/team_stats_controller.h"
 
 #include <string>
@@ -23,6 +24,7 @@
   std::uint64_t mTaskFailures = 0;
   key_refusal_counts mKeyRefusals{};
   overload_counts mOverload{};
+  quota_counts mQuotas{};
 };
 
 /** All metrics in the Prometheus text format. */
--- a/filters/filter_chain.h
+++ b/filters/filter_chain.h
@@ -27,10 +27,12 @@
   Deliver,
   Authenticate,
   Turn,
+  Quota,
+  QuotaReturn,
 };
 
 template<>
-inline constexpr name_table<filter_name, 14> kNames<filter_name>{ {
+inline constexpr name_table<filter_name, 16> kNames<filter_name>{ {
   { filter_name::Identify, "identify" },
   { filter_name::Confirm, "confirm" },
   { filter_name::Admit, "admit" },
@@ -45,6 +47,8 @@
   { filter_name::Deliver, "deliver" },
   { filter_name::Authenticate, "authenticate" },
   { filter_name::Turn, "turn" },
+  { filter_name::Quota, "quota" },
+  { filter_name::QuotaReturn, "quota_return" },
 } };
 
 using filter_hook =
--- a/filters/request_context.h
+++ b/filters/request_context.h
@@ -149,6 +149,8 @@
   /** The same for a fan-out that is divided among entry hosts, which leaves
    * this host less to do before it responds. */
   steady_time mDividedSoftDeadline;
+  /** When the request was counted in its caller team's quota, if it was. */
+  std::optional<steady_time> mQuotaCountedAt;
   fingerprint_id mFingerprint;
   bool mIsAdmitted = false;
   steady_time mAdmittedAt;
--- a/main/entry_listeners.cpp
+++ b/main/entry_listeners.cpp
@@ -171,7 +171,8 @@
                              mRefusals.LastNumber(),
                              TaskFailureCount(),
                              mCallerKeys.Counts(),
-                             mOverload.Counts() }) +
+                             mOverload.Counts(),
+                             mQuotas.Counts() }) +
            MakeClientMetrics(mClients->Status());
   };
   http_server_config callers = CallersConfig(mSettings.mEntryCallersAddress);
@@ -298,6 +299,7 @@
   if (mSubqueryService != nullptr) {
     mSubqueryService->Stop(kSubqueryStopTimeout);
   }
+  mQuotaClient.Stop();
   mSubqueryClient.Stop();
   mWatch->Stop();
   mClient.Stop();
@@ -312,5 +314,4 @@
   });
   mWorkers->Stop();
 }
-
 }
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -128,10 +128,13 @@
       [this](const std::vector<service_id>& aServices, steady_time aNow) {
         return mBackends.AnsweringDomains(aServices, aNow);
       })
+  , mQuotas(QuotaConfig(), QuotaHooks())
+  , mQuotaClient(quota_client::Create(QuotaClientHooks()))
   , mCatalog(mSelf,
              mBackends,
              { [this](const std::vector<entry_host_record>& aHosts) {
                mSubqueries.SetHosts(aHosts);
+               mQuotas.SetHosts(aHosts, SteadyNow());
              } })
   , mCallerKeys(ToKeyLimits(mSettings), CallerKeyHooks())
   , mCallerFields(platform::MakeCallerFields())
@@ -265,10 +268,12 @@
     MakeRoute(std::move(routes)),
     MakeAuthenticate(mCallerKeys, AuthenticateHooks()),
     MakeConfirm({ SteadyNow, mayForward }),
+    MakeQuota(mQuotas, QuotaFilterHooks()),
     MakeAdmit(mAdmission, ForwardAdmitHooks()),
     MakeQuarantine(ForwardQuarantineHooks()),
     MakeScatter(mBackends, mBudgets, mFingerprints, ForwardHooks()),
     MakeDeliver(),
+    MakeQuotaReturn(mQuotas, QuotaFilterHooks()),
     MakeAccount(mAdmission, mTeamStats, mRefusals, { SteadyNow, WallNow }),
   };
   if (mSettings.mEntryAdmitByRank) {
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -477,6 +477,26 @@
            "least urgent priorities and the most work first, and start urgent "
            "work first while this host is busy. If no, requests are refused "
            "for this host's own limits only."),
+    Number("entry",
+           "quota_window_s",
+           type::Seconds,
+           &settings::mEntryQuotaWindowS,
+           1,
+           3600,
+           "Span of time in which the quota of a caller team is kept. Must be "
+           "the same on all hosts, as the next two."),
+    Fraction("entry",
+             "quota_overshoot",
+             &settings::mEntryQuotaOvershoot,
+             10,
+             "Requests beyond its quota that a caller team may send in a "
+             "window, per request of the quota, over all hosts."),
+    Fraction("entry",
+             "quota_slack",
+             &settings::mEntryQuotaSlack,
+             1'000'000,
+             "Requests that a caller team may send in a window in addition "
+             "to its quota and quota_overshoot, over all hosts."),
   };
 }
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -124,6 +124,9 @@
   std::int64_t mEntryRevocationMs = 5000;
   std::int64_t mEntryRollbackMs = 5000;
   bool mEntryAdmitByRank = false;
+  std::int64_t mEntryQuotaWindowS = 5;
+  double mEntryQuotaOvershoot = 0.1;
+  double mEntryQuotaSlack = 20;
 
   std::string mControlAddress;
   std::string mControlOperatorsAddress;
