Tell one troubled machine from a version under high load

With many requests, consecutive segments of one machine in trouble, while the other servers had no turn yet, looked like a bad version. A machine's trouble is now expected to last, and the evidence covers three servers if there are as many.

--- a/decisions/rollout/rollout_step.cpp
+++ b/decisions/rollout/rollout_step.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <numeric>
 #include <optional>
+#include <set>
 #include <sstream>
 
 namespace hibiscusspool {
@@ -23,6 +24,11 @@
  * version must have been left, and one with a single server gives little
  * evidence in a short time. */
 constexpr std::uint64_t kManyBad = 40;
+/** Servers that must have results in the evidence, if the version has as many.
+ */
+constexpr std::size_t kEnoughServers = 3;
+/** Requests of a server from which each of its segments says much by itself. */
+constexpr std::uint64_t kManyRequests = 40;
 /** Rates of the old version below which chance is never assumed to lie, as it
  * may have had few requests. */
 constexpr double kMinFailureRate = 0.01;
@@ -133,24 +139,47 @@
 OddsOf(const comparison& aCompared, double aMinRate)
 {
   double rate = std::max(aMinRate, OldRate(aCompared.mOld));
+  std::set<server_id> servers;
+  for (const auto& [segment, tallies] : aCompared.mNew) {
+    for (const auto& [server, counted] : tallies) {
+      servers.insert(server);
+    }
+  }
+  std::size_t needed = std::min(servers.size(), kEnoughServers);
   double greatest = 0;
-  std::vector<server_results> bySegment;
-  server_tallies byServer;
+  std::map<server_id, server_history> histories;
+  std::vector<server_history> parts;
+  server_tallies sums;
+  std::uint64_t total = 0;
   for (auto segment = aCompared.mNew.rbegin(); segment != aCompared.mNew.rend();
        ++segment) {
     for (const auto& [server, counted] : segment->second) {
-      bySegment.push_back(counted);
-      byServer[server].mTotal += counted.mTotal;
-      byServer[server].mBad += counted.mBad;
+      histories[server].push_back(counted);
+      parts.push_back({ counted });
+      sums[server].mTotal += counted.mTotal;
+      sums[server].mBad += counted.mBad;
+      total += counted.mTotal;
+    }
+    std::vector<server_history> whole;
+    if (total >= kManyRequests * sums.size()) {
+      // One machine in trouble for long, while the others had no turn, must not
+      // look like a version.
+      if (sums.size() < needed) {
+        continue;
+      }
+      for (const auto& [server, history] : histories) {
+        whole.push_back(history);
+      }
+      greatest = std::max(greatest, VersionOdds(whole, rate));
+      continue;
     }
-    // With few requests, each segment of a server could be a machine in
-    // trouble.
-    std::vector<server_results> merged;
-    for (const auto& [server, counted] : byServer) {
-      merged.push_back(counted);
+    // A few results of a segment say little of whether a machine was in
+    // trouble, so that they are also taken together.
+    for (const auto& [server, sum] : sums) {
+      whole.push_back({ sum });
     }
     greatest = std::max(
-      { greatest, VersionOdds(bySegment, rate), VersionOdds(merged, rate) });
+      { greatest, VersionOdds(parts, rate), VersionOdds(whole, rate) });
   }
   return greatest;
 }
--- a/decisions/rollout/version_odds.cpp
+++ b/decisions/rollout/version_odds.cpp
@@ -8,27 +8,47 @@
 
 namespace {
 
-/** Chance that a server's machine is in trouble in a segment, on a bad day. */
-constexpr double kTrouble = 0.15;
+/** Chance that a server's machine is in trouble in its first segment, gets into
+ * trouble in a later one, and stays in trouble, on a bad day. */
+constexpr double kTroubleAtFirst = 0.15;
+constexpr double kTroubleBegins = 0.1;
+constexpr double kTroubleStays = 0.6;
 /** What a bad version adds to the rate, as parts of the rest up to 1. */
 constexpr std::array kAddedRates{ 0.2, 0.35, 0.5, 0.7, 0.9, 0.98 };
 
-/** The likelihood of one server's results in a segment. */
+/** The logarithm of the likelihood of one server's results: the forward
+ * algorithm over the two states of its machine. */
 double
-Likelihood(const server_results& aResults, double aRate)
+LogLikelihood(const server_history& aHistory, double aRate)
 {
-  double inTrouble = 1 / (static_cast<double>(aResults.mTotal) + 1);
-  return (1 - kTrouble) *
-           BinomialProbability(aResults.mTotal, aResults.mBad, aRate) +
-         kTrouble * inTrouble;
+  double logScale = 0;
+  double well = 1 - kTroubleAtFirst;
+  double inTrouble = kTroubleAtFirst;
+  bool isFirst = true;
+  for (const server_results& results : aHistory) {
+    if (!isFirst) {
+      double begins = well * kTroubleBegins;
+      double ends = inTrouble * (1 - kTroubleStays);
+      well += ends - begins;
+      inTrouble += begins - ends;
+    }
+    isFirst = false;
+    well *= BinomialProbability(results.mTotal, results.mBad, aRate);
+    inTrouble /= static_cast<double>(results.mTotal) + 1;
+    double sum = well + inTrouble;
+    logScale += std::log(sum);
+    well /= sum;
+    inTrouble /= sum;
+  }
+  return logScale;
 }
 
 double
-LogLikelihood(const std::vector<server_results>& aResults, double aRate)
+LogLikelihood(const std::vector<server_history>& aHistories, double aRate)
 {
   double sum = 0;
-  for (const server_results& results : aResults) {
-    sum += std::log(Likelihood(results, aRate));
+  for (const server_history& history : aHistories) {
+    sum += LogLikelihood(history, aRate);
   }
   return sum;
 }
@@ -50,12 +70,12 @@
 }
 
 double
-VersionOdds(const std::vector<server_results>& aResults, double aRate)
+VersionOdds(const std::vector<server_history>& aHistories, double aRate)
 {
   std::array<double, kAddedRates.size()> logs{};
   for (std::size_t index = 0; index < logs.size(); ++index) {
     logs[index] =
-      LogLikelihood(aResults, aRate + (1 - aRate) * kAddedRates[index]);
+      LogLikelihood(aHistories, aRate + (1 - aRate) * kAddedRates[index]);
   }
   // The mean of the likelihoods, without an underflow.
   double greatest = *std::max_element(logs.begin(), logs.end());
@@ -64,7 +84,7 @@
     sum += std::exp(value - greatest);
   }
   double bad = greatest + std::log(sum / static_cast<double>(logs.size()));
-  return bad - LogLikelihood(aResults, aRate);
+  return bad - LogLikelihood(aHistories, aRate);
 }
 
 }
--- a/decisions/rollout/version_odds.h
+++ b/decisions/rollout/version_odds.h
@@ -17,14 +17,17 @@
 double
 BinomialProbability(std::uint64_t aTotal, std::uint64_t aBad, double aRate);
 
+/** The results of one server in consecutive segments of time. */
+using server_history = std::vector<server_results>;
+
 /**
  * The natural logarithm of how much likelier the results are if the version has
  * a rate of its own that is well above `aRate` than if it has that rate. In
- * either case a server's machine may be in trouble in any segment, where any
- * rate is equally likely: so a machine that is crashed, hung or slow for some
- * time says little, and results that are bad on all servers say much.
+ * either case a server's machine may be in trouble for some segments, in which
+ * any rate is equally likely: so a machine that is crashed, hung or slow for
+ * some time says little, and results that are bad on all servers say much.
  */
 double
-VersionOdds(const std::vector<server_results>& aResults, double aRate);
+VersionOdds(const std::vector<server_history>& aHistories, double aRate);
 
 }
--- a/tests/decisions/rollout/rollout_step_test.cpp
+++ b/tests/decisions/rollout/rollout_step_test.cpp
@@ -136,8 +136,12 @@
 // the version, and few failures on all machines as chance.
 TEST(rollout_step, FailuresOnAllServersSayMoreThanThoseOfOne)
 {
-  std::vector<server_results> one{ { 8, 8 }, { 8, 0 }, { 8, 0 } };
-  std::vector<server_results> all{ { 8, 3 }, { 8, 2 }, { 8, 3 } };
+  std::vector<server_history> one{ { { 8, 8 }, { 8, 8 } },
+                                   { { 8, 0 }, { 8, 0 } },
+                                   { { 8, 0 }, { 8, 0 } } };
+  std::vector<server_history> all{ { { 8, 3 }, { 8, 3 } },
+                                   { { 8, 2 }, { 8, 2 } },
+                                   { { 8, 3 }, { 8, 2 } } };
   CHECK(VersionOdds(one, 0.01) < 0);
   CHECK(VersionOdds(all, 0.01) > 5);
   CHECK(VersionOdds({}, 0.01) == 0);
