Take no past or occasional late attempts for overload

Late attempts that had been known once stayed evidence for ever: a second stall of a host, however much later, began overload. On routes with many requests, a few long ones were enough too. Evidence now ends after 1.5 s, and with a request that finds the slowest needed service in time. Three tests cover it; two of them fail without the change.

--- a/decisions/admission/overload.cpp
+++ b/decisions/admission/overload.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** Weight of one attempt in the averages of its service. */
-constexpr double kExcessWeight = 0.8;
+constexpr double kExcessWeight = 0.9;
 constexpr double kTimeWeight = 0.5;
 /** One attempt counts as this late at most, so that averages recover within a
  * few attempts. */
@@ -24,14 +24,15 @@
 constexpr milliseconds kLateBeyondUsual{ 200 };
 /** Late attempts that are evidence, as a part of a request's services. */
 constexpr std::size_t kEvidencePart = 4;
-constexpr std::size_t kMinEvidence = 2;
-/** Time within which they must be seen. */
-constexpr milliseconds kEvidenceWindow{ 1000 };
+constexpr std::size_t kMinEvidence = 4;
+/** Time within which they must be seen, and as many again after them. Most
+ * attempts of an overload end by their deadline of less than a second. */
+constexpr milliseconds kEvidenceWindow{ 1500 };
 /** Level at the begin of overload, when queues have already built up. */
-constexpr double kInitialLevel = 0.3;
+constexpr double kInitialLevel = 0.4;
 constexpr double kMinLevel = 0.2;
 /** Change of the level in a second while nothing is late. */
-constexpr double kLevelPerSecond = 0.3;
+constexpr double kLevelPerSecond = 0.4;
 /** Change of the level in a second relative to its value, for each unit of
  * lateness above 1. */
 constexpr double kDecreasePerSecond = 1.5;
@@ -175,7 +176,8 @@
   if (late.mKnownAt && aSentAt < *late.mKnownAt) {
     return;
   }
-  if (late.mCount > 0 && aNow - late.mFirstAt > kEvidenceWindow) {
+  bool hasEvidence = late.mCount > 0 || late.mKnownAt;
+  if (hasEvidence && aNow - late.mFirstAt > kEvidenceWindow) {
     late = {};
   }
   if (late.mCount++ == 0) {
@@ -194,6 +196,10 @@
                               steady_time aNow) const
 {
   overload_news news;
+  if (!aGroup.mIsOverloaded && aLateness < 1) {
+    // Some late attempts among many are usual; overload is late throughout.
+    aGroup.mLate = {};
+  }
   bool isSuspected = std::exchange(aGroup.mIsSuspected, false);
   if (isSuspected && !aGroup.mIsOverloaded) {
     // Services that the request doesn't need may be late without harm.
@@ -406,12 +412,12 @@
   if (!isLearnt) {
     return;
   }
+  service_times& times = mServices[aService];
+  double current = ExcessUs(times, aNow);
   auto late = static_cast<double>(microseconds(kLateBeyondUsual).count());
   if (isShed || duration - usual >= late) {
     RecordLate(own, aNow - aAttempt.mDuration, aNow);
   }
-  service_times& times = mServices[aService];
-  double current = ExcessUs(times, aNow);
   if (aAttempt.mEnd == attempt_end::GivenUp && excess < current) {
     return;
   }
--- a/tests/decisions/admission/overload_test.cpp
+++ b/tests/decisions/admission/overload_test.cpp
@@ -519,6 +519,54 @@
   CHECK(!mControls[0].IsOverloaded({ "shard0" }));
 }
 
+// Guards against a host that adds up its pauses to an overload.
+TEST(overload, LateAttemptsOfLongAgoAreNoEvidence)
+{
+  Learn();
+  for (int count = 0; count < 5; ++count) {
+    Answer(36, 400, 3000);
+    std::string name = "n" + std::to_string(count);
+    CHECK(Arrive(kHuts.mKinds[1], 0, name).mIsAdmitted);
+    CHECK(!mControls[0].IsOverloaded({ "shard0" }));
+  }
+}
+
+// Guards against requests that take longer than others of their route passing
+// for overload.
+TEST(overload, SomeLongRequestsOfARouteAreNoEvidence)
+{
+  Learn();
+  for (int count = 0; count < 4000; ++count) {
+    std::string name = "n" + std::to_string(count);
+    CHECK(Arrive(kHuts.mKinds[2], 0, name).mIsAdmitted);
+    int tookMs = Uniform(0, 1) < 0.15 ? 900 : 120;
+    mControls[0].OnAttempt({ "plain" },
+                           { "2" },
+                           { attempt_end::Responded, milliseconds(tookMs) },
+                           Now());
+    mNowMs += count % 20 == 0 ? 50 : 0;
+  }
+}
+
+// Guards against an overload of servers that get whole requests going
+// unnoticed.
+TEST(overload, ServersOfWholeRequestsCanBeOverloaded)
+{
+  Learn();
+  int refused = 0;
+  for (int count = 0; count < 300; ++count) {
+    std::string name = "n" + std::to_string(count);
+    refused += Arrive(kHuts.mKinds[2], 0, name).mIsAdmitted ? 0 : 1;
+    int tookMs = count < 100 ? 120 : 1500;
+    mControls[0].OnAttempt({ "plain" },
+                           { "2" },
+                           { attempt_end::Responded, milliseconds(tookMs) },
+                           Now());
+    mNowMs += 20 + (count >= 100 ? 30 : 0);
+  }
+  CHECK(refused > 0);
+}
+
 // Guards against refusing for ever where servers are slow for another reason.
 TEST(overload, RefusalsThatDoNotHelpEnd)
 {
