--- a/decisions/rollout/rollout_choice.cpp
+++ b/decisions/rollout/rollout_choice.cpp
@@ -8,6 +8,9 @@
 
 /** Interval of the windows in which the target version gets requests. */
 constexpr milliseconds kWindowInterval{ 1000 };
+/** Time at first without windows: a version that fails at once is found before
+ * its failures come in bursts, which use up the budget of retries. */
+constexpr milliseconds kEvenTime{ 2000 };
 /** Share within a window at most, so that the hosts' windows, which differ by
  * the delay of the watch stream, don't have to be short. */
 constexpr double kMaxWindowShare = 0.5;
@@ -27,6 +30,9 @@
 bool
 IsDrawn(const rollout_record& aRecord, const rollout_view& aView)
 {
+  if (aView.mSinceLearned < kEvenTime) {
+    return ToUnit(aView.mDraw) < aRecord.mShare;
+  }
   double ordinary =
     1.0 / static_cast<double>(std::max<std::size_t>(1, aView.mOthers));
   double windowShare =
@@ -69,9 +75,12 @@
   }
   bool usesTarget =
     aView.mTargets > 0 && !aView.mIsExtra && IsDrawn(aRecord, aView);
-  return usesTarget
-           ? std::vector{ side::Concentrated, side::Target, side::Other }
-           : std::vector{ side::Other };
+  if (!usesTarget) {
+    return { side::Other };
+  }
+  return aView.mSinceLearned < kEvenTime
+           ? std::vector{ side::Target, side::Other }
+           : std::vector{ side::Concentrated, side::Target, side::Other };
 }
 
 std::size_t
--- a/decisions/rollout/rollout_choice.h
+++ b/decisions/rollout/rollout_choice.h
@@ -53,10 +53,10 @@
  * waits.
  *
  * Each request draws at random whether the target version gets it, so that the
- * sum over any number of hosts keeps to the share without their counts. The
- * draws are concentrated in time and on one server: in these windows it has the
- * load that each server has after the rollout, and a fault that shows under
- * load only shows.
+ * sum over any number of hosts keeps to the share without their counts. After
+ * the first seconds, the draws are concentrated in time and on one server: in
+ * these windows it has the load that each server has after the rollout, and a
+ * fault that shows under load only shows.
  */
 std::vector<version_side>
 SidesToTry(const rollout_record& aRecord, const rollout_view& aView);
--- a/tests/decisions/rollout/rollout_choice_test.cpp
+++ b/tests/decisions/rollout/rollout_choice_test.cpp
@@ -77,6 +77,25 @@
   }
 }
 
+// Guards against failures of a version that is bad at once which come in bursts
+// and use up the budget of retries: callers got them.
+TEST(rollout_choice, TheFirstRequestsAreSpreadEvenly)
+{
+  rollout_record record = Record(rollout_state::Running);
+  for (int at = 0; at < 2000; at += 100) {
+    int target = 0;
+    for (std::uint64_t draw = 0; draw < 2000; ++draw) {
+      rollout_view view = View(3, 3);
+      view.mDraw = draw;
+      view.mSinceLearned = milliseconds(at);
+      auto sides = SidesToTry(record, view);
+      CHECK(sides.front() != version_side::Concentrated);
+      target += sides.front() == version_side::Target ? 1 : 0;
+    }
+    CHECK(target > 100 && target < 220);
+  }
+}
+
 TEST(rollout_choice, ARolledBackVersionGetsNothing)
 {
   for (std::size_t others : { 0, 3 }) {
