Let the deputy take the place of a quota's owner that is silent

While the owner of a quota was lost, a large team at its usual rate was refused below its quota until the hosts agreed on the next owner, as the deputy knew of few hosts and granted by their fraction. The deputy now asks the owner itself, and if that does not answer, tells all hosts to follow it; each tells it what it admitted. An owner whose state was not confirmed for the handover time waits for that time again, since it may have been replaced meanwhile.

--- a/controllers/quota_controller.cpp
+++ b/controllers/quota_controller.cpp
@@ -12,6 +12,10 @@
 constexpr milliseconds kSuspectTime{ 500 };
 /** Time limit for the answer to a report, which no request waits for. */
 constexpr milliseconds kReportTimeout{ 300 };
+/** Time for which hosts follow a deputy, and after which the deputy asks the
+ * owner again and, if needed, renews it. */
+constexpr milliseconds kFollowTime{ 4000 };
+constexpr milliseconds kReclaimTime{ 2000 };
 /** When a request may return to a host that has no part of the team's quota and
  * reaches neither owner nor deputy. */
 constexpr milliseconds kLocalRetry{ 1000 };
@@ -76,6 +80,14 @@
   }
 }
 
+void
+quota_controller::OnConfirmed(steady_time aNow)
+{
+  if (mHooks.mConfirmedAge(aNow) >= mConfig.mHandover) {
+    mRegainedAt = aNow.time_since_epoch().count();
+  }
+}
+
 std::shared_ptr<const quota_controller::view>
 quota_controller::View() const
 {
@@ -122,7 +134,9 @@
       standing.mRole = quota_role::Deputy;
       return standing;
     }
-    bool isCertain = aNow - mConfig.mStartedAt >= mConfig.mHandover;
+    steady_time regained{ steady_time::duration(mRegainedAt.load()) };
+    bool isCertain =
+      aNow - std::max(mConfig.mStartedAt, regained) >= mConfig.mHandover;
     for (std::size_t number = 0; number + 1 < views.size(); ++number) {
       bool wasInForce = views[number + 1]->mSince > aNow - mConfig.mHandover;
       isCertain = isCertain && (!wasInForce || isOwnerIn(*views[number]));
@@ -149,9 +163,26 @@
 }
 
 quota_controller::owner_list
-quota_controller::ListenersOf(const team_id& aTeam, steady_time aNow) const
+quota_controller::CandidatesOf(const team_id& aTeam, steady_time aNow)
+{
+  host_id followed;
+  mGates.UpdateIfPresent(
+    aTeam, [&](const quota_gate& aGate) { followed = aGate.Followed(aNow); });
+  owner_list owners = OwnersOf(aTeam, *View());
+  auto found = std::find_if(
+    owners.begin(), owners.end(), [&](const quota_target& aTarget) {
+      return aTarget.mHost == followed;
+    });
+  if (found != owners.end()) {
+    return { *found };
+  }
+  return owners;
+}
+
+quota_controller::owner_list
+quota_controller::ListenersOf(const team_id& aTeam, steady_time aNow)
 {
-  owner_list listeners = OwnersOf(aTeam, *View());
+  owner_list listeners = CandidatesOf(aTeam, aNow);
   std::erase_if(listeners, [&](const quota_target& aTarget) {
     return IsSuspect(aTarget.mHost, aNow);
   });
@@ -235,7 +266,7 @@
 quota_step
 quota_controller::AskNext(quota_ticket& aTicket, steady_time aNow)
 {
-  owner_list owners = OwnersOf(aTicket.mTeam, *View());
+  owner_list owners = CandidatesOf(aTicket.mTeam, aNow);
   while (aTicket.mTries < owners.size()) {
     aTicket.mTarget = owners[aTicket.mTries++];
     if (IsSuspect(aTicket.mTarget.mHost, aNow)) {
@@ -413,12 +444,15 @@
 {
   for (const team_id& team : ActiveTeams(aNow)) {
     owner_list listeners = ListenersOf(team, aNow);
-    owner_list owners = OwnersOf(team, *View());
+    owner_list owners = CandidatesOf(team, aNow);
     bool hasNews = false;
-    mGates.UpdateIfPresent(team, [&](quota_gate& aGate) {
-      hasNews = !owners.empty() &&
-                aGate.HasNewsFor(ListenerOf(
-                  listeners.empty() ? owners.front() : listeners.front()));
+    mGates.UpdateIfPresent(team, [&](const quota_gate& aGate) {
+      // A host that follows the deputy must tell the owner when that ends.
+      hasNews = !aGate.Followed(aNow).IsEmpty();
+      if (!hasNews && !owners.empty()) {
+        hasNews = aGate.HasNewsFor(
+          ListenerOf(listeners.empty() ? owners.front() : listeners.front()));
+      }
     });
     if (hasNews) {
       return true;
@@ -475,6 +509,9 @@
   if (change.mBecameMetered || change.mBecameOpen) {
     mHooks.mOnState(aItem.mTeam, change.mBecameMetered, used);
   }
+  if (standing.mRole == quota_role::Deputy) {
+    ProbeOwner(aItem.mTeam, aNow);
+  }
   if (meteredFor) {
     quota_notice notice;
     notice.mTeam = aItem.mTeam;
@@ -482,11 +519,65 @@
     OnNotice(notice, aNow);
     std::vector<host_id> others = View()->mHosts;
     std::erase(others, mConfig.mSelf);
-    SpreadNotice(std::move(notice), others);
+    SpreadNotice(notice, others);
   }
   return answer;
 }
 
+void
+quota_controller::ProbeOwner(const team_id& aTeam, steady_time aNow)
+{
+  owner_list owners = OwnersOf(aTeam, *View());
+  bool isPossible = !owners.empty() && owners.front().mHost != mConfig.mSelf &&
+                    mHooks.mConfirmedAge(aNow) < mConfig.mHandover;
+  bool isDue = isPossible && mClaims.Update(aTeam, [&](claim& aClaim) {
+    bool isFree = !aClaim.mIsProbing && aNow >= aClaim.mNextProbeAt;
+    aClaim.mIsProbing = aClaim.mIsProbing || isFree;
+    return isFree;
+  });
+  if (!isDue) {
+    return;
+  }
+  quota_message message;
+  message.mTarget = owners.front();
+  message.mTimeout = mConfig.mAskTimeout;
+  message.mRequest = NewRequest();
+  mGates.Update(aTeam, [&](quota_gate& aGate) {
+    message.mVersions = { aGate.Version() };
+    message.mRequest.mItems = { aGate.MakeItem(aTeam, 0, aNow) };
+  });
+  mHooks.mProbe(message);
+}
+
+void
+quota_controller::OnProbed(const quota_message& aMessage,
+                           const std::optional<quota_reply>& aReply,
+                           steady_time aNow)
+{
+  const team_id& team = aMessage.mRequest.mItems.front().mTeam;
+  bool isServing = aReply && !aReply->mAnswers.empty() &&
+                   (aReply->mAnswers.front().mRole == quota_role::Owner ||
+                    aReply->mAnswers.front().mRole == quota_role::Provisional);
+  mClaims.Update(team, [&](claim& aClaim) {
+    aClaim.mIsProbing = false;
+    aClaim.mNextProbeAt = aNow + (isServing ? kSuspectTime : kReclaimTime);
+  });
+  if (isServing) {
+    return;
+  }
+  Count([](quota_counts& aCounts) { ++aCounts.mTakeovers; });
+  mHooks.mOnTakeover(team, aMessage.mTarget.mHost);
+  quota_notice notice;
+  notice.mTeam = team;
+  notice.mFollow = mConfig.mSelf;
+  notice.mFollowFor = kFollowTime;
+  OnNotice(notice, aNow);
+  std::vector<host_id> others = View()->mHosts;
+  std::erase(others, mConfig.mSelf);
+  std::erase(others, aMessage.mTarget.mHost);
+  SpreadNotice(notice, others);
+}
+
 quota_reply
 quota_controller::Serve(const quota_request& aRequest, steady_time aNow)
 {
@@ -498,7 +589,7 @@
 }
 
 void
-quota_controller::SpreadNotice(quota_notice aNotice,
+quota_controller::SpreadNotice(const quota_notice& aNotice,
                                const std::vector<host_id>& aHosts)
 {
   // Groups as large as their number is, so that no host sends many messages.
@@ -537,8 +628,17 @@
 {
   milliseconds meteredFor =
     std::min(aNotice.mMeteredFor, mConfig.mBounds.mWindow);
-  mGates.Update(aNotice.mTeam,
-                [&](quota_gate& aGate) { aGate.OnNotice(meteredFor, aNow); });
+  bool isFollowing = !aNotice.mFollow.IsEmpty();
+  mGates.Update(aNotice.mTeam, [&](quota_gate& aGate) {
+    aGate.OnNotice(meteredFor, aNow);
+    if (isFollowing) {
+      aGate.Follow(
+        aNotice.mFollow, std::min(aNotice.mFollowFor, kFollowTime), aNow);
+    }
+  });
+  if (isFollowing) {
+    mHooks.mOnNews();
+  }
   auto latest = View();
   for (const host_id& host : aNotice.mRelayTo) {
     quota_notice_message message;
--- a/controllers/quota_controller.h
+++ b/controllers/quota_controller.h
@@ -64,8 +64,12 @@
   /** There is something to report; `TakeReports` should be called soon. */
   std::function<void()> mOnNews;
   std::function<void(const quota_notice_message&)> mSendNotice;
+  /** Sends a message of the deputy to the owner; `OnProbed` gets the result. */
+  std::function<void(const quota_message&)> mProbe;
   /** A team became metered, or open again. */
   std::function<void(const team_id&, bool aIsMetered, double aUsed)> mOnState;
+  /** This host takes the place of an owner. */
+  std::function<void(const team_id&, const host_id& aOwner)> mOnTakeover;
 };
 
 /** A request whose admission isn't decided yet. */
@@ -137,6 +141,8 @@
   std::uint64_t mReports = 0;
   std::uint64_t mNotices = 0;
   std::uint64_t mFailedMessages = 0;
+  /** Times that this host took the place of an owner that did not answer. */
+  std::uint64_t mTakeovers = 0;
 };
 
 /**
@@ -162,11 +168,21 @@
   quota_hooks mHooks;
   sharded_map<team_id, quota_gate> mGates;
   sharded_map<team_id, quota_account> mAccounts;
+  /** What this host as a deputy knows of an owner. */
+  struct claim
+  {
+    bool mIsProbing = false;
+    steady_time mNextProbeAt;
+  };
+  sharded_map<team_id, claim> mClaims;
   /** Hosts that did not answer, until they are tried again. */
   sharded_map<host_id, steady_time> mSuspects;
   mutable std::mutex mViewLock;
   /** The latest views, as far as they were in force in the handover time. */
   std::vector<std::shared_ptr<const view>> mViews;
+  /** When this host's state was confirmed again after the handover time had
+   * passed without; in ticks of the steady clock. */
+  std::atomic<steady_time::rep> mRegainedAt{ 0 };
   std::atomic<std::uint64_t> mSequence{ 0 };
   mutable std::mutex mCountsLock;
   quota_counts mCounts;
@@ -174,6 +190,11 @@
   [[nodiscard]] std::shared_ptr<const view> View() const;
   [[nodiscard]] static owner_list OwnersOf(const team_id& aTeam,
                                            const view& aView);
+  /** The hosts to ask: the owner and the deputy, or the deputy alone while it
+   * takes the owner's place. */
+  [[nodiscard]] owner_list CandidatesOf(const team_id& aTeam, steady_time aNow);
+  /** Asks the owner whether it serves, if this host is asked in its place. */
+  void ProbeOwner(const team_id& aTeam, steady_time aNow);
   [[nodiscard]] quota_standing StandingOf(const team_id& aTeam,
                                           steady_time aNow) const;
   [[nodiscard]] bool IsSuspect(const host_id& aHost, steady_time aNow) const;
@@ -184,15 +205,15 @@
                          const quota_item& aItem,
                          steady_time aNow);
   /** Sends a notice to some hosts, most of them through others. */
-  void SpreadNotice(quota_notice aNotice, const std::vector<host_id>& aHosts);
+  void SpreadNotice(const quota_notice& aNotice,
+                    const std::vector<host_id>& aHosts);
   void SendNotice(quota_notice_message aMessage, const view& aView);
   void Count(const std::function<void(quota_counts&)>& aBody);
   quota_step Admitted(quota_basis aBasis);
   quota_step Refused(quota_basis aBasis, milliseconds aRetryAfter);
   /** The hosts to tell of a team's requests, without those that did not answer
    * of late. */
-  [[nodiscard]] owner_list ListenersOf(const team_id& aTeam,
-                                       steady_time aNow) const;
+  [[nodiscard]] owner_list ListenersOf(const team_id& aTeam, steady_time aNow);
   /** The item of a team for this listener, if it has news for it. */
   std::optional<quota_item> TakeItem(const team_id& aTeam,
                                      const quota_target& aTarget,
@@ -216,6 +237,10 @@
   /** Sets the known entry hosts. */
   void SetHosts(const std::vector<entry_host_record>& aHosts, steady_time aNow);
 
+  /** This host's state is about to be confirmed. If that took longer than the
+   * handover, others may have replaced this host meanwhile. */
+  void OnConfirmed(steady_time aNow);
+
   /** Decides on a request, or says which host to ask. */
   quota_step Begin(quota_ticket& aTicket, steady_time aNow);
   /** Continues with the answer of the host that was asked, if it came. */
@@ -235,6 +260,11 @@
 
   /** Answers another host. */
   quota_reply Serve(const quota_request& aRequest, steady_time aNow);
+  /** The owner's reply to a message of `mProbe`, if it came. Without one, this
+   * host takes its place. */
+  void OnProbed(const quota_message& aMessage,
+                const std::optional<quota_reply>& aReply,
+                steady_time aNow);
   /** Takes a notice from another host, and passes it on. */
   void OnNotice(const quota_notice& aNotice, steady_time aNow);
   /** The receiver of a notice did not take it; the next one passes it on. */
--- a/decisions/quota/quota_account.cpp
+++ b/decisions/quota/quota_account.cpp
@@ -11,6 +11,12 @@
 constexpr milliseconds kSpreadTime{ 600 };
 /** Span over which the present rate is measured. */
 constexpr milliseconds kRateSpan{ 500 };
+/** Time for which a host that was heard counts as one that tells this one of
+ * its requests; below the time for which hosts follow a deputy. */
+constexpr milliseconds kHeardTime{ 3000 };
+/** Time until the hosts that follow a new deputy have been heard. It doesn't
+ * judge the team before. */
+constexpr milliseconds kGatherTime{ 550 };
 /** A metered team is open again below this fraction of the limit. */
 constexpr double kOpenFraction = 0.8;
 /** Remaining time of the last notice at which it is repeated. */
@@ -32,10 +38,13 @@
 }
 
 double
-quota_account::CountSince(steady_time aFrom) const
+quota_account::CountSince(steady_time aFrom, quota_role aRole) const
 {
   double count = 0;
   for (const auto& [host, from] : mSources) {
+    if (aRole == quota_role::Deputy && !mHeard.contains(host.first)) {
+      continue;
+    }
     for (const spending& spent : from.mSpendings) {
       count += spent.mAt > aFrom ? spent.mCount : 0;
     }
@@ -49,7 +58,7 @@
 double
 quota_account::Used(steady_time aNow) const
 {
-  return CountSince(WindowStart(aNow));
+  return CountSince(WindowStart(aNow), quota_role::Owner);
 }
 
 void
@@ -61,6 +70,10 @@
   if (aItem.mTerms.mConfiguration >= mTerms.mConfiguration) {
     mTerms = aItem.mTerms;
   }
+  if (mHeard.empty()) {
+    mDeputySince = aNow;
+  }
+  mHeard[aRequest.mHost] = aNow;
   source& from = mSources[{ aRequest.mHost, aRequest.mIncarnation }];
   if (aRequest.mSequence <= from.mSequence) {
     return;
@@ -82,9 +95,9 @@
   if (aStanding.mRole == quota_role::Deputy) {
     // The hosts that told this one of their requests no longer tell the owner.
     double hosts =
-      static_cast<double>(mSources.size()) /
+      static_cast<double>(mHeard.size()) /
       static_cast<double>(std::max<std::size_t>(1, aStanding.mKnownHosts));
-    return aLimits.mQuota * std::min(1.0, hosts);
+    return aLimits.mGrant * std::min(1.0, hosts);
   }
   double slack = aLimits.mGrant - aLimits.mQuota;
   return aLimits.mQuota * aStanding.mServingFraction + slack;
@@ -138,9 +151,12 @@
   }
   quota_standing deputy = aStanding;
   deputy.mRole = quota_role::Deputy;
-  bool fits =
-    static_cast<double>(mDeputyGrants.size()) + 1 <= aLimits.mDeputy ||
-    aUsed + 1 <= Limit(aLimits, deputy);
+  // Where most hosts follow the deputy, their parts of the quota are enough.
+  bool isFollowed = mHeard.size() * 2 >= aStanding.mKnownHosts;
+  bool isWithinMargin =
+    !isFollowed &&
+    static_cast<double>(mDeputyGrants.size()) + 1 <= aLimits.mDeputy;
+  bool fits = isWithinMargin || aUsed + 1 <= Limit(aLimits, deputy);
   if (fits) {
     mDeputyGrants.push_back(aNow);
   }
@@ -150,7 +166,7 @@
 quota_change
 quota_account::UpdateState(double aLimit, double aUsed, steady_time aNow)
 {
-  double recent = CountSince(aNow - kRateSpan);
+  double recent = CountSince(aNow - kRateSpan, mRole);
   double expected =
     aUsed + recent * (std::chrono::duration<double>(kSpreadTime) /
                       std::chrono::duration<double>(kRateSpan));
@@ -174,8 +190,12 @@
   quota_answer answer;
   answer.mTeam = aItem.mTeam;
   answer.mRole = aStanding.mRole;
+  if (aStanding.mRole == quota_role::Deputy && mRole != aStanding.mRole) {
+    mDeputySince = aNow;
+  }
+  mRole = aStanding.mRole;
   quota_limits limits = LimitsOf(mTerms, mBounds);
-  double used = Used(aNow);
+  double used = CountSince(WindowStart(aNow), mRole);
   double limit = Limit(limits, aStanding);
   if (aItem.mAsk != 0) {
     answer.mIsGranted = TryGrant(limits, aStanding, used, aNow);
@@ -192,7 +212,12 @@
         Until(mReturns.TakeTurn(roomAt, interval, mBounds.mWindow, aNow), aNow);
     }
   }
+  bool isDeputy = aStanding.mRole == quota_role::Deputy;
   if (aStanding.mRole != quota_role::None) {
+    bool isGathering = isDeputy && aNow < mDeputySince + kGatherTime;
+    if (isGathering) {
+      return answer;
+    }
     aChange = UpdateState(limit, used, aNow);
     answer.mMeteredFor = Until(mMeteredUntil, aNow);
   }
@@ -225,6 +250,9 @@
   std::erase_if(mSources, [](const auto& aEntry) {
     return aEntry.second.mSpendings.empty() && aEntry.second.mGrants.empty();
   });
+  std::erase_if(mHeard, [&](const auto& aEntry) {
+    return aEntry.second <= aNow - kHeardTime;
+  });
   std::erase_if(mDeputyGrants,
                 [&](steady_time aGrant) { return aGrant <= start; });
 }
--- a/decisions/quota/quota_account.h
+++ b/decisions/quota/quota_account.h
@@ -57,6 +57,11 @@
   quota_bounds mBounds;
   quota_terms mTerms;
   std::map<std::pair<host_id, incarnation_number>, source> mSources;
+  /** When each host was heard the last time. */
+  std::map<host_id, steady_time> mHeard;
+  /** Since when this host is asked as the deputy. */
+  steady_time mDeputySince;
+  quota_role mRole = quota_role::None;
   /** Grants of this host while it wasn't the owner. */
   std::vector<steady_time> mDeputyGrants;
   return_schedule mReturns;
@@ -65,8 +70,9 @@
 
   /** Requests before this time don't count any more. */
   [[nodiscard]] steady_time WindowStart(steady_time aNow) const;
-  /** Requests since a time. */
-  [[nodiscard]] double CountSince(steady_time aFrom) const;
+  /** Requests since a time; as a deputy those of hosts that were heard of late,
+   * since the others tell the owner. */
+  [[nodiscard]] double CountSince(steady_time aFrom, quota_role aRole) const;
   /** Requests that may be counted in a window. */
   [[nodiscard]] double Limit(const quota_limits& aLimits,
                              const quota_standing& aStanding) const;
--- a/decisions/quota/quota_exchange.h
+++ b/decisions/quota/quota_exchange.h
@@ -4,6 +4,7 @@
 #include "decisions/quota/quota_limits.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace hibiscusspool {
@@ -76,8 +77,9 @@
   team_id mTeam;
   quota_role mRole = quota_role::None;
   bool mIsGranted = false;
-  /** Time for which hosts must ask before they admit; 0 if they needn't. */
-  milliseconds mMeteredFor{ 0 };
+  /** Time for which hosts must ask before they admit; 0 if they needn't, and
+   * nothing if that isn't known yet. */
+  std::optional<milliseconds> mMeteredFor;
   /** Time until there is room for a request, if it wasn't granted. */
   milliseconds mRoomIn{ 0 };
   /** When this request may return, if it wasn't granted: not before the others
@@ -94,11 +96,16 @@
   bool operator==(const quota_reply&) const = default;
 };
 
-/** Tells hosts that they must ask before they admit requests of a team. */
+/** Tells hosts of a change that concerns the requests of a team. */
 struct quota_notice
 {
   team_id mTeam;
+  /** Time for which hosts must ask before they admit; 0 if nothing is said. */
   milliseconds mMeteredFor{ 0 };
+  /** The deputy, which hosts ask and tell in place of an owner that doesn't
+   * answer, and the time for which they do; empty if nothing is said. */
+  host_id mFollow;
+  milliseconds mFollowFor{ 0 };
   /** Hosts to which the receiver passes the notice on. */
   std::vector<host_id> mRelayTo;
 
--- a/decisions/quota/quota_gate.cpp
+++ b/decisions/quota/quota_gate.cpp
@@ -116,7 +116,9 @@
   if (aAnswer.mRole == quota_role::None) {
     return;
   }
-  mMeteredUntil = aNow + aAnswer.mMeteredFor;
+  if (aAnswer.mMeteredFor) {
+    mMeteredUntil = aNow + *aAnswer.mMeteredFor;
+  }
   bool isFull = aAnswer.mRole == quota_role::Owner && !aAnswer.mIsGranted &&
                 aAnswer.mRoomIn > milliseconds(0);
   if (isFull) {
@@ -131,6 +133,15 @@
   mMeteredUntil = std::max(mMeteredUntil, aNow + aMeteredFor);
 }
 
+void
+quota_gate::Follow(const host_id& aDeputy, milliseconds aTime, steady_time aNow)
+{
+  mFollowed = aDeputy;
+  mFollowUntil = aNow + aTime;
+  // The deputy must know that this host follows it, also without requests.
+  ++mVersion;
+}
+
 void
 quota_gate::OnTold(const quota_listener& aListener, std::uint64_t aVersion)
 {
@@ -157,7 +168,8 @@
 quota_gate::IsIdle(steady_time aNow) const
 {
   bool isSpent = mSpendings.empty() || mSpendings.back().mAt <= aNow - mWindow;
-  return isSpent && mOpenAsks.empty() && !IsMetered(aNow);
+  return isSpent && mOpenAsks.empty() && !IsMetered(aNow) &&
+         Followed(aNow).IsEmpty();
 }
 
 std::size_t
--- a/decisions/quota/quota_gate.h
+++ b/decisions/quota/quota_gate.h
@@ -42,6 +42,9 @@
   /** When the owner expects room. */
   steady_time mRoomAt;
   return_schedule mReturns;
+  /** The deputy that takes the owner's place, and until when. */
+  host_id mFollowed;
+  steady_time mFollowUntil;
   /** Rises when the owner should be told. */
   std::uint64_t mVersion = 0;
   std::uint64_t mToldVersion = 0;
@@ -79,6 +82,13 @@
   void Apply(const quota_answer& aAnswer, steady_time aNow);
   /** The team is metered on all hosts. */
   void OnNotice(milliseconds aMeteredFor, steady_time aNow);
+  /** The deputy takes the owner's place on all hosts. */
+  void Follow(const host_id& aDeputy, milliseconds aTime, steady_time aNow);
+  /** The deputy that takes the owner's place; empty if none does. */
+  [[nodiscard]] host_id Followed(steady_time aNow) const
+  {
+    return aNow < mFollowUntil ? mFollowed : host_id{};
+  }
   [[nodiscard]] std::uint64_t Version() const { return mVersion; }
   /** A listener knows all up to a version. */
   void OnTold(const quota_listener& aListener, std::uint64_t aVersion);
--- a/drivers/metrics_page.cpp
+++ b/drivers/metrics_page.cpp
@@ -152,6 +152,11 @@
               "quota_returned_total",
               "Requests that stopped counting, since they did not run.",
               aCounts.mReturned);
+  WriteMetric(aPage,
+              metric_type::Counter,
+              "quota_takeovers_total",
+              "Times that this host took the place of a quota's owner.",
+              aCounts.mTakeovers);
   WriteMetricHeader(aPage,
                     metric_type::Counter,
                     "quota_messages_total",
--- a/drivers/quota_client.cpp
+++ b/drivers/quota_client.cpp
@@ -77,9 +77,10 @@
     mEnded.notify_all();
   }
 
-  /** Makes one call; returns no reply if it failed. */
+  /** Makes one call; returns no reply if it failed. The name is a literal. */
   template<typename request, typename reply>
-  asio::awaitable<std::optional<reply>> Call(quota_target aTarget,
+  asio::awaitable<std::optional<reply>> Call(std::string_view aName,
+                                             quota_target aTarget,
                                              request aRequest,
                                              milliseconds aTimeout,
                                              quota_start<request, reply> aStart)
@@ -111,7 +112,7 @@
     if (code == grpc::StatusCode::OK) {
       co_return std::move(call->mReply);
     }
-    LogFailure(aTarget.mHost, call->mRequest.GetTypeName(), code);
+    LogFailure(aTarget.mHost, aName, code);
     bool isSilent = code == grpc::StatusCode::DEADLINE_EXCEEDED &&
                     IsConnectionSilent(*channel);
     if (isSilent) {
@@ -146,7 +147,7 @@
         &aCall.mContext, &aCall.mRequest, &aCall.mReply, std::move(aDone));
     };
   auto reply = co_await self->Call<wire::QuotaRequest, wire::QuotaReply>(
-    aMessage.mTarget, std::move(request), aMessage.mTimeout, start);
+    "request", aMessage.mTarget, std::move(request), aMessage.mTimeout, start);
   if (!reply) {
     co_return std::nullopt;
   }
@@ -172,7 +173,7 @@
         &aCall.mContext, &aCall.mRequest, &aCall.mReply, std::move(aDone));
     };
   auto reply = co_await self->Call<wire::QuotaNotice, wire::QuotaNoticeReply>(
-    aMessage.mTarget, std::move(notice), kNoticeTimeout, start);
+    "notice", aMessage.mTarget, std::move(notice), kNoticeTimeout, start);
   co_return reply.has_value();
 }
 
--- a/main/entry_quotas.cpp
+++ b/main/entry_quotas.cpp
@@ -43,12 +43,21 @@
     RunInBackground(
       asio::make_strand(mContext), "quota_notice", SendQuotaNotice(aMessage));
   };
+  hooks.mProbe = [this](const quota_message& aMessage) {
+    RunInBackground(
+      asio::make_strand(mContext), "quota_probe", ProbeQuotaOwner(aMessage));
+  };
   hooks.mOnState = [](const team_id& aTeam, bool aIsMetered, double aUsed) {
     log_event("quota_state")
       .Add("caller_team", aTeam.mValue)
       .Add("state", aIsMetered ? "metered" : "open")
       .Add("used", static_cast<std::uint64_t>(aUsed));
   };
+  hooks.mOnTakeover = [](const team_id& aTeam, const host_id& aOwner) {
+    log_event("quota_takeover")
+      .Add("caller_team", aTeam.mValue)
+      .Add("owner", aOwner.mValue);
+  };
   return hooks;
 }
 
@@ -111,6 +120,16 @@
   }
 }
 
+asio::awaitable<void>
+entry_role::ProbeQuotaOwner(quota_message aMessage)
+{
+  std::optional<quota_reply> reply = co_await mQuotaClient.Exchange(aMessage);
+  if (mIsStopping) {
+    co_return;
+  }
+  mQuotas.OnProbed(aMessage, reply, SteadyNow());
+}
+
 asio::awaitable<void>
 entry_role::SendQuotaNotice(quota_notice_message aMessage)
 {
--- a/main/entry_role.cpp
+++ b/main/entry_role.cpp
@@ -285,6 +285,7 @@
     mCatalog.Apply(aUpdate, aNow);
   };
   hooks.mOnMarkConfirmed = [this](const sent_mark& aMark) {
+    mQuotas.OnConfirmed(SteadyNow());
     mLease.Renew(aMark);
   };
   hooks.mOnControlHosts = [this](const std::vector<host_id>& aHosts) {
--- a/main/entry_role.h
+++ b/main/entry_role.h
@@ -146,6 +146,8 @@
   void ReportQuotasSoon();
   boost::asio::awaitable<void> ReportQuotas();
   boost::asio::awaitable<void> SendQuotaReport(quota_message aMessage);
+  /** Asks an owner in whose place this host was asked. */
+  boost::asio::awaitable<void> ProbeQuotaOwner(quota_message aMessage);
   boost::asio::awaitable<void> SendQuotaNotice(quota_notice_message aMessage);
   [[nodiscard]] server_lease_hooks ServerLeaseHooks();
   [[nodiscard]] std::optional<budget_limits> SharedBudget(
--- a/messages/quota_codec.cpp
+++ b/messages/quota_codec.cpp
@@ -121,7 +121,9 @@
     out.set_team(answer.mTeam.mValue);
     out.set_role(static_cast<std::uint32_t>(answer.mRole));
     out.set_granted(answer.mIsGranted);
-    out.set_metered_for_ms(ToWire(answer.mMeteredFor));
+    if (answer.mMeteredFor) {
+      out.set_metered_for_ms(ToWire(*answer.mMeteredFor));
+    }
     out.set_room_in_ms(ToWire(answer.mRoomIn));
     out.set_retry_in_ms(ToWire(answer.mRetryIn));
   }
@@ -140,7 +142,9 @@
     answer.mTeam.mValue = in.team();
     answer.mRole = role.value();
     answer.mIsGranted = in.granted();
-    answer.mMeteredFor = FromWire(in.metered_for_ms());
+    if (in.has_metered_for_ms()) {
+      answer.mMeteredFor = FromWire(in.metered_for_ms());
+    }
     answer.mRoomIn = FromWire(in.room_in_ms());
     answer.mRetryIn = FromWire(in.retry_in_ms());
     reply.mAnswers.push_back(std::move(answer));
@@ -153,6 +157,8 @@
 {
   aOut.set_team(aNotice.mTeam.mValue);
   aOut.set_metered_for_ms(ToWire(aNotice.mMeteredFor));
+  aOut.set_follow(aNotice.mFollow.mValue);
+  aOut.set_follow_for_ms(ToWire(aNotice.mFollowFor));
   for (const host_id& host : aNotice.mRelayTo) {
     aOut.add_relay_to(host.mValue);
   }
@@ -170,6 +176,8 @@
   quota_notice notice;
   notice.mTeam.mValue = aIn.team();
   notice.mMeteredFor = FromWire(aIn.metered_for_ms());
+  notice.mFollow.mValue = aIn.follow();
+  notice.mFollowFor = FromWire(aIn.follow_for_ms());
   for (const std::string& host : aIn.relay_to()) {
     notice.mRelayTo.push_back(host_id{ host });
   }
--- a/tests/controllers/quota_fleet.cpp
+++ b/tests/controllers/quota_fleet.cpp
@@ -67,7 +67,15 @@
   hooks.mSendNotice = [this, aHost](const quota_notice_message& aMessage) {
     SendNotice(aHost, aMessage);
   };
+  hooks.mProbe = [this, aHost](const quota_message& aMessage) {
+    Exchange(aHost,
+             aMessage,
+             [this, aHost, aMessage](const std::optional<quota_reply>& aReply) {
+               mHosts[aHost].mController->OnProbed(aMessage, aReply, mNow);
+             });
+  };
   hooks.mOnState = [](const team_id&, bool, double) {};
+  hooks.mOnTakeover = [](const team_id&, const host_id&) {};
   made.mController =
     std::make_unique<quota_controller>(config, std::move(hooks));
 }
@@ -357,6 +365,7 @@
 quota_fleet::RegainContact(std::size_t aHost)
 {
   On(aHost, mNow + kReturnDelay, [this, aHost] {
+    mHosts[aHost].mController->OnConfirmed(mNow);
     mHosts[aHost].mIsInContact = true;
     SpreadView(milliseconds(0));
   });
--- a/tests/controllers/quota_fleet_test.cpp
+++ b/tests/controllers/quota_fleet_test.cpp
@@ -184,3 +184,101 @@
     });
   }
 }
+
+// Guards against refusals below the quota in ordinary bursts of load.
+TEST(quota_fleet, BurstsOfTheWholeLoadRefuseNoTeamBelowItsQuota)
+{
+  constexpr double kBurst = 1.7;
+  constexpr milliseconds kBurstTime{ 3000 };
+  for (std::uint64_t seed : { 1, 2, 3 }) {
+    quota_fleet fleet(kHosts, seed);
+    AddTeams(fleet);
+    fleet.RunFor(kWarmUp);
+    for (double factor : { kBurst, 1.0, kBurst, 1.0 }) {
+      for (std::size_t rank = 1; rank <= kTeams; ++rank) {
+        fleet.SetRateFactor(Team(rank), factor);
+      }
+      fleet.RunFor(kBurstTime);
+    }
+    LONGS_EQUAL(0, CheckBounds(fleet, {}));
+  }
+}
+
+// Guards against a limit that was lowered and that some hosts keep to later.
+TEST(quota_fleet, ALowerLimitBindsAWindowLater)
+{
+  constexpr double kFactor = 3;
+  constexpr double kLower = 0.4;
+  for (std::size_t rank : { 1, 20 }) {
+    team_id team = Team(rank);
+    quota_fleet fleet(kHosts, 1);
+    AddTeams(fleet);
+    fleet.RunFor(kWarmUp);
+    fleet.SetRateFactor(team, kFactor);
+    fleet.RunFor(kHotTime);
+    quota_terms lower = fleet.Teams().at(team).mTerms;
+    lower.mConfiguration = 2;
+    lower.mRatePerSecond *= kLower;
+    lower.mBurst = 0;
+    fleet.SetTerms(team, lower);
+    steady_time changed = fleet.Now();
+    fleet.RunFor(kCoolDown + kHotTime);
+    std::vector<fleet_request> after;
+    for (const fleet_request& request : fleet.Requests(team)) {
+      if (request.mSentAt >= changed) {
+        after.push_back(request);
+      }
+    }
+    CHECK(static_cast<double>(MaxAdmitted(after, kWindow)) <= BoundOf(lower));
+    LONGS_EQUAL(
+      0, RefusedBelow(fleet.Requests(team), kWindow, QuotaOf(lower), changed));
+  }
+}
+
+namespace {
+
+/** Plays the usual load and a fault of a team's owner; returns how many
+ * requests of the team were refused below its quota. */
+std::size_t
+RefusedInFault(const fleet_fault& aFault)
+{
+  std::size_t wrong = 0;
+  for (std::uint64_t seed : { 1, 2 }) {
+    for (std::size_t rank : { 1, 20 }) {
+      quota_fleet fleet(kHosts, seed);
+      AddTeams(fleet);
+      fleet.RunFor(kWarmUp);
+      aFault(fleet, Team(rank));
+      fleet.RunFor(kCoolDown);
+      wrong += RefusedBelowQuota(fleet, Team(rank));
+    }
+  }
+  return wrong;
+}
+
+}
+
+// Guards against teams that a killed owner stops until the hosts agree on the
+// next one.
+TEST(quota_fleet, AKilledOwnerRefusesNothingBelowTheQuota)
+{
+  LONGS_EQUAL(0, RefusedInFault([](quota_fleet& aFleet, const team_id& aTeam) {
+                aFleet.Kill(aFleet.OwnerOf(aTeam));
+              }));
+}
+
+// The same for an owner that is cut off.
+TEST(quota_fleet, AnOwnerThatIsCutOffRefusesNothingBelowTheQuota)
+{
+  LONGS_EQUAL(0, RefusedInFault([](quota_fleet& aFleet, const team_id& aTeam) {
+                aFleet.CutOff({ aFleet.OwnerOf(aTeam) });
+              }));
+}
+
+// The same for one that is frozen and thawed.
+TEST(quota_fleet, AFrozenOwnerRefusesNothingBelowTheQuota)
+{
+  LONGS_EQUAL(0, RefusedInFault([](quota_fleet& aFleet, const team_id& aTeam) {
+                aFleet.Freeze(aFleet.OwnerOf(aTeam), milliseconds(5000));
+              }));
+}
--- a/tests/decisions/quota/quota_account_test.cpp
+++ b/tests/decisions/quota/quota_account_test.cpp
@@ -201,7 +201,7 @@
   for (steady_time now = kNow; now < kNow + std::chrono::seconds(20);
        now += kGap) {
     mGate.Admit(now);
-    LONGS_EQUAL(0, Send(0, now).mMeteredFor.count());
+    LONGS_EQUAL(0, Send(0, now).mMeteredFor->count());
   }
 }
 
--- a/tests/filters/quota_test.cpp
+++ b/tests/filters/quota_test.cpp
@@ -52,7 +52,9 @@
     hooks.mConfirmedAge = [](steady_time /*aNow*/) { return milliseconds(1); };
     hooks.mOnNews = [this] { ++mNews; };
     hooks.mSendNotice = [](const quota_notice_message& /*aMessage*/) {};
+    hooks.mProbe = [](const quota_message& /*aMessage*/) {};
     hooks.mOnState = [](const team_id&, bool, double) {};
+    hooks.mOnTakeover = [](const team_id&, const host_id&) {};
     mQuotas = std::make_unique<quota_controller>(config, std::move(hooks));
     SetHosts({ "e1" });
   }
--- a/tests/messages/quota_codec_test.cpp
+++ b/tests/messages/quota_codec_test.cpp
@@ -48,7 +48,13 @@
                        true,
                        milliseconds(5000),
                        milliseconds(20),
-                       milliseconds(40) } };
+                       milliseconds(40) },
+                     { team_id{ "other" },
+                       quota_role::Owner,
+                       false,
+                       std::nullopt,
+                       milliseconds(0),
+                       milliseconds(0) } };
   wire::QuotaReply wireReply;
   WriteQuotaReply(reply, wireReply);
   CHECK(ReadQuotaReply(wireReply).value() == reply);
@@ -56,6 +62,8 @@
   quota_notice notice;
   notice.mTeam.mValue = "team";
   notice.mMeteredFor = milliseconds(5000);
+  notice.mFollow.mValue = "e4";
+  notice.mFollowFor = milliseconds(4000);
   notice.mRelayTo = { host_id{ "e2" }, host_id{ "e3" } };
   wire::QuotaNotice wireNotice;
   WriteQuotaNotice(notice, wireNotice);
