--- a/controllers/quota_controller.cpp
+++ b/controllers/quota_controller.cpp
@@ -12,6 +12,9 @@
 constexpr milliseconds kSuspectTime{ 500 };
 /** Time limit for the answer to a report, which no request waits for. */
 constexpr milliseconds kReportTimeout{ 300 };
+/** Time after which an owner that the deputy asks counts as silent. A busy one
+ * that still grants must not be replaced: both would grant the quota. */
+constexpr milliseconds kProbeTimeout{ 180 };
 /** Time for which hosts follow a deputy, and after which the deputy asks the
  * owner again and, if needed, renews it. */
 constexpr milliseconds kFollowTime{ 4000 };
@@ -540,7 +543,7 @@
   }
   quota_message message;
   message.mTarget = owners.front();
-  message.mTimeout = mConfig.mAskTimeout;
+  message.mTimeout = kProbeTimeout;
   message.mRequest = NewRequest();
   mGates.Update(aTeam, [&](quota_gate& aGate) {
     message.mVersions = { aGate.Version() };
