--- a/tests/drivers/quota_client_test.cpp
+++ b/tests/drivers/quota_client_test.cpp
@@ -98,7 +98,7 @@
   auto server = subquery_service::Create(
     mContext,
     address,
-    [](subquery /*aSubquery*/, subquery_callback /*aCallback*/) {
+    [](const subquery& /*aSubquery*/, const subquery_callback& /*aCallback*/) {
       return [] {};
     },
     quotas.get());
