Read the confirmed state for checks of keys in one place

Both checks read the age, then the routes, and noted the age by the same lines; the order matters and stood explained only once.

--- a/controllers/caller_key_controller.cpp
+++ b/controllers/caller_key_controller.cpp
@@ -17,6 +17,18 @@
     .Add("max_age_ms", MaxConfirmedAge(mLimits).count());
 }
 
+caller_key_controller::confirmed_state
+caller_key_controller::ReadState(steady_time aNow)
+{
+  confirmed_state state;
+  // The age is read before the routes, so that the routes are at least as new
+  // as the state that it is the age of.
+  state.mAge = mHooks.mConfirmedAge(aNow);
+  state.mRoutes = mHooks.mRoutes();
+  NoteAge(state.mAge);
+  return state;
+}
+
 void
 caller_key_controller::Count(key_verdict aVerdict)
 {
@@ -40,11 +52,7 @@
   if (!mLimits.mIsRevocationStrict) {
     return key_verdict::Usable;
   }
-  // The age is read before the routes, so that the routes are at least as new
-  // as the state that it is the age of.
-  auto age = mHooks.mConfirmedAge(aNow);
-  auto routes = mHooks.mRoutes();
-  NoteAge(age);
+  auto [age, routes] = ReadState(aNow);
   key_verdict verdict = JudgeKey(mLimits, age, routes.get(), aKey, aTeam);
   Count(verdict);
   return verdict;
@@ -57,9 +65,7 @@
   if (!mLimits.mIsRevocationStrict) {
     return key_verdict::Usable;
   }
-  auto age = mHooks.mConfirmedAge(aNow);
-  auto routes = mHooks.mRoutes();
-  NoteAge(age);
+  auto [age, routes] = ReadState(aNow);
   key_verdict verdict = JudgeSubqueryKey(mLimits, age, routes.get(), aNumber);
   Count(verdict);
   return verdict;
--- a/controllers/caller_key_controller.h
+++ b/controllers/caller_key_controller.h
@@ -36,6 +36,12 @@
  */
 class caller_key_controller
 {
+  struct confirmed_state
+  {
+    std::optional<milliseconds> mAge;
+    std::shared_ptr<const route_table> mRoutes;
+  };
+
   key_limits mLimits;
   caller_key_hooks mHooks;
   /** Keys may not be used, by the latest check. */
@@ -45,6 +51,8 @@
   std::atomic<std::uint64_t> mStale{ 0 };
   std::atomic<std::uint64_t> mRemoved{ 0 };
 
+  /** What this host knows now, for a check of a key. */
+  confirmed_state ReadState(steady_time aNow);
   /** Logs when keys become unusable or usable. */
   void NoteAge(std::optional<milliseconds> aAge);
   void Count(key_verdict aVerdict);
