Scatter: serve a shard that is named twice as one shard

What callers saw: with a configuration whose fanout names one shard twice, which is acknowledged, requests in progress ended with their connections whenever a server lost a response. Without lost responses, each response of such a route waited for the soft deadline and named a missing part although all parts were in.

Cause: a fan-out kept its progress for each mention of a service and found it again by the service's name, which is that of the first mention. The attempt of the second mention was looked up there, wasn't found, and the empty node of the map was read as if it had been. The second mention stayed open for good.

Evidence: all backtraces of the case resolve to scatter_operation::OnAttemptDone, the hook for lost connections, and the length of a name in the empty node.

Change: requests hold their services in a service_set, which has each service once. Route tables, subqueries of other hosts, also of earlier versions, and templates make it from their lists, so that attempts, coverage, missing parts, plans and overload control count the same shards. The document is kept and read back as it was sent. Progress is found by its position, and an attempt that a request doesn't know is reported as task_failed in place of ending the process.

Why this works: a request can't have two slots of one name any more, wherever its list comes from, and the miss is handled should another way lead there.

--- a/core/background_task.cpp
+++ b/core/background_task.cpp
@@ -20,11 +20,17 @@
 void
 ReportTaskFailure(const std::string& aTask,
                   const std::exception_ptr& aException)
+{
+  ReportTaskFailure(aTask, CauseOf(aException));
+}
+
+void
+ReportTaskFailure(const std::string& aTask, const std::string& aCause)
 {
   ++sFailureCount;
   log_event("task_failed", log_event::severity::Error)
     .Add("task", aTask)
-    .Add("cause", CauseOf(aException));
+    .Add("cause", aCause);
 }
 
 std::uint64_t
--- a/core/background_task.h
+++ b/core/background_task.h
@@ -15,6 +15,10 @@
 ReportTaskFailure(const std::string& aTask,
                   const std::exception_ptr& aException);
 
+/** The same for a step that failed without an exception. */
+void
+ReportTaskFailure(const std::string& aTask, const std::string& aCause);
+
 /** Number of failures reported since the process started. */
 std::uint64_t
 TaskFailureCount();
--- a/decisions/routing/configuration.h
+++ b/decisions/routing/configuration.h
@@ -56,7 +56,8 @@
   std::uint32_t mMaxAttempts = 1;
   /** Each request goes to one of these. */
   std::vector<weighted_service> mBackends;
-  /** Each request goes to all of these; empty if the route has backends. */
+  /** Each request goes to all of these, as the operator named them; empty if
+   * the route has backends. */
   std::vector<service_id> mShards;
   /** Maximum number of records in a merged response. */
   std::uint32_t mTopRecords = 0;
--- a/decisions/routing/route_table.cpp
+++ b/decisions/routing/route_table.cpp
@@ -28,7 +28,8 @@
     }
     table.mByVirtualHost[ToLower(route.mAuthority)].push_back(
       table.mRoutes.size());
-    table.mRoutes.push_back({ route, std::move(policy.value()) });
+    table.mRoutes.push_back(
+      { route, service_set::Create(route.mShards), std::move(policy.value()) });
   }
   for (auto& [virtualHost, indices] : table.mByVirtualHost) {
     std::sort(indices.begin(),
--- a/decisions/routing/route_table.h
+++ b/decisions/routing/route_table.h
@@ -8,10 +8,12 @@
 
 namespace hibiscusspool {
 
-/** A route and the policy of its team. */
+/** A route, the shards that its requests are sent to, and the policy of its
+ * team. */
 struct resolved_route
 {
   route_record mRoute;
+  service_set mShards;
   team_policy mPolicy;
 };
 
--- a/decisions/routing/team_policy.cpp
+++ b/decisions/routing/team_policy.cpp
@@ -28,7 +28,7 @@
   return number;
 }
 
-std::vector<service_id>
+service_set
 SplitServices(const std::string& aText)
 {
   std::set<service_id> names;
@@ -40,7 +40,7 @@
       names.insert(service_id{ part });
     }
   }
-  return { names.begin(), names.end() };
+  return service_set::Create({ names.begin(), names.end() });
 }
 
 result<std::string, policy_error>
@@ -231,7 +231,7 @@
       return set.error();
     }
   }
-  if (policy.mServices.empty() && policy.mRunService.IsEmpty()) {
+  if (policy.mServices.IsEmpty() && policy.mRunService.IsEmpty()) {
     return Fail(policy_error::BadValue,
                 "The policy must name a service: services and run_service are "
                 "both empty.");
--- a/decisions/routing/team_policy.h
+++ b/decisions/routing/team_policy.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/failure.h"
+#include "decisions/routing/service_set.h"
 #include "decisions/state/records.h"
 
 #include <set>
@@ -54,8 +55,8 @@
 /** The limits and objectives of a team, with all parameters expanded. */
 struct team_policy
 {
-  /** The services that a query is sent to, sorted and without duplicates. */
-  std::vector<service_id> mServices;
+  /** The services that a query is sent to, sorted. */
+  service_set mServices;
   /** The service that runs the team's non-idempotent requests. */
   service_id mRunService;
   /** Fraction of the services that a response must cover, 0 to 1. */
--- a/drivers/metrics_text.cpp
+++ b/drivers/metrics_text.cpp
@@ -18,7 +18,7 @@
   WriteMetric(aPage,
               metric_type::Counter,
               "task_failures_total",
-              "Background tasks that an exception has ended.",
+              "Background tasks, or steps of them, that failed.",
               aCount);
 }
 
--- a/filters/admit.cpp
+++ b/filters/admit.cpp
@@ -57,7 +57,7 @@
 void
 RefuseIfOverloaded(const admit_hooks& aHooks, request_context& aRequest)
 {
-  if (!aHooks.mCheckOverload || aRequest.mServices.empty()) {
+  if (!aHooks.mCheckOverload || aRequest.mServices.IsEmpty()) {
     return;
   }
   overload_verdict verdict = aHooks.mCheckOverload(aRequest, aHooks.mNow());
@@ -127,7 +127,7 @@
                                ? aRequest.mPolicy.mLatencyObjective
                                : std::chrono::duration_cast<milliseconds>(
                                    aRequest.mDeadline - aRequest.mReceivedAt);
-  request.mServices = aRequest.mServices;
+  request.mServices = aRequest.mServices.List();
   request.mNeeded = NeededServices(aRequest.mServices.size(),
                                    aRequest.mPolicy.mMinimumCoverage);
   if (!aRequest.mRequest.IsEmpty()) {
--- a/filters/claim.cpp
+++ b/filters/claim.cpp
@@ -24,7 +24,7 @@
       aRequest.mRan = execution_status::Yes;
       aRequest.mIsAnsweredByClaim = true;
       aRequest.mResponses.push_back(
-        { aRequest.mServices.front(),
+        { aRequest.mServices.List().front(),
           server_response{ 0, {}, std::move(aOutcome.mRecordedOutcome) } });
       return true;
     case change_verdict::AlreadyUnknown:
--- a/filters/identify.cpp
+++ b/filters/identify.cpp
@@ -48,9 +48,9 @@
                     "A run request needs the header Idempotency-Key.");
     return;
   } else if (!aRequest.mPolicy.mRunService.IsEmpty()) {
-    aRequest.mServices = { aRequest.mPolicy.mRunService };
+    aRequest.mServices = service_set::Create({ aRequest.mPolicy.mRunService });
   }
-  if (aRequest.mServices.empty()) {
+  if (aRequest.mServices.IsEmpty()) {
     aRequest.Refuse(refusal_reason::BadRequest,
                     "The team's template has no service for this kind of "
                     "request.");
--- a/filters/plan.cpp
+++ b/filters/plan.cpp
@@ -13,7 +13,8 @@
     return;
   }
   double minimum = aRequest.mPolicy.mMinimumCoverage;
-  auto plan = ChooseSnapshot(aHooks.mSnapshots(aRequest.mServices), minimum);
+  auto plan =
+    ChooseSnapshot(aHooks.mSnapshots(aRequest.mServices.List()), minimum);
   if (!plan) {
     aRequest.Refuse(refusal_reason::NoSnapshot,
                     "No service of the team has an available server.",
--- a/filters/request_context.h
+++ b/filters/request_context.h
@@ -163,7 +163,7 @@
   /** Id of this attempt at a claimed request. */
   request_id mClaimAttempt;
 
-  std::vector<service_id> mServices;
+  service_set mServices;
   snapshot_number mSnapshot = 0;
   std::vector<service_response> mResponses;
   std::vector<missing_service> mMissing;
--- a/filters/route.cpp
+++ b/filters/route.cpp
@@ -35,16 +35,16 @@
   aRequest.mTeam.mValue = route.mName;
   bool isOnce = route.mKind == route_kind::NonIdempotent;
   aRequest.mKind = isOnce ? request_kind::ForwardOnce : request_kind::Forward;
-  aRequest.mIsMerged = !route.mShards.empty();
+  aRequest.mIsMerged = !aRoutedTeam.mShards.IsEmpty();
   aRequest.mFingerprint = FingerprintOf(*aRequest.mForwarded, *aRequest.mBody);
   aRequest.mTopRecords = route.mTopRecords;
   aRequest.mMaxAttempts = std::max(1U, route.mMaxAttempts);
   aRequest.mPriority = route.mPriority;
   aRequest.mIsPublic = route.mIsPublic;
   if (aRequest.mIsMerged) {
-    aRequest.mServices = route.mShards;
+    aRequest.mServices = aRoutedTeam.mShards;
   } else {
-    aRequest.mServices = { aHooks.mNextService(route) };
+    aRequest.mServices = service_set::Create({ aHooks.mNextService(route) });
   }
   milliseconds wait = route.mTimeout;
   if (aRequest.mCallerTimeout) {
--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -234,7 +234,7 @@
     return;
   }
   aService.mIsAwaitingCapacity = true;
-  std::size_t index = IndexOf(aService.mService);
+  std::size_t index = IndexOf(aService);
   std::weak_ptr<scatter_operation> weak = weak_from_this();
   mBackends.NotifyOnCapacity(
     aService.mService,
@@ -278,7 +278,7 @@
   serverRequest.mMaySend = mMaySend;
   asio::co_spawn(mExecutor,
                  RunAttempt(shared_from_this(),
-                            IndexOf(aService.mService),
+                            IndexOf(aService),
                             number,
                             mPlanNumber,
                             std::move(serverRequest)),
@@ -347,6 +347,18 @@
   bool wasNeverSent = WasNeverSent(aResult.mStatus);
   bool didNotRun = wasNeverSent || aResult.mStatus == attempt_status::Shed;
   mMayHaveRun = mMayHaveRun || !didNotRun;
+  if (node.empty()) {
+    ReportTaskFailure("attempt",
+                      "Request " + mRequest.mValue + " has no attempt " +
+                        std::to_string(aNumber) + " at service " +
+                        service.mService.mValue + ", which ended as " +
+                        std::string(NameOf(aResult.mStatus)) + '.');
+    if (!IsIdempotent(mKind) && !didNotRun) {
+      mRan = execution_status::Unknown;
+    }
+    Wake();
+    return;
+  }
   const server_id& server = node.mapped().mPermit.mServer;
   if (wasNeverSent) {
     std::erase(service.mTried, server);
--- a/filters/scatter_operation.cpp
+++ b/filters/scatter_operation.cpp
@@ -136,7 +136,7 @@
 }
 
 void
-scatter_operation::SetServices(const std::vector<service_id>& aServices)
+scatter_operation::SetServices(const service_set& aServices)
 {
   mServices.clear();
   for (const service_id& service : aServices) {
@@ -232,13 +232,9 @@
 }
 
 std::size_t
-scatter_operation::IndexOf(const service_id& aService) const
+scatter_operation::IndexOf(const service_progress& aService) const
 {
-  auto found = std::find_if(
-    mServices.begin(), mServices.end(), [&](const auto& aProgress) {
-      return aProgress.mService == aService;
-    });
-  return static_cast<std::size_t>(found - mServices.begin());
+  return static_cast<std::size_t>(&aService - mServices.data());
 }
 
 void
--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -178,7 +178,7 @@
   [[nodiscard]] bool IsCallerDisconnected() const;
   /** True if the soft deadline has passed and enough services answered. */
   [[nodiscard]] bool CanReturnPartial(steady_time aNow) const;
-  void SetServices(const std::vector<service_id>& aServices);
+  void SetServices(const service_set& aServices);
   [[nodiscard]] bool IsFinished() const;
   /** Restarts with another index version and drops the responses so far, since
    * versions must not be mixed. */
@@ -219,7 +219,8 @@
   void EndIfRatesExcludeMinimum(steady_time aNow);
   /** Waits for a free slot or a retry if one is possible, else gives up. */
   void AwaitCapacityOrGiveUp(service_progress& aService);
-  [[nodiscard]] std::size_t IndexOf(const service_id& aService) const;
+  /** Position of the progress in `mServices`. */
+  [[nodiscard]] std::size_t IndexOf(const service_progress& aService) const;
   void GiveUp(service_progress& aService, missing_reason aReason);
   void SpawnAttempt(service_progress& aService,
                     attempt_reason aReason,
@@ -230,6 +231,8 @@
     attempt_number aNumber,
     int aPlanNumber,
     server_request aServerRequest);
+  /** An attempt that the service doesn't know is reported, and leaves open
+   * whether the request ran. */
   void OnAttemptDone(std::size_t aIndex,
                      attempt_number aNumber,
                      attempt_result aResult);
@@ -278,6 +281,8 @@
   /** When a host that has not reported on a subquery is late. */
   [[nodiscard]] steady_time LateTime(steady_time aSentAt) const;
   [[nodiscard]] microseconds SubqueryReportDelay(steady_time aNow) const;
+  /** The progress at a service that another host names; null if this request
+   * isn't for the service. */
   [[nodiscard]] service_progress* FindProgress(const service_id& aService);
   /** Sets the time of a subquery's report, once its servers are asked. */
   void ScheduleReport(steady_time aNow);
--- a/filters/scatter_subqueries.cpp
+++ b/filters/scatter_subqueries.cpp
@@ -27,8 +27,11 @@
 service_progress*
 scatter_operation::FindProgress(const service_id& aService)
 {
-  std::size_t index = IndexOf(aService);
-  return index < mServices.size() ? &mServices[index] : nullptr;
+  auto found = std::find_if(
+    mServices.begin(), mServices.end(), [&](const auto& aProgress) {
+      return aProgress.mService == aService;
+    });
+  return found == mServices.end() ? nullptr : &*found;
 }
 
 microseconds
--- a/filters/scatter_verdict.cpp
+++ b/filters/scatter_verdict.cpp
@@ -144,10 +144,10 @@
   aService.mNextAttemptAt = steady_time::max();
   aService.mNextReason = attempt_reason::Retry;
   ++mPendingCrashReports;
-  asio::co_spawn(mExecutor,
-                 AwaitCrashVerdict(
-                   shared_from_this(), IndexOf(aService.mService), mPlanNumber),
-                 failure_reporter{ "crash_report" });
+  asio::co_spawn(
+    mExecutor,
+    AwaitCrashVerdict(shared_from_this(), IndexOf(aService), mPlanNumber),
+    failure_reporter{ "crash_report" });
 }
 
 asio::awaitable<void>
--- a/filters/subquery_result.cpp
+++ b/filters/subquery_result.cpp
@@ -30,7 +30,7 @@
   context.mIsMerged = true;
   context.mTopRecords = aSubquery.mTopRecords;
   context.mPartFields = aSubquery.mPartFields;
-  context.mServices = aSubquery.mServices;
+  context.mServices = service_set::Create(aSubquery.mServices);
   // Second attempts are left to the host that sent the subquery, which knows
   // how many servers may get the request.
   context.mMaxAttempts = 1;
--- a/main/entry_hooks.cpp
+++ b/main/entry_hooks.cpp
@@ -176,7 +176,7 @@
   hooks.mUsesCanary = mSettings.mEntryCanary;
   hooks.mReplan =
     [this](const request_context& aRequest) -> std::optional<snapshot_number> {
-    auto plan = ChooseSnapshot(mBackends.Snapshots(aRequest.mServices),
+    auto plan = ChooseSnapshot(mBackends.Snapshots(aRequest.mServices.List()),
                                aRequest.mPolicy.mMinimumCoverage);
     return plan ? std::optional(plan->mSnapshot) : std::nullopt;
   };
--- a/tests/drivers/control_metrics_page_test.cpp
+++ b/tests/drivers/control_metrics_page_test.cpp
@@ -102,8 +102,8 @@
     "rollout was rolled back.\n"
     "# TYPE hibiscusspool_control_rollouts_rolled_back gauge\n"
     "hibiscusspool_control_rollouts_rolled_back 4\n"
-    "# HELP hibiscusspool_task_failures_total Background tasks that an "
-    "exception has ended.\n"
+    "# HELP hibiscusspool_task_failures_total Background tasks, or steps of "
+    "them, that failed.\n"
     "# TYPE hibiscusspool_task_failures_total counter\n"
     "hibiscusspool_task_failures_total 2\n",
     page.c_str());
--- a/tests/filters/admit_test.cpp
+++ b/tests/filters/admit_test.cpp
@@ -35,9 +35,11 @@
     mRequest.mPriority = 1;
     mRequest.mPolicy.mLatencyObjective = milliseconds(150);
     mRequest.mPolicy.mMinimumCoverage = 0.85;
+    std::vector<service_id> shards;
     for (int shard = 0; shard < 36; ++shard) {
-      mRequest.mServices.push_back({ "s" + std::to_string(shard) });
+      shards.push_back({ "s" + std::to_string(shard) });
     }
+    mRequest.mServices = service_set::Create(shards);
   }
 
   void Admit()
--- a/tests/filters/scatter_subqueries_test.cpp
+++ b/tests/filters/scatter_subqueries_test.cpp
@@ -1,5 +1,6 @@
 #include "filters/deliver.h"
 #include "filters/scatter.h"
+#include "filters/subquery_result.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -75,6 +76,7 @@
   std::vector<subquery_end> mEnds;
   int mCancelled = 0;
   int mCancelledBeforeResponse = 0;
+  std::vector<service_id> mServices;
   request_context mRequest;
 
   void setup() override
@@ -96,7 +98,8 @@
 
   void AddService(const std::string& aService)
   {
-    mRequest.mServices.push_back(service_id{ aService });
+    mServices.push_back(service_id{ aService });
+    mRequest.mServices = service_set::Create(mServices);
     for (int server = 0; server < 3; ++server) {
       server_record record;
       record.mServer.mValue = aService + std::to_string(server);
@@ -334,3 +337,24 @@
   CHECK(sent.mReportAfter <= milliseconds(195));
   LONGS_EQUAL(3, sent.mTopRecords);
 }
+
+// Guards against a subquery that names a service twice, as hosts of an earlier
+// version send it where the configuration does.
+TEST(scatter_subqueries, AReceivedSubqueryAsksEachServiceOnce)
+{
+  subquery received;
+  received.mForwarded = mRequest.mForwarded;
+  received.mBody = std::make_shared<const std::string>();
+  received.mTimeLeft = milliseconds(400);
+  received.mServices = { service_id{ "s" },
+                         service_id{ "t" },
+                         service_id{ "s" } };
+  mRequest = ToContext(
+    received, nullptr, [](const subquery_update& /*aUpdate*/) {}, Now());
+  mDirectOutcome = attempt_status::Reset;
+  Serve();
+  LONGS_EQUAL(1, mSentTo["s"].size());
+  LONGS_EQUAL(1, mSentTo["t"].size());
+  LONGS_EQUAL(2, mRequest.mFailures.size());
+  LONGS_EQUAL(2, mRequest.mMissing.size());
+}
--- a/tests/filters/scatter_test.cpp
+++ b/tests/filters/scatter_test.cpp
@@ -1,4 +1,5 @@
 #include "filters/deliver.h"
+#include "filters/route.h"
 #include "filters/scatter.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -68,6 +69,7 @@
   std::vector<attempt_end> mEnds;
   /** Attempts end without having waited for anything. */
   bool mEndsAtOnce = false;
+  std::vector<service_id> mServices;
   request_context mRequest;
 
   void setup() override
@@ -84,7 +86,8 @@
 
   void AddService(const std::string& aService, int aServers)
   {
-    mRequest.mServices.push_back(service_id{ aService });
+    mServices.push_back(service_id{ aService });
+    mRequest.mServices = service_set::Create(mServices);
     for (int server = 0; server < aServers; ++server) {
       server_record record;
       record.mServer.mValue = aService + std::to_string(server);
@@ -177,8 +180,109 @@
     CHECK(mRequest.mRefusal.has_value());
     CHECK(mRequest.mRefusal->mReason == aReason);
   }
+
+  /** Begins a new request on a route whose configuration names these shards. */
+  void RouteToShards(const std::vector<std::string>& aNames,
+                     double aMinimumCoverage)
+  {
+    configuration_record configuration;
+    configuration.mNumber = 1;
+    route_record fanOut;
+    fanOut.mName = "all";
+    fanOut.mAuthority = "a.example";
+    fanOut.mPathPrefix = "/";
+    fanOut.mTimeout = milliseconds(2000);
+    fanOut.mLatencyObjective = milliseconds(1000);
+    fanOut.mMaxAttempts = 3;
+    fanOut.mTopRecords = 10;
+    fanOut.mMinimumCoverage = aMinimumCoverage;
+    for (const std::string& name : aNames) {
+      fanOut.mShards.push_back(service_id{ name });
+      configuration.mServices.push_back({ service_id{ name }, 8, {}, 0 });
+    }
+    configuration.mRoutes = { fanOut };
+    CHECK(CheckConfiguration(configuration).has_value());
+    std::vector<std::string> invalid;
+    auto routes = std::make_shared<const route_table>(
+      route_table::Create(configuration, invalid));
+    route_hooks hooks;
+    hooks.mRoutes = [routes] { return routes; };
+    hooks.mNow = Now;
+    hooks.mAreRoutesConfirmed = [](steady_time /*aNow*/) { return true; };
+    mRequest = {};
+    mRequest.mReceivedAt = Now();
+    mRequest.mAuthority = fanOut.mAuthority;
+    mRequest.mPath = "/x";
+    mRequest.mBody = std::make_shared<const std::string>();
+    mRequest.mForwarded = std::make_shared<forwarded_request>();
+    filter route = MakeRoute(std::move(hooks));
+    mContext.restart();
+    asio::co_spawn(mContext, route.mHook(mRequest), asio::detached);
+    mContext.run();
+    mContext.restart();
+    mSentTo.clear();
+  }
 };
 
+// Guards against a fan-out that names a shard twice: attempts of the second
+// mention were looked up under the first, and a lost connection ended the
+// process; without one, the response waited for a part that could not come.
+TEST(scatter, AShardThatAConfigurationNamesTwiceIsAskedOnce)
+{
+  AddService("t", 4);
+  using outcomes = std::vector<attempt_status>;
+  for (const outcomes& first : { outcomes{},
+                                 outcomes{ attempt_status::NotSent },
+                                 outcomes{ attempt_status::Failed },
+                                 // One for each mention.
+                                 outcomes{ attempt_status::Reset,
+                                           attempt_status::Reset,
+                                           attempt_status::Reset } }) {
+    RouteToShards({ "s", "t", "s" }, 1);
+    mOutcomes = first;
+    mOutcomes.push_back(attempt_status::Answered);
+    CHECK(Serve() < milliseconds(900));
+    CHECK(!mRequest.mRefusal);
+    LONGS_EQUAL(2, mRequest.mResponses.size());
+    CHECK(mRequest.mResponses[0].mService != mRequest.mResponses[1].mService);
+    CHECK(mRequest.mMissing.empty());
+    DOUBLES_EQUAL(1, mRequest.mCoverage, 0);
+    LONGS_EQUAL(2, mRequest.mServices.size());
+    LONGS_EQUAL(2 + first.size(), mRequest.mAttempts);
+  }
+}
+
+// Guards against a coverage that counts the mentions of shards.
+TEST(scatter, CoverageCountsAShardThatIsNamedTwiceOnce)
+{
+  // The shard "absent" has no server.
+  RouteToShards({ "s", "absent", "s" }, 0.5);
+  mOutcomes = { attempt_status::Answered };
+  Serve();
+  CHECK(!mRequest.mRefusal);
+  LONGS_EQUAL(1, mRequest.mResponses.size());
+  LONGS_EQUAL(1, mRequest.mMissing.size());
+  DOUBLES_EQUAL(0.5, mRequest.mCoverage, 0);
+
+  RouteToShards({ "s", "absent", "s" }, 0.6);
+  Serve();
+  CheckRefused(refusal_reason::CoverageTooLow);
+}
+
+// Guards against the hedge of a shard that is named twice being lost, since its
+// response was looked up under the other mention.
+TEST(scatter, AHedgeAnswersForAShardThatIsNamedTwice)
+{
+  RouteToShards({ "s", "s" }, 1);
+  mRequest.mSoftDeadline = Now() + milliseconds(100);
+  mOutcomes = { attempt_status::Cancelled, attempt_status::Answered };
+  Serve();
+  CHECK(!mRequest.mRefusal);
+  LONGS_EQUAL(1, mRequest.mResponses.size());
+  CHECK(mRequest.mMissing.empty());
+  LONGS_EQUAL(2, mSentTo["s"].size());
+}
+
 TEST(scatter, NonIdempotentRequestIsNotResentAfterServerMayHaveRunIt)
 {
   for (attempt_status status : { attempt_status::Reset,
@@ -282,7 +386,7 @@
 
 TEST(scatter, RequestIsRefusedAtOnceIfAllServersAskForMoreTimeThanIsLeft)
 {
-  mRequest.mServices.clear();
+  mServices.clear();
   AddService("p", 2);
   for (request_kind kind :
        { request_kind::Forward, request_kind::ForwardOnce }) {
@@ -306,7 +410,7 @@
 
 TEST(scatter, RequestWaitsForServersThatAreBackInTime)
 {
-  mRequest.mServices.clear();
+  mServices.clear();
   AddService("p", 2);
   mNotice.mPause = milliseconds(100);
   mOutcomes = { attempt_status::Shed,
@@ -355,7 +459,7 @@
 
 TEST(scatter, RequestWaitsForItsTurnOnlyIfTheResponseIsInTime)
 {
-  mRequest.mServices.clear();
+  mServices.clear();
   AddService("p", 1);
   // A quarter of the window's 8 requests each second.
   UseUpRate("p", 2);
@@ -368,7 +472,7 @@
   LONGS_EQUAL(1, mSentTo["p"].size());
 
   mContext.restart();
-  mRequest.mServices.clear();
+  mServices.clear();
   AddService("q", 1);
   UseUpRate("q", 0.25);
   mRequest.mSoftDeadline = Now() + milliseconds(100);
@@ -389,7 +493,7 @@
 
 TEST(scatter, AnswersOfOtherShardsDoNotClearOneThatLostItsServer)
 {
-  mRequest.mServices.clear();
+  mServices.clear();
   AddService("t", 1);
   AddService("u", 1);
   mRequest.mIsMerged = true;
--- a/tests/integration/platform_server.cpp
+++ b/tests/integration/platform_server.cpp
@@ -121,6 +121,11 @@
       break;
     }
     int arrival = ++mArrivals;
+    if (mOptions.mLosesEach > 0 && arrival % mOptions.mLosesEach == 0) {
+      // Without a linger time, closing resets the connection.
+      aPeer.set_option(asio::socket_base::linger(true, 0), error);
+      break;
+    }
     bool fails = mOptions.mFailsEach > 0 && arrival % mOptions.mFailsEach == 0;
     const std::string field = "X-Request-Id: ";
     std::size_t id = head.find(field) + field.size();
@@ -141,7 +146,8 @@
   int sequence = 0;
   while (!mIsStopping) {
     if (mIsUp) {
-      std::string body = R"({"service":"find","address":")" + mAddress +
+      std::string body = R"({"service":")" + mOptions.mService +
+                         R"(","address":")" + mAddress +
                          R"(","zone":"a","version":")" + mOptions.mVersion +
                          R"(","slots":4,)"
                          R"("state":"ready","warmup_left_ms":0,"born":)" +
--- a/tests/integration/platform_server.h
+++ b/tests/integration/platform_server.h
@@ -20,6 +20,10 @@
   std::string mVersion = "v1";
   /** Each request of so many fails; 0: none. */
   int mFailsEach = 0;
+  /** Of so many requests, one loses its connection without a response; 0: none.
+   */
+  int mLosesEach = 0;
+  std::string mService = "find";
 };
 
 /**
