Subqueries: use only parts that are due from the host that reports

What callers could see: records that are in a merged response twice.

Cause: the parts of a report share their merged records, but a report was accepted if some subquery, not necessarily this one, awaited each of its services, and a service that the report named twice was counted once with both its records. A failure of a service that another host was asked for led to one more attempt.

Change: a report's parts are merged only if each service is named once and awaited from this very subquery; else the servers are asked. Failures of other services are ignored.

--- a/filters/scatter_operation.h
+++ b/filters/scatter_operation.h
@@ -271,9 +271,14 @@
   void StartSubqueries(steady_time aNow);
   void StartSubquery(assigned_subquery aPlan, steady_time aNow);
   void OnSubqueryUpdate(std::size_t aSubquery, subquery_update aUpdate);
+  /** True if each part is of a service that only this subquery still asks, and
+   * none is there twice. */
+  [[nodiscard]] bool MayMergeParts(std::size_t aSubquery,
+                                   const std::vector<subquery_part>& aParts);
   /** Accepts the parts of an update, which share their records. */
-  void AcceptParts(subquery_update& aUpdate);
-  void OnSubqueryFailure(const subquery_failure& aFailure);
+  void AcceptParts(std::size_t aSubquery, subquery_update& aUpdate);
+  void OnSubqueryFailure(std::size_t aSubquery,
+                         const subquery_failure& aFailure);
   /** Asks the servers for what a subquery leaves unanswered. */
   void ReclaimServices(std::size_t aSubquery, subquery_end aEnd);
   void EndSubquery(std::size_t aSubquery, subquery_end aEnd);
--- a/filters/scatter_subqueries.cpp
+++ b/filters/scatter_subqueries.cpp
@@ -4,6 +4,7 @@
 #include "filters/subquery_result.h"
 
 #include <algorithm>
+#include <set>
 
 namespace hibiscusspool {
 
@@ -122,7 +123,7 @@
   }
   steady_time now = mHooks.mNow();
   entry.mHasReported = true;
-  AcceptParts(aUpdate);
+  AcceptParts(aSubquery, aUpdate);
   // A hedge that can't be answered by the soft deadline serves only a request
   // that waits on.
   microseconds hedgeTime =
@@ -137,7 +138,7 @@
     }
   }
   for (const subquery_failure& failure : aUpdate.mFailures) {
-    OnSubqueryFailure(failure);
+    OnSubqueryFailure(aSubquery, failure);
   }
   if (aUpdate.mIsRefused) {
     ReclaimServices(aSubquery, subquery_end::Refused);
@@ -147,25 +148,34 @@
   Wake();
 }
 
-void
-scatter_operation::AcceptParts(subquery_update& aUpdate)
+bool
+scatter_operation::MayMergeParts(std::size_t aSubquery,
+                                 const std::vector<subquery_part>& aParts)
 {
   // The records of the parts are merged. If this host has one of the parts from
-  // a server itself, its records would be in the response twice.
-  bool areAllOpen = std::all_of(
-    aUpdate.mParts.begin(),
-    aUpdate.mParts.end(),
-    [&](const subquery_part& aPart) {
+  // a server or another subquery, or the update has it twice, its records would
+  // be in the response twice.
+  std::set<service_id> services;
+  return std::all_of(
+    aParts.begin(), aParts.end(), [&](const subquery_part& aPart) {
       const service_progress* service = FindProgress(aPart.mService);
-      return service != nullptr && !service->mIsDone && service->mSubquery;
+      return service != nullptr && !service->mIsDone &&
+             service->mSubquery == aSubquery &&
+             services.insert(aPart.mService).second;
     });
+}
+
+void
+scatter_operation::AcceptParts(std::size_t aSubquery, subquery_update& aUpdate)
+{
+  bool mayMerge = MayMergeParts(aSubquery, aUpdate.mParts);
   for (subquery_part& part : aUpdate.mParts) {
     service_progress* service = FindProgress(part.mService);
-    if (service == nullptr || !service->mSubquery) {
+    if (service == nullptr || service->mSubquery != aSubquery) {
       continue;
     }
     service->mSubquery.reset();
-    if (!areAllOpen) {
+    if (!mayMerge) {
       if (!service->mIsDone && service->mInFlight.empty()) {
         attempt_permit permit;
         permit.mService = service->mService;
@@ -183,10 +193,11 @@
 }
 
 void
-scatter_operation::OnSubqueryFailure(const subquery_failure& aFailure)
+scatter_operation::OnSubqueryFailure(std::size_t aSubquery,
+                                     const subquery_failure& aFailure)
 {
   service_progress* service = FindProgress(aFailure.mService);
-  if (service == nullptr || !service->mSubquery) {
+  if (service == nullptr || service->mSubquery != aSubquery) {
     return;
   }
   service->mSubquery.reset();
--- a/tests/filters/scatter_subqueries_test.cpp
+++ b/tests/filters/scatter_subqueries_test.cpp
@@ -55,7 +55,7 @@
 
 }
 
-/** A fan-out to two services, both asked by one other entry host. */
+/** A fan-out to two services, which one or two other entry hosts ask. */
 TEST_GROUP(scatter_subqueries)
 {
   asio::io_context mContext;
@@ -76,6 +76,8 @@
   std::vector<subquery_end> mEnds;
   int mCancelled = 0;
   int mCancelledBeforeResponse = 0;
+  /** Each service is asked by another host. */
+  bool mIsDividedInTwo = false;
   std::vector<service_id> mServices;
   request_context mRequest;
 
@@ -128,11 +130,17 @@
   subquery_hooks SubqueryHooks()
   {
     subquery_hooks hooks;
-    hooks.mPlan = [](const std::vector<service_id>& aServices,
-                     steady_time /*aNow*/) {
-      return std::vector<assigned_subquery>{
+    hooks.mPlan = [this](const std::vector<service_id>& aServices,
+                         steady_time /*aNow*/) {
+      std::vector<assigned_subquery> plans{
         { host_id{ "e2" }, "127.0.0.1:1", aServices }
       };
+      if (mIsDividedInTwo) {
+        plans[0].mServices = { aServices.at(0) };
+        plans.push_back(
+          { host_id{ "e3" }, "127.0.0.1:2", { aServices.at(1) } });
+      }
+      return plans;
     };
     hooks.mSend = [this](const assigned_subquery& /*aTarget*/,
                          subquery aSubquery,
@@ -358,3 +366,61 @@
   LONGS_EQUAL(2, mRequest.mFailures.size());
   LONGS_EQUAL(2, mRequest.mMissing.size());
 }
+
+// Guards against records that are in the response twice, since the report of a
+// subquery has the part of one service twice.
+TEST(scatter_subqueries, AReportThatNamesAServiceTwiceIsNotMerged)
+{
+  mScript = [](const subquery_callback& aCallback) {
+    subquery_update update;
+    update.mParts = { Part("s"), Part("t"), Part("s") };
+    update.mRecords = kRecordC + kRecordC + kRecordA;
+    aCallback(Last(update));
+  };
+  Serve();
+  CHECK(Stamps() == (std::vector<std::string>{ "direct-s", "direct-t" }));
+  CHECK(mRequest.mResponse->mBody == kRecordB + kRecordB);
+  LONGS_EQUAL(1, mSentTo["s"].size());
+  LONGS_EQUAL(1, mSentTo["t"].size());
+}
+
+// Guards against records that are in the response twice, since a host reports
+// on a service that another host was asked for.
+TEST(scatter_subqueries, AReportOnAServiceOfAnotherSubqueryIsNotUsed)
+{
+  mIsDividedInTwo = true;
+  int reports = 0;
+  mScript = [&](const subquery_callback& aCallback) {
+    subquery_update update;
+    update.mParts = { Part("t") };
+    if (++reports == 1) {
+      update.mParts.push_back(Part("s"));
+    }
+    update.mRecords = reports == 1 ? kRecordC + kRecordA : kRecordA;
+    aCallback(Last(update));
+  };
+  Serve();
+  CHECK(Stamps() == (std::vector<std::string>{ "direct-s", "via-t" }));
+  CHECK(mRequest.mResponse->mBody == kRecordB + kRecordA);
+}
+
+// Guards against a service that is asked once more than the request may, since
+// a host reports the failure of a service that another host was asked for.
+TEST(scatter_subqueries, AFailureOfAServiceOfAnotherSubqueryIsNotUsed)
+{
+  mIsDividedInTwo = true;
+  int reports = 0;
+  mScript = [&](const subquery_callback& aCallback) {
+    bool isFirst = ++reports == 1;
+    subquery_update update;
+    update.mParts = { Part(isFirst ? "s" : "t") };
+    update.mRecords = kRecordA;
+    if (isFirst) {
+      update.mFailures = { { service_id{ "t" }, server_id{ "t1" }, true } };
+    }
+    aCallback(Last(update));
+  };
+  Serve();
+  CHECK(Stamps() == (std::vector<std::string>{ "via-s", "via-t" }));
+  CHECK(mSentTo.empty());
+}
