Caller keys: accept no key where the list of teams is empty

What callers saw: after an acknowledged configuration had taken the last team away, requests with its key ran on, as did requests with keys that no configuration ever held, under strict revocation too. Servers got the keys.

Cause: a configuration without a list of teams, which requires no keys, and one with an empty list, which has no good key, were the same value: the decoder kept only the entries, and the encoded record has only a repeated field. Authentication and both checks of subqueries took the empty list for keys that aren't required.

Change: the list is optional in the record, and route_table::RequiresKeys tells whether it is there. Anything but a list under the name of the teams, null included, is refused. The log and the operators' view say whether keys are required.

Why this works: the difference is kept from the decoder to the one place that all three checks ask. The tests for configurations without teams now have no list in place of an empty one, which is what they mean.

--- a/controllers/catalog_controller.cpp
+++ b/controllers/catalog_controller.cpp
@@ -347,7 +347,8 @@
   log_event("configuration_in_force")
     .Add("number", aRecord.mNumber)
     .Add("version", aRecord.mVersion)
-    .Add("routes", aRecord.mRoutes.size());
+    .Add("routes", aRecord.mRoutes.size())
+    .Add("requires_keys", routes->RequiresKeys() ? "yes" : "no");
   std::lock_guard guard(mRoutesLock);
   mRoutes = std::move(routes);
 }
--- a/decisions/routing/configuration.cpp
+++ b/decisions/routing/configuration.cpp
@@ -135,11 +135,14 @@
                     "\" and path prefix \"" + route.mPathPrefix + "\".");
     }
   }
-  auto named = CheckTeamNames(aConfiguration.mCallerTeams);
+  if (!aConfiguration.mCallerTeams) {
+    return boost::outcome_v2::success();
+  }
+  auto named = CheckTeamNames(*aConfiguration.mCallerTeams);
   if (!named) {
     return named.error();
   }
-  return CheckKeys(aConfiguration.mCallerTeams);
+  return CheckKeys(*aConfiguration.mCallerTeams);
 }
 
 }
--- a/decisions/routing/configuration.h
+++ b/decisions/routing/configuration.h
@@ -63,7 +63,7 @@
   std::uint32_t mTopRecords = 0;
   /** Fraction of the shards that a response must cover, 0 to 1. */
   double mMinimumCoverage = 1;
-  /** Requests need no key, even where the configuration has caller teams. */
+  /** Requests need no key, even where the configuration lists caller teams. */
   bool mIsPublic = false;
 
   bool operator==(const route_record&) const = default;
@@ -119,8 +119,9 @@
   std::vector<route_record> mRoutes;
   std::vector<service_profile> mServices;
   caller_limits mLimits;
-  /** Requests need a key of one of these, unless there are none. */
-  std::vector<caller_team_record> mCallerTeams;
+  /** Requests need a key of one of these; no key is good if the list is empty.
+   * Without a list, requests need no key. */
+  std::optional<std::vector<caller_team_record>> mCallerTeams;
   /** The text that the operator sent; empty on daemons. */
   std::string mDocument;
 
--- a/decisions/routing/route_table.cpp
+++ b/decisions/routing/route_table.cpp
@@ -14,7 +14,10 @@
   route_table table;
   table.mNumber = aConfiguration.mNumber;
   table.mLimits = aConfiguration.mLimits;
-  table.mCallerTeams = aConfiguration.mCallerTeams;
+  table.mRequiresKeys = aConfiguration.mCallerTeams.has_value();
+  if (aConfiguration.mCallerTeams) {
+    table.mCallerTeams = *aConfiguration.mCallerTeams;
+  }
   for (std::size_t team = 0; team < table.mCallerTeams.size(); ++team) {
     for (const std::string& key : table.mCallerTeams[team].mKeys) {
       table.mByKey.emplace(key, team);
--- a/decisions/routing/route_table.h
+++ b/decisions/routing/route_table.h
@@ -25,6 +25,7 @@
   std::vector<resolved_route> mRoutes;
   /** Indices into `mRoutes` by virtual host, with the longest prefix first. */
   std::map<std::string, std::vector<std::size_t>, std::less<>> mByVirtualHost;
+  bool mRequiresKeys = false;
   std::vector<caller_team_record> mCallerTeams;
   /** Indices into `mCallerTeams` by key. */
   std::map<std::string, std::size_t, std::less<>> mByKey;
@@ -38,7 +39,7 @@
   [[nodiscard]] const resolved_route* Find(std::string_view aVirtualHost,
                                            std::string_view aPath) const;
   /** True if requests need a key, unless their route is public. */
-  [[nodiscard]] bool HasCallerTeams() const { return !mCallerTeams.empty(); }
+  [[nodiscard]] bool RequiresKeys() const { return mRequiresKeys; }
   /** The team that holds a key, or null. */
   [[nodiscard]] const caller_team_record* FindCallerTeam(
     std::string_view aKey) const;
--- a/filters/authenticate.cpp
+++ b/filters/authenticate.cpp
@@ -57,7 +57,7 @@
              request_context& aRequest)
 {
   const route_table& routes = *aRequest.mRoutes;
-  if (!routes.HasCallerTeams()) {
+  if (!routes.RequiresKeys()) {
     return;
   }
   const caller_team_record* team =
--- a/filters/authenticate.h
+++ b/filters/authenticate.h
@@ -32,7 +32,7 @@
 };
 
 /** Finds the caller's team by its key, and refuses requests without a known
- * key, unless their route is public or the configuration has no such teams. */
+ * key, unless their route is public or the configuration requires no keys. */
 filter
 MakeAuthenticate(caller_key_controller& aKeys, authenticate_hooks aHooks);
 
--- a/main/entry_subqueries.cpp
+++ b/main/entry_subqueries.cpp
@@ -139,7 +139,7 @@
 std::string_view
 entry_role::KeyRefusal(const subquery& aSubquery, const route_table& aRoutes)
 {
-  bool hasTeam = aRoutes.HasCallerTeams() &&
+  bool hasTeam = aRoutes.RequiresKeys() &&
                  !mCallerFields.mTeamOf(*aSubquery.mForwarded).empty();
   if (!hasTeam) {
     return {};
@@ -203,7 +203,7 @@
 {
   steady_time started = SteadyNow();
   request_context context = ToContext(aSubquery, aCaller, aCallback, started);
-  if (mCatalog.Routes()->HasCallerTeams()) {
+  if (mCatalog.Routes()->RequiresKeys()) {
     AuthenticateSubquery(mCallerKeys, mCallerFields, context);
   }
   if (mSettings.mEntryAdmitByRank) {
--- a/messages/configuration_codec.cpp
+++ b/messages/configuration_codec.cpp
@@ -122,8 +122,11 @@
   limits.set_header_timeout_ms(
     MillisecondCount(aRecord.mLimits.mHeaderTimeout));
   limits.set_idle_timeout_ms(MillisecondCount(aRecord.mLimits.mIdleTimeout));
-  for (const caller_team_record& team : aRecord.mCallerTeams) {
-    WriteCallerTeam(team, *aOut.add_caller_teams());
+  if (aRecord.mCallerTeams) {
+    aOut.set_requires_keys(true);
+    for (const caller_team_record& team : *aRecord.mCallerTeams) {
+      WriteCallerTeam(team, *aOut.add_caller_teams());
+    }
   }
   aOut.set_document(aRecord.mDocument);
 }
@@ -151,8 +154,11 @@
                      aIn.limits().body_bytes(),
                      Milliseconds(aIn.limits().header_timeout_ms()),
                      Milliseconds(aIn.limits().idle_timeout_ms()) };
-  for (const wire::CallerTeamRecord& team : aIn.caller_teams()) {
-    record.mCallerTeams.push_back(ReadCallerTeam(team));
+  if (aIn.requires_keys() || !aIn.caller_teams().empty()) {
+    auto& teams = record.mCallerTeams.emplace();
+    for (const wire::CallerTeamRecord& team : aIn.caller_teams()) {
+      teams.push_back(ReadCallerTeam(team));
+    }
   }
   record.mDocument = aIn.document();
   return record;
--- a/messages/operator_json.cpp
+++ b/messages/operator_json.cpp
@@ -127,7 +127,8 @@
     return { { "number", aRecord.mNumber },
              { "version", aRecord.mVersion },
              { "routes", aRecord.mRoutes.size() },
-             { "services", aRecord.mServices.size() } };
+             { "services", aRecord.mServices.size() },
+             { "requires_keys", aRecord.mCallerTeams.has_value() } };
   }
   json::object operator()(const record_removal& aRecord) const
   {
--- a/tests/decisions/routing/configuration_test.cpp
+++ b/tests/decisions/routing/configuration_test.cpp
@@ -78,7 +78,7 @@
   caller_team_record other;
   other.mTeam.mValue = "t2";
   other.mKeys = { "k2" };
-  sharedKey.mCallerTeams = { holder, other };
+  sharedKey.mCallerTeams = std::vector{ holder, other };
   CHECK(ErrorOf(sharedKey) == configuration_error::SharedKey);
   CHECK(CheckConfiguration(sharedKey).error().mDetail.find("k2") ==
         std::string::npos);
@@ -88,7 +88,7 @@
        { "", " t", "t ", "t\r\nX-Tenant: u", "t\tu", "t\x7f" }) {
     configuration_record badName = valid;
     holder.mTeam.mValue = name;
-    badName.mCallerTeams = { holder };
+    badName.mCallerTeams = std::vector{ holder };
     CHECK(ErrorOf(badName) == configuration_error::BadTeamName);
   }
 
--- a/tests/filters/authenticate_test.cpp
+++ b/tests/filters/authenticate_test.cpp
@@ -65,8 +65,11 @@
   return route;
 }
 
+using team_list = std::vector<caller_team_record>;
+
+/** Routes that require no keys if there is no list of teams. */
 std::shared_ptr<const route_table>
-Routes(configuration_number aNumber, std::vector<caller_team_record> aTeams)
+Routes(configuration_number aNumber, std::optional<team_list> aTeams)
 {
   configuration_record configuration;
   configuration.mNumber = aNumber;
@@ -86,7 +89,7 @@
   /** When the newest confirmed mark was sent. */
   std::optional<steady_time> mConfirmedAt = mNow;
   std::shared_ptr<const route_table> mRoutes =
-    Routes(7, { Team("t1", { "k1", "k2" }, 0), Team("t2", { "k3" }) });
+    Routes(7, team_list{ Team("t1", { "k1", "k2" }, 0), Team("t2", { "k3" }) });
   bool mAreRoutesConfirmed = true;
   caller_key_controller mStrict{ { true, milliseconds(5000) }, Hooks() };
   caller_key_controller mLoose{ { false, milliseconds(5000) }, Hooks() };
@@ -229,7 +232,7 @@
 // Guards against changes to deployments whose configuration has no teams.
 TEST(authenticate, WithoutTeamsRequestsAreForwardedUnchanged)
 {
-  mRoutes = Routes(8, {});
+  mRoutes = Routes(8, std::nullopt);
   mConfirmedAt.reset();
   mAreRoutesConfirmed = false;
   std::vector<header_field> sent{ { kTeamField, "own" } };
@@ -242,6 +245,47 @@
         FingerprintOf(*request.mForwarded, *request.mBody));
 }
 
+// Guards against routes that are open to everyone once the last team is taken
+// away.
+TEST(authenticate, AnEmptyListOfTeamsMakesAllKeysUnknown)
+{
+  request_context waiting = Serve("/private/x", "k1");
+  CHECK(MaySend(waiting));
+  mRoutes = Routes(8, team_list{});
+  CHECK(!MaySend(waiting));
+  for (const char* key : { "k1", "k9", "" }) {
+    CheckRefused(Serve("/private/x", key, { { kTeamField, "t1" } }),
+                 refusal_reason::UnknownKey);
+    request_context open = Serve("/open/x", key, { { kTeamField, "t1" } });
+    CHECK(!open.mRefusal);
+    CHECK(!CarriesKey(open));
+    CHECK(TeamOf(*open.mForwarded).empty());
+  }
+  mAreRoutesConfirmed = false;
+  CheckRefused(Serve("/private/x", "k1"), refusal_reason::NotConfirmed);
+  CHECK(!Serve("/open/x", "").mRefusal);
+}
+
+// Guards against a host that serves by a list of teams that was replaced by
+// none, and against a request of that time that is sent without its check.
+TEST(authenticate, AfterTheListIsGoneOnlyHostsInTouchServeWithoutKeys)
+{
+  request_context waiting = Serve("/private/x", "k1");
+  mNow += milliseconds(3000);
+  mAreRoutesConfirmed = false;
+  for (const char* key : { "k1", "k9", "" }) {
+    CheckRefused(Serve("/private/x", key), refusal_reason::NotConfirmed);
+  }
+  CHECK(!Serve("/open/x", "").mRefusal);
+  mConfirmedAt = mNow;
+  mAreRoutesConfirmed = true;
+  mRoutes = Routes(8, std::nullopt);
+  for (const char* key : { "k1", "k9", "" }) {
+    CHECK(!Serve("/private/x", key).mRefusal);
+  }
+  CHECK(!MaySend(waiting));
+}
+
 TEST(authenticate, TheTeamsPriorityReplacesTheRoutes)
 {
   LONGS_EQUAL(0, Serve("/private/x", "k1").mPriority);
@@ -302,7 +346,7 @@
   CHECK(!MaySend(request));
   mConfirmedAt = mNow;
   CHECK(MaySend(request));
-  mRoutes = Routes(8, { Team("t1", { "k2" }), Team("t2", { "k3" }) });
+  mRoutes = Routes(8, team_list{ Team("t1", { "k2" }), Team("t2", { "k3" }) });
   CHECK(!MaySend(request));
   LONGS_EQUAL(1, mStrict.Counts().mRemoved);
   CheckRefused(Serve("/private/x", "k1"), refusal_reason::UnknownKey);
@@ -329,9 +373,9 @@
   CHECK(!MaySend(received));
   mConfirmedAt = mNow;
   CHECK(MaySend(received));
-  mRoutes = Routes(8, { Team("t1", { "k1" }) });
+  mRoutes = Routes(8, team_list{ Team("t1", { "k1" }) });
   CHECK(MaySend(received));
-  mRoutes = Routes(6, { Team("t1", { "k1" }) });
+  mRoutes = Routes(6, team_list{ Team("t1", { "k1" }) });
   CHECK(!MaySend(received));
   // Subqueries without a team need no check.
   sent.mForwarded = Serve("/open/x", "").mForwarded;
--- a/tests/filters/quota_test.cpp
+++ b/tests/filters/quota_test.cpp
@@ -27,7 +27,7 @@
   caller_team_record unlimited;
   unlimited.mTeam.mValue = "unlimited";
   unlimited.mKeys = { "k2" };
-  configuration.mCallerTeams = { limited, unlimited };
+  configuration.mCallerTeams = std::vector{ limited, unlimited };
   std::vector<std::string> invalid;
   return std::make_shared<const route_table>(
     route_table::Create(configuration, invalid));
--- a/tests/integration/caller_keys_test.cpp
+++ b/tests/integration/caller_keys_test.cpp
@@ -19,9 +19,17 @@
 const std::string kTakenKey = "key-that-is-taken";
 const std::string kUnknownKey = "key-of-nobody";
 
+/** A list of one team. */
+std::string
+TeamWith(const std::string& aKeys)
+{
+  return R"([{"name":"t1","api_keys":[)" + aKeys +
+         R"(],"rate_per_s":0,"burst":0}])";
+}
+
 /** A configuration with a route that needs a key and one that is public. */
 std::string
-Configuration(int aNumber, const std::string& aKeys)
+Configuration(int aNumber, const std::string& aTeams)
 {
   const std::string route =
     R"(","kind":"idempotent","timeout_ms":2000,"target_latency_ms":400,)"
@@ -35,8 +43,8 @@
          R"("warmup_s":0.0,"warmup_per_s":0.0}],"limits":{)"
          R"("max_header_bytes":16384,"max_body_bytes":262144,)"
          R"("header_timeout_ms":3000,"idle_timeout_ms":15000},)"
-         R"("tenants":[{"name":"t1","api_keys":[)" +
-         aKeys + R"(],"rate_per_s":0,"burst":0}]})";
+         R"("tenants":)" +
+         aTeams + '}';
 }
 
 system_options
@@ -116,6 +124,11 @@
 
   /** Puts a configuration through any control host that accepts it. */
   bool Put(int aNumber, const std::string& aKeys)
+  {
+    return PutTeams(aNumber, TeamWith(aKeys));
+  }
+
+  bool PutTeams(int aNumber, const std::string& aTeams)
   {
     return WaitFor([&] {
       std::vector<int> hosts = mHosts->FirstControlHosts();
@@ -124,7 +137,7 @@
                Call("POST",
                     mHosts->Platform(aHost),
                     "/api/Config.Put",
-                    Configuration(aNumber, aKeys))
+                    Configuration(aNumber, aTeams))
                    .mStatus == 200;
       });
     });
@@ -237,3 +250,40 @@
   CHECK(IsUnknown(kTakenKey));
   CheckNoKeyIsShown();
 }
+
+// Guards against routes that are open to everyone, and servers that get the
+// keys, once the last team is taken away, also by hosts that read the
+// configuration from a log.
+TEST(caller_keys, TheLastTeamIsTakenAwayAndNoKeyIsGood)
+{
+  CHECK(Put(1, '"' + kTakenKey + '"'));
+  CHECK(WaitFor([&] { return Get("/find/one", kTakenKey) == 200; }));
+  CHECK(IsUnknown(kUnknownKey));
+
+  CHECK(PutTeams(2, "[]"));
+  CHECK(WaitFor([&] { return Get("/find/one", kTakenKey) == 401; }));
+  auto areRefused = [&] {
+    for (const std::string& key : { kTakenKey, kUnknownKey, std::string() }) {
+      CHECK(IsUnknown(key));
+      LONGS_EQUAL(200, Get("/open/one", key));
+    }
+  };
+  areRefused();
+
+  std::vector<std::string> names{ "e1" };
+  for (int number : mHosts->FirstControlHosts()) {
+    names.push_back("c" + std::to_string(number));
+  }
+  for (const std::string& name : names) {
+    mHosts->System().StopProcess(name, SIGKILL);
+  }
+  for (const std::string& name : names) {
+    mHosts->System().Start(name);
+  }
+  CHECK(WaitFor([&] { return Get("/open/one", "") == 200; }));
+  areRefused();
+  STRCMP_EQUAL(
+    Configuration(2, "[]").c_str(),
+    Call("GET", mHosts->Platform(1), "/api/Config.Get").mBody.c_str());
+  CheckNoKeyIsShown();
+}
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -85,13 +85,14 @@
   const configuration_record& record = decoded.value();
   CHECK(record.mRoutes[0].mIsPublic);
   CHECK(!record.mRoutes[1].mIsPublic);
-  LONGS_EQUAL(2, record.mCallerTeams.size());
-  const caller_team_record& team = record.mCallerTeams[0];
+  CHECK(record.mCallerTeams.has_value());
+  LONGS_EQUAL(2, record.mCallerTeams->size());
+  const caller_team_record& team = record.mCallerTeams->front();
   LONGS_EQUAL(2, team.mKeys.size());
   DOUBLES_EQUAL(2.5, team.mRatePerSecond, 1e-9);
   DOUBLES_EQUAL(4, team.mBurst, 1e-9);
   CHECK(team.mPriority && *team.mPriority == 0);
-  CHECK(!record.mCallerTeams[1].mPriority);
+  CHECK(!record.mCallerTeams->back().mPriority);
 
   wire::ConfigurationRecord encoded;
   WriteConfiguration(record, encoded);
@@ -100,6 +101,48 @@
   CHECK(read.value() == record);
 }
 
+// Guards against an empty list of teams that is taken for none, which opens the
+// routes to everyone when the last team is taken away.
+TEST(platform_decoding, AnEmptyListOfTeamsIsNotTheSameAsNone)
+{
+  auto withTeams = [](const std::string& aTeams) {
+    std::string document = kDocument;
+    document.insert(document.find("\"limits\""), aTeams);
+    return platform::DecodeConfiguration(document);
+  };
+  auto readBack = [](const configuration_record& aRecord) {
+    wire::ConfigurationRecord encoded;
+    WriteConfiguration(aRecord, encoded);
+    wire::ConfigurationRecord stored;
+    CHECK(stored.ParseFromString(encoded.SerializeAsString()));
+    return ReadConfiguration(stored).value();
+  };
+  configuration_record without = withTeams("").value();
+  CHECK(!without.mCallerTeams);
+  CHECK(!readBack(without).mCallerTeams);
+  configuration_record empty = withTeams(R"("tenants":[],)").value();
+  CHECK(empty.mCallerTeams && empty.mCallerTeams->empty());
+  CHECK(CheckConfiguration(empty).has_value());
+  CHECK(readBack(empty) == empty);
+  for (const char* other : { "null", "{}", "\"\"", "false" }) {
+    auto decoded = withTeams("\"tenants\":" + std::string(other) + ',');
+    CHECK(!decoded);
+    CHECK(decoded.error().mDetail.find("tenants") != std::string::npos);
+  }
+}
+
+// Guards against the teams of a configuration that an earlier version has
+// written being ignored.
+TEST(platform_decoding, TeamsOfRecordsOfEarlierVersionsAreInForce)
+{
+  wire::ConfigurationRecord earlier;
+  earlier.add_caller_teams()->set_team("t1");
+  configuration_record record = ReadConfiguration(earlier).value();
+  CHECK(record.mCallerTeams && record.mCallerTeams->size() == 1);
+  earlier.clear_caller_teams();
+  CHECK(!ReadConfiguration(earlier).value().mCallerTeams);
+}
+
 TEST(platform_decoding, UnknownRouteKindIsNonIdempotent)
 {
   std::string document = kDocument;
