--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -143,6 +143,19 @@
   CHECK(!ReadConfiguration(earlier).value().mCallerTeams);
 }
 
+// Guards against requests that run twice, since a list of no shards made their
+// route a fan-out, whose requests may be resent.
+TEST(platform_decoding, AnEmptyListOfShardsDoesNotMakeARouteIdempotent)
+{
+  std::string document = kDocument;
+  document.insert(document.find("\"max_attempts\":1"),
+                  R"("fanout":[],"top_k":5,)");
+  configuration_record record = platform::DecodeConfiguration(document).value();
+  CHECK(record.mRoutes[1].mKind == route_kind::NonIdempotent);
+  CHECK(record.mRoutes[1].mShards.empty());
+  CHECK(CheckConfiguration(record).has_value());
+}
+
 TEST(platform_decoding, UnknownRouteKindIsNonIdempotent)
 {
   std::string document = kDocument;
