--- a/tests/filters/scatter_subqueries_test.cpp
+++ b/tests/filters/scatter_subqueries_test.cpp
@@ -64,8 +64,10 @@
     { [](const std::vector<connection_id>& /*aConnections*/) {},
       [](const server_id& /*aServer*/) {} }
   };
-  budget_controller mBudgets{ 1.0, 1.0, 20, { [](steady_time /*aNow*/) {
-                                return std::nullopt;
+  /** This host's part of the budget that all hosts share, if they do. */
+  std::optional<budget_limits> mSharedLimits;
+  budget_controller mBudgets{ 1.0, 1.0, 20, { [this](steady_time /*aNow*/) {
+                                return mSharedLimits;
                               } } };
   fingerprint_controller mFingerprints{ 10 };
   attempt_status mDirectOutcome = attempt_status::Answered;
@@ -367,6 +369,36 @@
   LONGS_EQUAL(2, mRequest.mMissing.size());
 }
 
+// Guards against more extra attempts than the hosts may make together, since
+// the host that sent a subquery and the one that received it counted each
+// attempt.
+TEST(scatter_subqueries, OnlyTheHostThatSentASubqueryCountsItsAttempts)
+{
+  mSharedLimits = { 1.0, 0, milliseconds(10'000) };
+  mScript = [](const subquery_callback& aCallback) {
+    subquery_update update;
+    update.mParts = { Part("s"), Part("t") };
+    update.mRecords = kRecordA;
+    aCallback(Last(update));
+  };
+  Serve();
+  for (const char* service : { "s", "t" }) {
+    CHECK(mBudgets.SpendHedge(service_id{ service }, Now()));
+    CHECK(!mBudgets.SpendHedge(service_id{ service }, Now()));
+  }
+
+  subquery received = mSubqueries.at(0);
+  received.mBody = std::make_shared<const std::string>();
+  mRequest = ToContext(
+    received, nullptr, [](const subquery_update& /*aUpdate*/) {}, Now());
+  mContext.restart();
+  Serve();
+  for (const char* service : { "s", "t" }) {
+    LONGS_EQUAL(1, mSentTo[service].size());
+    CHECK(!mBudgets.SpendHedge(service_id{ service }, Now()));
+  }
+}
+
 // Guards against records that are in the response twice, since the report of a
 // subquery has the part of one service twice.
 TEST(scatter_subqueries, AReportThatNamesAServiceTwiceIsNotMerged)
