--- a/filters/scatter_attempt.cpp
+++ b/filters/scatter_attempt.cpp
@@ -155,11 +155,7 @@
   ++mAttempts;
   switch (aReason) {
     case attempt_reason::Regular:
-      // The host that sent a subquery has counted it, and makes the extra
-      // attempts.
-      if (!mOnProgress) {
-        mBudgets.OnRegularAttempt(aService.mService, aNow);
-      }
+      mBudgets.OnRegularAttempt(aService.mService, aNow);
       return;
     case attempt_reason::Hedge:
       ++mHedges;
