--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p standin-3/bin
-for source in standin-3/*.cpp; do
-  g++ -std=c++20 -O1 -pthread -o "standin-3/bin/$(basename "$source" .cpp)" "$source"
+for source in standin-3/*.cc; do
+  g++ -std=c++20 -O1 -pthread -o "standin-3/bin/$(basename "$source" .cc)" "$source"
 done
