--- a/review/standin-3/crashing_request.cc
+++ b/review/standin-3/crashing_request.cc
@@ -10,8 +10,11 @@
 
 constexpr ms kContact{ 4000 };
 constexpr int kAllowedRetries = 3;
-constexpr int kServers = 8;
-constexpr int kSends = 6;
+constexpr int kServers = 13;
+/** Times at which the request comes; each but the first time it is sent twice.
+ */
+constexpr int kVolleys = 5;
+constexpr ms kBetweenSends{ 200 };
 constexpr std::chrono::seconds kPause{ 6 };
 constexpr ms kDown{ 2500 };
 
@@ -40,6 +43,8 @@
   /** Client attempts that reached a server later than the contact time after
    * the third crash. */
   std::set<std::string> mLateRetries;
+  /** The same without the client's own retries. */
+  std::set<std::string> mLateSends;
   int mLateCrashes = 0;
   int mOrders = 0;
   int mOrdersLost = 0;
@@ -111,6 +116,7 @@
       bool isLate = state.mCrashes >= 3 && now > state.mThirdCrash + kContact;
       if (isLate) {
         state.mLateRetries.insert(id);
+        state.mLateSends.insert(id.substr(0, id.rfind('-')));
         ++state.mLateCrashes;
       }
       ++state.mCrashes;
@@ -131,7 +137,7 @@
     options.mZone =
       system.mZones[static_cast<std::size_t>(number) % system.mZones.size()];
     options.mAddress = system.mNet + std::to_string(100 + number) + ":8080";
-    options.mSlots = 6;
+    options.mSlots = 4;
     options.mWork = ms(40);
     servers.push_back(
       std::make_unique<server>(options, system.Controls(), run, log));
@@ -151,10 +157,9 @@
   }
   std::this_thread::sleep_for(std::chrono::seconds(2));
   std::size_t front = 0;
-  for (int sent = 0; sent < kSends; ++sent) {
+  auto send = [&](const std::string& aName) {
     for (int attempt = 0; attempt < 2; ++attempt) {
-      std::string id =
-        "p" + std::to_string(sent) + "-" + std::to_string(attempt);
+      std::string id = aName + "-" + std::to_string(attempt);
       std::string target = fronts[front++ % fronts.size()];
       log.Line("client sends " + id + " to " + target);
       message answer = Call(target,
@@ -166,13 +171,18 @@
                               "\r\nX-Deadline-Ms: 6000\r\n");
       log.Line("client gets " + std::to_string(answer.Status()) + " for " + id);
       if (answer.Status() == 200) {
-        break;
-      }
-      std::string pause = answer.Field("retry-after");
-      if (!pause.empty()) {
-        std::this_thread::sleep_for(ms(
-          static_cast<long>(std::min(2.0, std::atof(pause.c_str())) * 1000)));
+        return;
       }
+      double pause = std::atof(answer.Field("retry-after").c_str());
+      std::this_thread::sleep_for(
+        ms(static_cast<long>(std::min(2.0, pause) * 1000)));
+    }
+  };
+  for (int volley = 0; volley < kVolleys; ++volley) {
+    send("p" + std::to_string(volley) + "a");
+    if (volley > 0) {
+      std::this_thread::sleep_for(kBetweenSends);
+      send("p" + std::to_string(volley) + "b");
     }
     std::this_thread::sleep_for(kPause);
   }
@@ -183,7 +193,9 @@
   log.Say("servers crashed: " + std::to_string(state.mCrashes) +
           "; retries that reached a server later than 4 s after the third "
           "crash: " +
-          std::to_string(state.mLateRetries.size()) + " (allowed " +
+          std::to_string(state.mLateRetries.size()) + " of " +
+          std::to_string(state.mLateSends.size()) +
+          " times that it came again (allowed " +
           std::to_string(kAllowedRetries) + ")");
   log.Say("orders of other callers " + std::to_string(state.mOrders) +
           ", lost " + std::to_string(state.mOrdersLost));
