--- a/review/standin-3/crashing_request.cc
+++ b/review/standin-3/crashing_request.cc
@@ -71,9 +71,7 @@
     auto answer = peer.Read(steady::now() + ms(6500));
     int status = answer ? answer->Status() : 0;
     bool isLost = status != 200 && status != 503;
-    if (isLost) {
-      aRecord.Line("order " + id + " answered " + std::to_string(status));
-    }
+    aRecord.Line("order " + id + " answered " + std::to_string(status));
     if (!answer || answer->Field("connection") == "close") {
       peer.Close();
     }
@@ -106,10 +104,11 @@
   case_state state;
   run_handler run = [&](server& aServer, const message& aRequest) {
     run_result result;
+    std::string id = aRequest.Field("x-request-id");
     if (aRequest.Path() != "/find/7f" || !hasTrouble) {
+      log.Line("server " + aServer.mOptions.mAddress + " runs " + id);
       return result;
     }
-    std::string id = aRequest.Field("x-request-id");
     {
       std::lock_guard guard(state.mLock);
       auto now = steady::now();
--- a/review/standin-3/quota_kill.cc
+++ b/review/standin-3/quota_kill.cc
@@ -89,7 +89,8 @@
               int aTenant,
               int aNumber,
               const std::atomic<bool>& aEnds,
-              case_state& aState)
+              case_state& aState,
+              record& aRecord)
 {
   bool isHot = aTenant == 0;
   std::size_t front = isHot ? 0 : static_cast<std::size_t>(aNumber);
@@ -120,8 +121,11 @@
     if (!answer || answer->Field("connection") == "close") {
       peer.Close();
     }
+    int status = answer ? answer->Status() : 0;
+    aRecord.Line("client of tenant " + std::to_string(aTenant) + " sent " + id +
+                 ", answered " + std::to_string(status));
     std::lock_guard guard(aState.mLock);
-    ++aState.mStatuses[answer ? answer->Status() : 0];
+    ++aState.mStatuses[status];
   }
 }
 
@@ -205,7 +209,7 @@
   for (int tenant = 0; tenant < kTenants; ++tenant) {
     for (int number = 0; number < kConnections; ++number) {
       clients.emplace_back([&, tenant, number] {
-        RunConnection(system.Fronts(), tenant, number, ends, state);
+        RunConnection(system.Fronts(), tenant, number, ends, state, log);
       });
     }
   }
